--- /dev/null
+++ b/packages/claims/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./record.js"
--- /dev/null
+++ b/packages/core/src/errors.ts
@@ -0,0 +1,90 @@
+/** Where in a request's path an error arose. */
+export type Step =
+  | "parse"
+  | "admit"
+  | "route"
+  | "grant"
+  | "queue"
+  | "load"
+  | "evict"
+  | "claim"
+  | "send"
+  | "stream"
+  | "resume"
+  | "forward"
+  | "platform"
+  | "peer"
+  | "config"
+  | "operate"
+  | "shutdown"
+
+/**
+ * What is known of a failed request. `not-run` is a guarantee that no
+ * endpoint has run or will run it; `unknown` means that it may have run.
+ */
+export type Outcome = "not-run" | "unknown"
+
+/** The machine-readable reason of a failure. */
+export type ErrorCode =
+  | "bad-request"
+  | "unauthorized"
+  | "not-found"
+  | "too-large"
+  | "overloaded"
+  | "deadline"
+  | "load-failed"
+  | "no-endpoint"
+  | "no-owner"
+  | "shutting-down"
+  | "conflict"
+  | "in-progress"
+  | "canceled"
+  | "endpoint-failed"
+  | "wrong-answer"
+  | "platform-down"
+  | "peer-down"
+  | "internal"
+
+/** A failure with the step and the peer at which it arose, and what is known of the request. */
+export class GalenawayError extends Error {
+  override readonly name: string = "GalenawayError"
+  constructor(
+    readonly code: ErrorCode,
+    readonly step: Step,
+    readonly peer: string,
+    readonly outcome: Outcome,
+    message: string,
+    options?: ErrorOptions,
+  ) {
+    super(message, options)
+  }
+}
+
+/** A refusal. Its outcome is always `not-run`. */
+export class RefusedError extends GalenawayError {
+  override readonly name = "RefusedError"
+  constructor(code: ErrorCode, step: Step, peer: string, message: string, options?: ErrorOptions) {
+    super(code, step, peer, "not-run", message, options)
+  }
+}
+
+/** A failure after a byte may have left. Its outcome is always `unknown`. */
+export class UnknownOutcomeError extends GalenawayError {
+  override readonly name = "UnknownOutcomeError"
+  constructor(code: ErrorCode, step: Step, peer: string, message: string, options?: ErrorOptions) {
+    super(code, step, peer, "unknown", message, options)
+  }
+}
+
+/** The platform's service did not answer, or refused. A write that failed so may still have taken effect. */
+export class PlatformError extends GalenawayError {
+  override readonly name = "PlatformError"
+  constructor(peer: string, message: string, options?: ErrorOptions) {
+    super("platform-down", "platform", peer, "unknown", message, options)
+  }
+}
+
+/** Returns the text of anything that was thrown. */
+export function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./adapter.js"
+export * from "./errors.js"
+export * from "./model.js"
+export * from "./ports.js"
+export * from "./rank.js"
--- /dev/null
+++ b/packages/daemon/src/caller/parse.ts
@@ -0,0 +1,92 @@
+import type { IncomingHttpHeaders } from "node:http"
+import { z } from "zod"
+import {
+  type ChatMessage,
+  isRank,
+  parseAdapterKey,
+  type Rank,
+  RefusedError,
+  type RouteRequest,
+} from "@galenaway/core"
+import { hashText } from "@galenaway/policy"
+
+const DEFAULT_DEADLINE_MS = { urgent: 1400, standard: 10_000, bulk: 300_000 } as const
+const MAX_DEADLINE_MS = 3_600_000
+const DEFAULT_TOKENS = 16
+const MAX_TOKENS = 8192
+const MAX_MESSAGES = 256
+const PREFIX_CHARACTERS = 256
+
+const COMPLETION = z.object({
+  model: z.string(),
+  messages: z
+    .array(z.object({ role: z.string(), content: z.string() }))
+    .min(1)
+    .max(MAX_MESSAGES),
+  stream: z.boolean().default(false),
+  max_tokens: z.number().int().min(1).max(MAX_TOKENS).default(DEFAULT_TOKENS),
+})
+
+/** A checked completion request. */
+export interface ParsedCompletion {
+  readonly route: RouteRequest
+  readonly messages: readonly ChatMessage[]
+  readonly isStreamed: boolean
+}
+
+/** Checks a completion request. Throws a RefusedError that says what is allowed. */
+export function parseCompletion(
+  id: string,
+  body: string,
+  headers: IncomingHttpHeaders,
+  now: number,
+): ParsedCompletion {
+  const { model, messages, stream, max_tokens } = checkBody(body)
+  const adapter = parseAdapterKey(model)
+  if (adapter === undefined) throw refuseInput("model: expected base/adapter@version")
+  const rank = parseRank(headers["x-galenaway-rank"])
+  const deadlineMs = parseDeadline(headers["x-galenaway-deadline-ms"], rank)
+  const route: RouteRequest = {
+    id,
+    adapter,
+    rank,
+    arrivedAt: now,
+    deadline: now + deadlineMs,
+    prefix: hashText((messages[0]?.content ?? "").slice(0, PREFIX_CHARACTERS)),
+    maxTokens: max_tokens,
+  }
+  return { route, messages, isStreamed: stream }
+}
+
+/** Creates the error for a malformed request. */
+export function refuseInput(message: string): RefusedError {
+  return new RefusedError("bad-request", "parse", "caller", message)
+}
+
+function checkBody(body: string): z.infer<typeof COMPLETION> {
+  const result = COMPLETION.safeParse(parseJson(body))
+  if (result.success) return result.data
+  const issue = result.error.issues[0]
+  throw refuseInput(`${issue?.path.join(".") ?? "body"}: ${issue?.message ?? "malformed"}`)
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    throw refuseInput("body: expected JSON")
+  }
+}
+
+function parseRank(header: string | string[] | undefined): Rank {
+  const text = typeof header === "string" ? header : "standard"
+  if (isRank(text)) return text
+  throw refuseInput("x-galenaway-rank: expected urgent, standard or bulk")
+}
+
+function parseDeadline(header: string | string[] | undefined, rank: Rank): number {
+  if (header === undefined) return DEFAULT_DEADLINE_MS[rank]
+  const ms = Number(header)
+  if (ms > 0 && ms <= MAX_DEADLINE_MS) return ms
+  throw refuseInput(`x-galenaway-deadline-ms: expected 1 to ${MAX_DEADLINE_MS}`)
+}
--- /dev/null
+++ b/packages/daemon/src/caller/server.ts
@@ -0,0 +1,74 @@
+import type { Server } from "node:http"
+import { App } from "@tinyhttp/app"
+import type { CompletionHandler } from "./completions.js"
+import type { ServiceHandler } from "./services.js"
+import type { Address } from "../settings.js"
+
+const HEADERS_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 30_000
+const POLL_MS = 20
+const MICROS_PER_MS = 1000
+
+/** The callers' interface of a running daemon. */
+export interface CallerServer {
+  readonly address: Address
+  /** Takes no new connection, waits until the running requests have their answers, at most the given time. */
+  drain(limitMs: number): Promise<void>
+}
+
+/** Starts the callers' interface. */
+export async function startCallerServer(
+  address: Address,
+  completions: CompletionHandler,
+  services: ServiceHandler,
+): Promise<CallerServer> {
+  const app = new App()
+  const state = { running: 0, isDraining: false }
+  app.use((_request, response, next) => {
+    state.running++
+    response.once("close", () => state.running--)
+    if (state.isDraining) response.setHeader("connection", "close")
+    next()
+  })
+  app.get("/health", (_request, response) => {
+    const { user, system } = process.cpuUsage()
+    const cpuMs = (user + system) / MICROS_PER_MS
+    response.status(state.isDraining ? 503 : 200).json({ ok: !state.isDraining, cpuMs })
+  })
+  app.post("/v1/chat/completions", (request, response) => completions.handle(request, response))
+  app.post("/v1/services/:operation", (request, response) => services.handle(request, response))
+  const server = await listen(app, address)
+  return {
+    address,
+    drain: (limitMs) => drainServer(server, state, limitMs),
+  }
+}
+
+function listen(app: App, address: Address): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = app.listen(
+      address.port,
+      () => {
+        resolve(server)
+      },
+      address.host,
+    )
+    server.headersTimeout = HEADERS_TIMEOUT_MS
+    server.requestTimeout = REQUEST_TIMEOUT_MS
+    server.once("error", reject)
+  })
+}
+
+async function drainServer(
+  server: Server,
+  state: { running: number; isDraining: boolean },
+  limitMs: number,
+): Promise<void> {
+  state.isDraining = true
+  server.close()
+  server.closeIdleConnections()
+  const end = performance.now() + limitMs
+  while (state.running > 0 && performance.now() < end)
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS))
+  server.closeAllConnections()
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,44 @@
+import type { Log } from "@galenaway/observe"
+import { CompletionHandler } from "./caller/completions.js"
+import { type CallerServer, startCallerServer } from "./caller/server.js"
+import { ServiceHandler } from "./caller/services.js"
+import { createContainer, type EngineMap, type RowMap, TOKENS } from "./container.js"
+import { refreshReports } from "./router/reports.js"
+import type { Settings } from "./settings.js"
+
+const REPORT_INTERVAL_MS = 200
+
+/** A running daemon. */
+export interface Daemon {
+  /** Stops gracefully: running requests get their whole answers first. */
+  stop(): Promise<void>
+}
+
+/** Starts a daemon; resolves when it serves callers. */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+  const parts = createContainer(settings)
+  const log = parts.resolve<Log>(TOKENS.log)
+  const rows = parts.resolve<RowMap>(TOKENS.rows)
+  const engines = parts.resolve<EngineMap>(TOKENS.engines)
+  await refreshReports(rows, engines)
+  const timer = setInterval(() => void refreshReports(rows, engines), REPORT_INTERVAL_MS)
+  const callers = await startCallerServer(
+    settings.listen,
+    parts.resolve(CompletionHandler),
+    parts.resolve(ServiceHandler),
+  )
+  log.info({ listen: `${settings.listen.host}:${settings.listen.port}` }, "started")
+  return { stop: () => stopDaemon(callers, timer, settings, log) }
+}
+
+async function stopDaemon(
+  callers: CallerServer,
+  timer: NodeJS.Timeout,
+  settings: Settings,
+  log: Log,
+): Promise<void> {
+  log.info("draining")
+  await callers.drain(settings.drainSeconds * 1000)
+  clearInterval(timer)
+  log.info("stopped")
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./caller/answer.js"
+export * from "./caller/parse.js"
+export * from "./container.js"
+export * from "./daemon.js"
+export * from "./endpoint/engine.js"
+export * from "./platform/consul.js"
+export * from "./settings.js"
--- /dev/null
+++ b/packages/daemon/src/router/naive.ts
@@ -0,0 +1,76 @@
+import {
+  type AdapterKey,
+  type EndpointId,
+  type EnginePort,
+  type Grant,
+  type GrantResult,
+  type Clock,
+  RefusedError,
+  type Router,
+  type RouteRequest,
+} from "@galenaway/core"
+import { chooseNaive, type NaiveDecision, type NaiveRow } from "@galenaway/policy"
+
+/** Routes by load reports alone and loads on a miss, each instance for itself. It is the baseline. */
+export class NaiveRouter implements Router {
+  private readonly loads = new Map<string, Promise<void>>()
+  private grants = 0
+
+  constructor(
+    private readonly rows: ReadonlyMap<EndpointId, NaiveRow>,
+    private readonly engines: ReadonlyMap<EndpointId, EnginePort>,
+    private readonly clock: Clock,
+    private readonly incarnation: string,
+  ) {}
+
+  async acquire(request: RouteRequest): Promise<Grant> {
+    const decision = chooseNaive(this.rows.values(), request.adapter, this.clock.now())
+    if (decision.kind === "refuse")
+      throw new RefusedError("no-endpoint", "route", "none", "no engine is reachable")
+    if (decision.kind === "load") await this.loadOnce(decision, request.adapter)
+    return {
+      id: `${this.incarnation}-${++this.grants}`,
+      request: request.id,
+      endpoint: decision.endpoint,
+      adapter: request.adapter,
+      owner: this.incarnation,
+      epoch: 0,
+    }
+  }
+
+  release(grant: Grant, result: GrantResult): void {
+    if (result === "adapter-missing") this.rows.get(grant.endpoint)?.lastUsed.delete(grant.adapter)
+  }
+
+  private async loadOnce(
+    decision: Extract<NaiveDecision, { kind: "load" }>,
+    adapter: AdapterKey,
+  ): Promise<void> {
+    const key = `${decision.endpoint} ${adapter}`
+    const load = this.loads.get(key) ?? this.load(decision, adapter)
+    this.loads.set(key, load)
+    try {
+      await load
+    } finally {
+      this.loads.delete(key)
+    }
+  }
+
+  private async load(
+    decision: Extract<NaiveDecision, { kind: "load" }>,
+    adapter: AdapterKey,
+  ): Promise<void> {
+    const engine = this.engines.get(decision.endpoint)
+    const row = this.rows.get(decision.endpoint)
+    if (!engine || !row)
+      throw new RefusedError("no-endpoint", "load", decision.endpoint, "unknown endpoint")
+    if (decision.evict !== undefined) {
+      row.lastUsed.delete(decision.evict)
+      await engine.unload({ adapter: decision.evict, fencingNumber: 0 })
+    }
+    const result = await engine.load({ adapter, fencingNumber: 0 })
+    if (result !== "done")
+      throw new RefusedError("load-failed", "load", decision.endpoint, `load ${result}`)
+    row.lastUsed.set(adapter, this.clock.now())
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/reports.ts
@@ -0,0 +1,29 @@
+import type { EndpointId, EnginePort } from "@galenaway/core"
+import type { NaiveRow } from "@galenaway/policy"
+
+/** Reads every engine's load report once and updates its row. Engines that don't answer become unreachable. */
+export async function refreshReports(
+  rows: ReadonlyMap<EndpointId, NaiveRow>,
+  engines: ReadonlyMap<EndpointId, EnginePort>,
+): Promise<void> {
+  await Promise.all(
+    [...rows.values()].map(async (row) => {
+      const engine = engines.get(row.info.id)
+      if (engine) await refreshRow(row, engine)
+    }),
+  )
+}
+
+async function refreshRow(row: NaiveRow, engine: EnginePort): Promise<void> {
+  try {
+    const report = await engine.report()
+    row.isReachable = true
+    row.report = report
+    for (const adapter of row.lastUsed.keys())
+      if (!report.resident.includes(adapter)) row.lastUsed.delete(adapter)
+    for (const adapter of report.resident)
+      if (!row.lastUsed.has(adapter)) row.lastUsed.set(adapter, 0)
+  } catch {
+    row.isReachable = false
+  }
+}
--- /dev/null
+++ b/packages/demo/src/fleet.ts
@@ -0,0 +1,211 @@
+import {
+  findPorts,
+  resolveScript,
+  startProcess,
+  type StartedProcess,
+  stopProcess,
+} from "./process.js"
+
+/** Data centres of the demo. */
+export const DATA_CENTRES = ["iloilo", "guimaras", "negros"] as const
+/** Operators' key of the demo's daemons. */
+export const OPERATOR_KEY = "demo-operator-key"
+const PEER_KEY = "demo-peer-key"
+
+/** What a fleet consists of. */
+export interface FleetOptions {
+  /** Port of the balancer; 0 picks a free one. */
+  readonly port: number
+  readonly instances?: number
+  readonly engines?: number
+  readonly bookings?: number
+  readonly slots?: number
+  readonly router?: "naive" | "coordinated"
+  /** Settings for every daemon, besides the launcher's own. */
+  readonly env?: Readonly<Record<string, string>>
+  /** Called with each piece of log of any process. */
+  readonly onLog?: (name: string, text: string) => void
+}
+
+/** An entry instance of a fleet. */
+export interface FleetInstance {
+  readonly id: string
+  readonly dataCentre: string
+  readonly url: string
+  readonly operatorUrl: string
+  readonly peerAddress: string
+}
+
+/** An endpoint of a fleet. */
+export interface FleetEndpoint {
+  readonly id: string
+  readonly kind: "engine" | "service"
+  readonly dataCentre: string
+  readonly url: string
+  readonly fencing: "checked" | "ignored"
+}
+
+/** Stand-ins and daemons as separate processes. */
+export interface Fleet {
+  /** The balancer's URL. */
+  readonly url: string
+  readonly platformUrl: string
+  readonly storeUrl: string
+  readonly instances: readonly FleetInstance[]
+  readonly endpoints: readonly FleetEndpoint[]
+  /** Sends a signal to a process by its name. */
+  signal(name: string, signal: NodeJS.Signals): void
+  /** Waits until a process has ended. */
+  waitForEnd(name: string): Promise<void>
+  /** Starts an instance again that has ended, with the same settings. */
+  restartInstance(id: string): Promise<void>
+  /** Stops every process. */
+  stop(): Promise<void>
+}
+
+const DEFAULT_INSTANCES = 4
+const DEFAULT_ENGINES = 13
+const DEFAULT_BOOKINGS = 3
+const DEFAULT_SLOTS = 8
+
+/** Starts a whole fleet on loopback: platform, weight store, endpoints, instances, balancer. */
+export async function launchFleet(options: FleetOptions): Promise<Fleet> {
+  const started = new Map<string, StartedProcess>()
+  try {
+    return await launchAll(options, started)
+  } catch (error) {
+    await stopAll(started)
+    throw error
+  }
+}
+
+async function launchAll(
+  options: FleetOptions,
+  started: Map<string, StartedProcess>,
+): Promise<Fleet> {
+  const launcher = createLauncher(options, started)
+  const platformUrl = await launcher.startFake("platform", ["platform"])
+  const storeUrl = await launcher.startFake("store", ["store"])
+  const endpoints = await startEndpoints(options, launcher, storeUrl)
+  const instances = await planInstances(options.instances ?? DEFAULT_INSTANCES)
+  const startInstance = (instance: FleetInstance) =>
+    launcher.startDaemon(instance, instances, endpoints, platformUrl)
+  await Promise.all(instances.map(startInstance))
+  const targets = instances.map((instance) => new URL(instance.url).host).join(",")
+  const balancerArgs = ["balancer", "--port", String(options.port), "--targets", targets]
+  const url = await launcher.startFake("balancer", balancerArgs)
+  return {
+    url,
+    platformUrl,
+    storeUrl,
+    instances,
+    endpoints,
+    signal: (name, signal) => started.get(name)?.child.kill(signal),
+    waitForEnd: async (name) => started.get(name)?.ended,
+    restartInstance: async (id) => {
+      const instance = instances.find((each) => each.id === id)
+      if (instance) await startInstance(instance)
+    },
+    stop: () => stopAll(started),
+  }
+}
+
+function createLauncher(options: FleetOptions, started: Map<string, StartedProcess>) {
+  const onLog = (name: string) => (text: string) => options.onLog?.(name, text)
+  const startFake = async (name: string, args: readonly string[]): Promise<string> => {
+    const script = resolveScript("fakes", "main.js")
+    const child = await startProcess({ name, script, args, onLog: onLog(name) })
+    started.set(name, child)
+    return child.ready.replace(/^url=/, "")
+  }
+  const startDaemon = async (
+    instance: FleetInstance,
+    all: readonly FleetInstance[],
+    endpoints: readonly FleetEndpoint[],
+    platformUrl: string,
+  ): Promise<void> => {
+    const child = await startProcess({
+      name: instance.id,
+      script: resolveScript("daemon", "main.js"),
+      args: [],
+      env: {
+        GALENAWAY_ID: instance.id,
+        GALENAWAY_DATA_CENTRE: instance.dataCentre,
+        GALENAWAY_LISTEN: new URL(instance.url).host,
+        GALENAWAY_PEER_LISTEN: instance.peerAddress,
+        GALENAWAY_OPERATOR_LISTEN: new URL(instance.operatorUrl).host,
+        GALENAWAY_PLATFORM_URL: platformUrl,
+        GALENAWAY_PEERS: all
+          .filter((each) => each !== instance)
+          .map((each) => each.peerAddress)
+          .join(","),
+        GALENAWAY_ENDPOINTS: endpoints
+          .map((each) => formatEndpoint(each, options.slots ?? DEFAULT_SLOTS))
+          .join(";"),
+        GALENAWAY_ROUTER: options.router ?? "naive",
+        GALENAWAY_OPERATOR_KEY: OPERATOR_KEY,
+        GALENAWAY_PEER_KEY: PEER_KEY,
+        ...options.env,
+      },
+      onLog: onLog(instance.id),
+    })
+    started.set(instance.id, child)
+  }
+  return { startFake, startDaemon }
+}
+
+async function startEndpoints(
+  options: FleetOptions,
+  launcher: ReturnType<typeof createLauncher>,
+  storeUrl: string,
+): Promise<FleetEndpoint[]> {
+  const slots = String(options.slots ?? DEFAULT_SLOTS)
+  const engines = createNames("engine", options.engines ?? DEFAULT_ENGINES)
+  const bookings = createNames("booking", options.bookings ?? DEFAULT_BOOKINGS)
+  const startEngine = async (id: string, index: number): Promise<FleetEndpoint> => {
+    // Every third engine ignores fencing numbers, as some of the users' engines do.
+    const fencing = index % 3 === 2 ? "ignored" : "checked"
+    const settings = ["--slots", slots, "--store", storeUrl, "--fencing", fencing]
+    const url = await launcher.startFake(id, ["engine", "--id", id, ...settings])
+    return { id, kind: "engine", dataCentre: pickDataCentre(index), url, fencing }
+  }
+  const startBooking = async (id: string, index: number): Promise<FleetEndpoint> => {
+    const url = await launcher.startFake(id, ["booking", "--id", id])
+    const dataCentre = pickDataCentre(index)
+    return { id, kind: "service", dataCentre, url, fencing: "ignored" }
+  }
+  return Promise.all([...engines.map(startEngine), ...bookings.map(startBooking)])
+}
+
+async function planInstances(count: number): Promise<FleetInstance[]> {
+  const ports = await findPorts(count * 3)
+  return createNames("entry", count).map((id, index) => ({
+    id,
+    dataCentre: pickDataCentre(index),
+    url: `http://127.0.0.1:${ports[index * 3] ?? 0}`,
+    operatorUrl: `http://127.0.0.1:${ports[index * 3 + 1] ?? 0}`,
+    peerAddress: `127.0.0.1:${ports[index * 3 + 2] ?? 0}`,
+  }))
+}
+
+function createNames(prefix: string, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}-${index + 1}`)
+}
+
+function pickDataCentre(index: number): string {
+  return DATA_CENTRES[index % DATA_CENTRES.length] ?? DATA_CENTRES[0]
+}
+
+function formatEndpoint(endpoint: FleetEndpoint, slots: number): string {
+  const { id, kind, dataCentre, url, fencing } = endpoint
+  const held = kind === "engine" ? slots : 0
+  return `id=${id},kind=${kind},dc=${dataCentre},url=${url},fencing=${fencing},slots=${held}`
+}
+
+async function stopAll(started: ReadonlyMap<string, StartedProcess>): Promise<void> {
+  const all = [...started.entries()]
+  const daemons = all.filter(([name]) => name.startsWith("entry-"))
+  const others = all.filter(([name]) => !name.startsWith("entry-"))
+  await Promise.all(daemons.map(([, child]) => stopProcess(child)))
+  await Promise.all(others.map(([, child]) => stopProcess(child)))
+}
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./fleet.js"
+export * from "./process.js"
+export * from "./sample.js"
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,31 @@
+import { Command } from "commander"
+import { launchFleet } from "./fleet.js"
+import { formatSample, sendSample } from "./sample.js"
+
+const PORT = 8080
+
+interface DemoOptions {
+  readonly once: boolean
+  readonly verbose: boolean
+  readonly router: "naive" | "coordinated"
+}
+
+const command = new Command("npm start --")
+  .description("Starts stand-ins and daemons on loopback, and serves on 127.0.0.1:8080")
+  .option("--once", "send a small sample, print what it got, and stop", false)
+  .option("--verbose", "print the logs of all processes", false)
+  .option("--router <name>", "naive or coordinated", "naive")
+  .parse()
+const { once, verbose, router } = command.opts<DemoOptions>()
+
+const onLog = (name: string, text: string) => process.stderr.write(`${name}: ${text}`)
+const fleet = await launchFleet({ port: PORT, router, ...(verbose ? { onLog } : {}) })
+process.stdout.write(`ready url=${fleet.url}\n`)
+if (once) {
+  const rows = await sendSample(fleet.url)
+  process.stdout.write(`${formatSample(rows)}\n`)
+  await fleet.stop()
+  process.exit(rows.every((row) => row.isRight) ? 0 : 1)
+}
+for (const signal of ["SIGINT", "SIGTERM"] as const)
+  process.once(signal, () => void fleet.stop().then(() => process.exit(0)))
--- /dev/null
+++ b/packages/demo/src/sample.ts
@@ -0,0 +1,146 @@
+import { Agent, request as sendRequest } from "undici"
+import type { Rank } from "@galenaway/core"
+
+const SAMPLE_TOKENS = 6
+
+/** What one call of the sample got. */
+export interface SampleRow {
+  readonly call: string
+  readonly rank: string
+  readonly result: string
+  readonly ms: number
+  readonly isRight: boolean
+}
+
+interface ChatCall {
+  readonly model: string
+  readonly rank: Rank
+  readonly isStreamed: boolean
+}
+
+const CALLS: readonly ChatCall[] = [
+  { model: "reef-8b/iloilo-sst@v12", rank: "urgent", isStreamed: true },
+  { model: "reef-8b/iloilo-sst@v11", rank: "urgent", isStreamed: false },
+  { model: "reef-8b/guimaras-sst@v3", rank: "standard", isStreamed: false },
+  { model: "reef-8b/season-report@v1", rank: "bulk", isStreamed: true },
+]
+
+/** Sends a small mixed sample and judges each answer by what the stand-ins say they ran. */
+export async function sendSample(url: string): Promise<SampleRow[]> {
+  const agent = new Agent()
+  const rows = await Promise.all(CALLS.map((call) => sendChat(url, agent, call)))
+  rows.push(...(await sendBookingTwice(url, agent)))
+  await agent.close()
+  return rows
+}
+
+/** Formats the rows as a table. */
+export function formatSample(rows: readonly SampleRow[]): string {
+  const head = ["ok", "rank", "ms", "call", "result"]
+  const cells = rows.map((row) => [
+    row.isRight ? "yes" : "NO",
+    row.rank,
+    row.ms.toFixed(0),
+    row.call,
+    row.result,
+  ])
+  const widths = head.map((title, column) =>
+    Math.max(title.length, ...cells.map((row) => row[column]?.length ?? 0)),
+  )
+  const formatRow = (row: readonly string[]) =>
+    row
+      .map((cell, column) => cell.padEnd(widths[column] ?? 0))
+      .join("  ")
+      .trimEnd()
+  return [head, ...cells].map(formatRow).join("\n")
+}
+
+async function sendChat(url: string, agent: Agent, call: ChatCall): Promise<SampleRow> {
+  const start = performance.now()
+  const response = await sendRequest(`${url}/v1/chat/completions`, {
+    method: "POST",
+    dispatcher: agent,
+    headers: { "content-type": "application/json", "x-galenaway-rank": call.rank },
+    body: JSON.stringify({
+      model: call.model,
+      messages: [{ role: "user", content: "Which waters are warm enough?" }],
+      max_tokens: SAMPLE_TOKENS,
+      stream: call.isStreamed,
+    }),
+  })
+  const text = await response.body.text()
+  const answer = call.isStreamed ? readStreamed(text) : readWhole(text)
+  const expected = formatExpected(answer.id)
+  const isRight =
+    response.statusCode === 200 && answer.model === call.model && answer.content === expected
+  return {
+    call: `${call.isStreamed ? "stream" : "whole"} ${call.model}`,
+    rank: call.rank,
+    result: isRight ? `${SAMPLE_TOKENS} tokens from ${answer.model}` : text.slice(0, 200),
+    ms: performance.now() - start,
+    isRight,
+  }
+}
+
+interface Answer {
+  readonly id: string
+  readonly model: string
+  readonly content: string
+}
+
+interface Body {
+  readonly id: string
+  readonly model: string
+  readonly choices: readonly {
+    readonly message?: { readonly content: string }
+    readonly delta?: { readonly content?: string }
+  }[]
+}
+
+function readWhole(text: string): Answer {
+  const { id, model, choices } = JSON.parse(text) as Partial<Body>
+  return { id: id ?? "", model: model ?? "", content: choices?.[0]?.message?.content ?? "" }
+}
+
+function readStreamed(text: string): Answer {
+  const chunks = [...text.matchAll(/^data: (\{.*\})$/gm)].map(
+    (match) => JSON.parse(match[1] ?? "{}") as Body,
+  )
+  const content = chunks.map((chunk) => chunk.choices[0]?.delta?.content ?? "").join("")
+  return { id: chunks[0]?.id ?? "", model: chunks[0]?.model ?? "", content }
+}
+
+function formatExpected(id: string): string {
+  return Array.from({ length: SAMPLE_TOKENS }, (_, index) => `${id}.${index + 1} `).join("")
+}
+
+async function sendBookingTwice(url: string, agent: Agent): Promise<SampleRow[]> {
+  const key = `voucher-${Date.now()}`
+  const first = await sendBooking(url, agent, key)
+  const second = await sendBooking(url, agent, key)
+  const isSame = first.text === second.text
+  return [
+    { ...first.row, call: `booking ${key}` },
+    { ...second.row, call: `booking ${key} again`, isRight: second.row.isRight && isSame },
+  ]
+}
+
+async function sendBooking(url: string, agent: Agent, key: string) {
+  const start = performance.now()
+  const response = await sendRequest(`${url}/v1/services/bookings`, {
+    method: "POST",
+    dispatcher: agent,
+    headers: { "content-type": "application/json", "idempotency-key": key },
+    body: JSON.stringify({ boat: "Santa Ana", litres: 40 }),
+  })
+  const text = await response.body.text()
+  const { run } = JSON.parse(text) as { run?: number }
+  const row: SampleRow = {
+    call: "booking",
+    rank: "-",
+    result: run === undefined ? text.slice(0, 200) : `run ${run}`,
+    ms: performance.now() - start,
+    isRight: response.statusCode === 200 && run === 1,
+  }
+  return { row, text }
+}
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./balancer.js"
+export * from "./batch.js"
+export * from "./booking.js"
+export * from "./engine.js"
+export * from "./platform.js"
+export type { RunningServer } from "./server.js"
+export * from "./store.js"
--- /dev/null
+++ b/packages/observe/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./log.js"
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./hash.js"
+export * from "./naive.js"
--- /dev/null
+++ b/packages/policy/src/naive.ts
@@ -0,0 +1,65 @@
+import type { AdapterKey, EndpointId, EndpointInfo, EngineReport } from "@galenaway/core"
+
+/** What the naive router knows of one engine: its last report, and nothing of what others have sent since. */
+export interface NaiveRow {
+  readonly info: EndpointInfo
+  isReachable: boolean
+  report: EngineReport | undefined
+  /** When each resident adapter was last used, in milliseconds, to find the least recently used. */
+  readonly lastUsed: Map<AdapterKey, number>
+}
+
+/** What the naive router decides for a request. */
+export type NaiveDecision =
+  | { readonly kind: "use"; readonly endpoint: EndpointId }
+  | {
+      readonly kind: "load"
+      readonly endpoint: EndpointId
+      /** The adapter to evict first when all slots are taken. */
+      readonly evict: AdapterKey | undefined
+    }
+  | { readonly kind: "refuse" }
+
+/**
+ * Chooses the least loaded engine that reported the adapter as resident, else
+ * the least loaded of all, where the adapter is loaded in place of the least
+ * recently used one. It is the baseline that every other strategy is measured
+ * against.
+ */
+export function chooseNaive(
+  rows: Iterable<NaiveRow>,
+  adapter: AdapterKey,
+  now: number,
+): NaiveDecision {
+  const usable = [...rows].filter((row) => row.isReachable && row.info.kind === "engine")
+  const holders = usable.filter((row) => row.lastUsed.has(adapter))
+  const row = findLeastLoaded(holders.length > 0 ? holders : usable)
+  if (!row) return { kind: "refuse" }
+  if (holders.length > 0) {
+    row.lastUsed.set(adapter, now)
+    return { kind: "use", endpoint: row.info.id }
+  }
+  const evict = row.lastUsed.size >= row.info.slots ? findLeastRecentlyUsed(row) : undefined
+  return { kind: "load", endpoint: row.info.id, evict }
+}
+
+function findLeastLoaded(rows: readonly NaiveRow[]): NaiveRow | undefined {
+  let best: NaiveRow | undefined
+  for (const row of rows) if (!best || getLoad(row) < getLoad(best)) best = row
+  return best
+}
+
+function getLoad(row: NaiveRow): number {
+  return (row.report?.running ?? 0) + (row.report?.waiting ?? 0)
+}
+
+function findLeastRecentlyUsed(row: NaiveRow): AdapterKey | undefined {
+  let oldest: AdapterKey | undefined
+  let oldestAt = Infinity
+  for (const [adapter, usedAt] of row.lastUsed) {
+    if (usedAt >= oldestAt) continue
+    oldest = adapter
+    oldestAt = usedAt
+  }
+  return oldest
+}
