Seams: ownership, grants, scheduler orders, peers, time line, metrics

Cause: the parts are built side by side and need their interfaces first. Change: the ownership document and the typed events, effects and states of owner and member (witnesses are written with each ownership, so that an eviction waits for a few acknowledgements instead of every router's); the scheduler's events and orders; views of endpoints; peer.proto with committed generated code; recorder and metrics with silent forms; the keeper of the configuration; docs/STYLE.md.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -3,11 +3,19 @@
 import { container, type DependencyContainer, instanceCachingFactory } from "tsyringe"
 import { Agent } from "undici"
 import type { EndpointId, EndpointInfo, EnginePort, PlatformPort, Router } from "@galenaway/core"
-import { createLog, type Log } from "@galenaway/observe"
+import {
+  createLog,
+  type Log,
+  type Metrics,
+  type Recorder,
+  silentMetrics,
+  silentRecorder,
+} from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
 import { CompletionHandler } from "./caller/completions.js"
 import { ServiceHandler } from "./caller/services.js"
 import { systemClock } from "./clock.js"
+import { type ConfigurationKeeper, defaultKeeper } from "./configuration/keeper.js"
 import { HttpEngine } from "./endpoint/engine.js"
 import { ConsulPlatform } from "./platform/consul.js"
 import { NaiveRouter } from "./router/naive.js"
@@ -23,6 +31,9 @@
   engines: Symbol("engines"),
   rows: Symbol("rows"),
   router: Symbol("router"),
+  recorder: Symbol("recorder"),
+  metrics: Symbol("metrics"),
+  keeper: Symbol("keeper"),
 } as const
 
 /** Engines by endpoint. */
@@ -42,6 +53,9 @@
   parts.registerInstance<Agent>(TOKENS.agent, createAgent())
   const { id: instance, dataCentre } = settings
   parts.registerInstance<Log>(TOKENS.log, createLog(settings.logLevel, { instance, dataCentre }))
+  parts.registerInstance<Recorder>(TOKENS.recorder, silentRecorder)
+  parts.registerInstance<Metrics>(TOKENS.metrics, silentMetrics)
+  parts.registerInstance<ConfigurationKeeper>(TOKENS.keeper, defaultKeeper)
   registerCached<PlatformPort>(
     parts,
     TOKENS.platform,
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -2,9 +2,10 @@
 import { launchFleet } from "./fleet.js"
 import { formatSample, sendSample } from "./sample.js"
 
-const PORT = 8080
+const DEFAULT_PORT = "8080"
 
 interface DemoOptions {
+  readonly port: string
   readonly once: boolean
   readonly verbose: boolean
   readonly router: "naive" | "coordinated"
@@ -13,13 +14,14 @@
 const command = new Command("npm start --")
   .description("Starts stand-ins and daemons on loopback, and serves on 127.0.0.1:8080")
   .option("--once", "send a small sample, print what it got, and stop", false)
+  .option("--port <port>", "the balancer's port; 0 picks a free one", DEFAULT_PORT)
   .option("--verbose", "print the logs of all processes", false)
   .option("--router <name>", "naive or coordinated", "naive")
   .parse()
-const { once, verbose, router } = command.opts<DemoOptions>()
+const { once, verbose, router, port } = command.opts<DemoOptions>()
 
 const onLog = (name: string, text: string) => process.stderr.write(`${name}: ${text}`)
-const fleet = await launchFleet({ port: PORT, router, ...(verbose ? { onLog } : {}) })
+const fleet = await launchFleet({ port: Number(port), router, ...(verbose ? { onLog } : {}) })
 process.stdout.write(`ready url=${fleet.url}\n`)
 if (once) {
   const rows = await sendSample(fleet.url)
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,2 +1,5 @@
 export * from "./hash.js"
 export * from "./naive.js"
+export * from "./scheduler.js"
+export * from "./settings.js"
+export * from "./view.js"
--- /dev/null
+++ b/packages/policy/src/scheduler.ts
@@ -0,0 +1,63 @@
+import type {
+  AdapterKey,
+  EndpointId,
+  EndpointInfo,
+  EndpointPhase,
+  EngineReport,
+  ErrorCode,
+  GrantResult,
+  RequestId,
+  RouteRequest,
+} from "@galenaway/core"
+
+/** What changes the tables of an owner's scheduler. */
+export type SchedulerEvent =
+  | { readonly kind: "submitted"; readonly request: RouteRequest }
+  | { readonly kind: "canceled"; readonly request: RequestId }
+  /** A granted request ended. */
+  | { readonly kind: "returned"; readonly request: RequestId; readonly result: GrantResult }
+  | { readonly kind: "reported"; readonly report: EngineReport }
+  | { readonly kind: "unreachable"; readonly endpoint: EndpointId }
+  | { readonly kind: "loaded"; readonly endpoint: EndpointId; readonly adapter: AdapterKey }
+  | { readonly kind: "load-failed"; readonly endpoint: EndpointId; readonly adapter: AdapterKey }
+  | { readonly kind: "evicted"; readonly endpoint: EndpointId; readonly adapter: AdapterKey }
+  | {
+      readonly kind: "eviction-blocked"
+      readonly endpoint: EndpointId
+      readonly adapter: AdapterKey
+    }
+  /** The instance took an endpoint over; `running` grants of before are still held there. */
+  | {
+      readonly kind: "endpoint-gained"
+      readonly info: EndpointInfo
+      readonly running: readonly { readonly request: RequestId; readonly adapter: AdapterKey }[]
+    }
+  | { readonly kind: "endpoint-lost"; readonly endpoint: EndpointId }
+  | {
+      readonly kind: "phase-changed"
+      readonly endpoint: EndpointId
+      readonly phase: EndpointPhase
+    }
+  /** Adapters that must not be granted at an endpoint, nor evicted there. */
+  | {
+      readonly kind: "suspects-changed"
+      readonly endpoint: EndpointId
+      readonly suspects: ReadonlySet<AdapterKey>
+    }
+
+/** What the scheduler wants done. The shell carries it out and reports back by events. */
+export type SchedulerOrder =
+  | {
+      readonly kind: "grant"
+      readonly request: RequestId
+      readonly endpoint: EndpointId
+      readonly adapter: AdapterKey
+    }
+  | {
+      readonly kind: "refuse"
+      readonly request: RequestId
+      readonly code: ErrorCode
+      readonly message: string
+    }
+  | { readonly kind: "load"; readonly endpoint: EndpointId; readonly adapter: AdapterKey }
+  | { readonly kind: "evict"; readonly endpoint: EndpointId; readonly adapter: AdapterKey }
