Plan ownership of endpoints from membership

Cause: the document's types stood without the transactions that change it. Ruled out: a successor that knows only the previous owner. With two owners in a row that pause or die, the next one must know both, and it may never have read the documents between. So each ownership lists its predecessors that are not known to be gone, each with its own witnesses. An unlisted endpoint keeps its ownership while an order to it may be on its way, since it may come back.

--- a/packages/coordination/src/document.ts
+++ b/packages/coordination/src/document.ts
@@ -7,7 +7,7 @@
  */
 export interface OwnershipDocument {
   readonly dataCentre: DataCentre
-  /** Grows by one with each write. */
+  /** Grows with each change. */
   readonly epoch: number
   /** Who wrote this epoch, by which an author recognises its own write after a lost reply. */
   readonly author: Incarnation
@@ -41,4 +41,13 @@
   readonly epoch: number
   /** The incarnations that must acknowledge an eviction before it is ordered. Any one of them can tell a successor. */
   readonly witnesses: readonly Incarnation[]
+  /** Earlier ownerships of the endpoint whose owner is not known to be gone, oldest first. */
+  readonly predecessors: readonly Predecessor[]
+}
+
+/** An earlier ownership whose orders may still arrive at the endpoint. */
+export interface Predecessor {
+  readonly owner: Incarnation
+  readonly epoch: number
+  readonly witnesses: readonly Incarnation[]
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,13 @@
 export * from "./document.js"
+export * from "./format.js"
 export * from "./member.js"
+export {
+  addMember,
+  createDocument,
+  removeMember,
+  removePredecessors,
+  setMemberPhase,
+  type Resolution,
+} from "./membership.js"
 export * from "./owner.js"
+export * from "./ownership.js"
--- /dev/null
+++ b/packages/coordination/src/membership.ts
@@ -0,0 +1,85 @@
+import type { DataCentre, EndpointId, Incarnation } from "@galenaway/core"
+import type { Member, MemberPhase, Ownership, OwnershipDocument } from "./document.js"
+
+/** An earlier ownership that no longer matters, with all that came before it. */
+export interface Resolution {
+  readonly endpoint: EndpointId
+  readonly epoch: number
+}
+
+/** Creates the first document of a data centre, without members or ownerships. */
+export function createDocument(dataCentre: DataCentre): OwnershipDocument {
+  return { dataCentre, epoch: 0, author: "", members: [], ownerships: [] }
+}
+
+/** Adds a member, which is the author. A member that is there already leaves the document as it is. */
+export function addMember(document: OwnershipDocument, member: Member): OwnershipDocument {
+  if (document.members.some(({ incarnation }) => incarnation === member.incarnation))
+    return document
+  return changeDocument(document, member.incarnation, { members: [...document.members, member] })
+}
+
+/** Removes a member whose process is known to have ended, and what it could still have done as a predecessor. */
+export function removeMember(
+  document: OwnershipDocument,
+  incarnation: Incarnation,
+  author: Incarnation,
+): OwnershipDocument {
+  const members = document.members.filter((member) => member.incarnation !== incarnation)
+  if (members.length === document.members.length) return document
+  const ownerships = document.ownerships.map((ownership) =>
+    filterPredecessors(ownership, ({ owner }) => owner !== incarnation),
+  )
+  return changeDocument(document, author, { members, ownerships })
+}
+
+/** Sets a member's phase. An unknown member or the same phase leaves the document as it is. */
+export function setMemberPhase(
+  document: OwnershipDocument,
+  incarnation: Incarnation,
+  phase: MemberPhase,
+  author: Incarnation,
+): OwnershipDocument {
+  const before = document.members.find((member) => member.incarnation === incarnation)
+  if (!before || before.phase === phase) return document
+  const members = document.members.map((member) =>
+    member === before ? { ...member, phase } : member,
+  )
+  return changeDocument(document, author, { members })
+}
+
+/**
+ * Removes earlier ownerships that their endpoint's owner has reported as
+ * resolved. It keeps the document small; skipping it is safe.
+ */
+export function removePredecessors(
+  document: OwnershipDocument,
+  resolutions: readonly Resolution[],
+  author: Incarnation,
+): OwnershipDocument {
+  const resolved = new Set(resolutions.map(({ endpoint, epoch }) => `${endpoint} ${epoch}`))
+  const ownerships = document.ownerships.map((ownership) =>
+    filterPredecessors(ownership, ({ epoch }) => !resolved.has(`${ownership.endpoint} ${epoch}`)),
+  )
+  const isSame = ownerships.every((ownership, index) => ownership === document.ownerships[index])
+  return isSame ? document : changeDocument(document, author, { ownerships })
+}
+
+/** Makes the next epoch of a document. */
+export function changeDocument(
+  document: OwnershipDocument,
+  author: Incarnation,
+  change: Partial<Pick<OwnershipDocument, "members" | "ownerships">>,
+): OwnershipDocument {
+  return { ...document, ...change, epoch: document.epoch + 1, author }
+}
+
+function filterPredecessors(
+  ownership: Ownership,
+  isKept: (predecessor: Ownership["predecessors"][number]) => boolean,
+): Ownership {
+  const predecessors = ownership.predecessors.filter(isKept)
+  return predecessors.length === ownership.predecessors.length
+    ? ownership
+    : { ...ownership, predecessors }
+}
--- /dev/null
+++ b/packages/coordination/src/ownership.ts
@@ -0,0 +1,163 @@
+import type { EndpointId, Incarnation } from "@galenaway/core"
+import { hashText } from "@galenaway/policy"
+import type { Member, Ownership, OwnershipDocument, Predecessor } from "./document.js"
+import { changeDocument } from "./membership.js"
+
+/** How many members must acknowledge an eviction, where there are as many. */
+export const WITNESS_COUNT = 2
+/** An owner holds at most this many times the mean number of endpoints, rounded up. */
+const LOAD_FACTOR = 1.25
+
+/**
+ * Assigns each endpoint of the document's data centre an owner among the live
+ * members, those of the same data centre first, and live witnesses. Called
+ * after each change of membership, and with `renewals` for endpoints whose
+ * owner needs a new epoch. Owners that are live and not overloaded stay.
+ * Returns the same document when nothing changes.
+ */
+export function planOwnership(
+  document: OwnershipDocument,
+  endpoints: readonly EndpointId[],
+  author: Incarnation,
+  renewals: ReadonlySet<EndpointId> = new Set(),
+): OwnershipDocument {
+  const live = document.members.filter(({ phase }) => phase === "live")
+  if (live.length === 0) return document
+  const owners = chooseOwners(document, endpoints, live)
+  const epoch = document.epoch + 1
+  const listed = new Set(endpoints)
+  const before = new Map(document.ownerships.map((ownership) => [ownership.endpoint, ownership]))
+  const planned = [...listed].flatMap((endpoint) => {
+    const owner = owners.get(endpoint)
+    if (owner === undefined) return []
+    const plan = { endpoint, owner, epoch, isRenewed: renewals.has(endpoint) }
+    return [planEndpoint(document, live, before.get(endpoint), plan)]
+  })
+  const unlisted = document.ownerships.filter(
+    (ownership) => !listed.has(ownership.endpoint) && isOpen(document, ownership),
+  )
+  const ownerships = [...planned, ...unlisted]
+  const isSame =
+    ownerships.length === document.ownerships.length &&
+    ownerships.every((ownership) => before.get(ownership.endpoint) === ownership)
+  return isSame ? document : changeDocument(document, author, { ownerships })
+}
+
+/** Finds who owns an endpoint. */
+export function findOwnership(
+  document: OwnershipDocument,
+  endpoint: EndpointId,
+): Ownership | undefined {
+  return document.ownerships.find((ownership) => ownership.endpoint === endpoint)
+}
+
+interface EndpointPlan {
+  readonly endpoint: EndpointId
+  readonly owner: Incarnation
+  readonly epoch: number
+  readonly isRenewed: boolean
+}
+
+function planEndpoint(
+  document: OwnershipDocument,
+  live: readonly Member[],
+  before: Ownership | undefined,
+  plan: EndpointPlan,
+): Ownership {
+  const { endpoint, owner, epoch, isRenewed } = plan
+  const others = live.filter(({ incarnation }) => incarnation !== owner)
+  if (before?.owner === owner && !isRenewed && hasWitnesses(before, others)) return before
+  const kept = before?.owner === owner ? before.witnesses : []
+  return {
+    endpoint,
+    owner,
+    epoch,
+    witnesses: chooseWitnesses(document, endpoint, others, kept),
+    predecessors: listPredecessors(document, before),
+  }
+}
+
+function hasWitnesses({ witnesses }: Ownership, others: readonly Member[]): boolean {
+  const isLive = (witness: Incarnation) => others.some(({ incarnation }) => incarnation === witness)
+  return witnesses.length === Math.min(WITNESS_COUNT, others.length) && witnesses.every(isLive)
+}
+
+function chooseWitnesses(
+  document: OwnershipDocument,
+  endpoint: EndpointId,
+  others: readonly Member[],
+  kept: readonly Incarnation[],
+): readonly Incarnation[] {
+  const isKept = ({ incarnation }: Member) => (kept.includes(incarnation) ? 0 : 1)
+  const isRemote = ({ dataCentre }: Member) => (dataCentre === document.dataCentre ? 0 : 1)
+  return rankMembers(endpoint, others)
+    .sort((a, b) => isKept(a) - isKept(b) || isRemote(a) - isRemote(b))
+    .slice(0, WITNESS_COUNT)
+    .map(({ incarnation }) => incarnation)
+}
+
+function listPredecessors(
+  { members }: OwnershipDocument,
+  before: Ownership | undefined,
+): readonly Predecessor[] {
+  if (!before) return []
+  const { owner, epoch, witnesses, predecessors } = before
+  const isMember = members.some(({ incarnation }) => incarnation === owner)
+  return isMember ? [...predecessors, { owner, epoch, witnesses }] : predecessors
+}
+
+/** An endpoint that left the list may come back, so it stays while an order to it may be on its way. */
+function isOpen({ members }: OwnershipDocument, { owner, predecessors }: Ownership): boolean {
+  return predecessors.length > 0 || members.some(({ incarnation }) => incarnation === owner)
+}
+
+/** Rendezvous hashing with bounded load; owners keep what they have, up to the bound. */
+function chooseOwners(
+  document: OwnershipDocument,
+  endpoints: readonly EndpointId[],
+  live: readonly Member[],
+): ReadonlyMap<EndpointId, Incarnation> {
+  const near = live.filter(({ dataCentre }) => dataCentre === document.dataCentre)
+  const candidates = near.length > 0 ? near : live
+  const bound = Math.ceil((LOAD_FACTOR * endpoints.length) / candidates.length)
+  const owners = keepOwners(document, endpoints, candidates, bound)
+  const loads = new Map<Incarnation, number>()
+  for (const owner of owners.values()) loads.set(owner, (loads.get(owner) ?? 0) + 1)
+  for (const endpoint of endpoints.filter((id) => !owners.has(id)).sort()) {
+    const hasRoom = ({ incarnation }: Member) => (loads.get(incarnation) ?? 0) < bound
+    const owner = rankMembers(endpoint, candidates).find(hasRoom)?.incarnation
+    if (owner === undefined) continue
+    owners.set(endpoint, owner)
+    loads.set(owner, (loads.get(owner) ?? 0) + 1)
+  }
+  return owners
+}
+
+function keepOwners(
+  document: OwnershipDocument,
+  endpoints: readonly EndpointId[],
+  candidates: readonly Member[],
+  bound: number,
+): Map<EndpointId, Incarnation> {
+  const listed = new Set(endpoints)
+  const kept = new Map<EndpointId, Incarnation>()
+  for (const { incarnation } of candidates)
+    document.ownerships
+      .filter(({ owner, endpoint }) => owner === incarnation && listed.has(endpoint))
+      .map(({ endpoint }) => endpoint)
+      .sort((a, b) => scoreMember(b, incarnation) - scoreMember(a, incarnation))
+      .slice(0, bound)
+      .forEach((endpoint) => kept.set(endpoint, incarnation))
+  return kept
+}
+
+function rankMembers(endpoint: EndpointId, members: readonly Member[]): Member[] {
+  return members
+    .map((member) => ({ member, score: scoreMember(endpoint, member.incarnation) }))
+    .sort((a, b) => b.score - a.score || (a.member.incarnation < b.member.incarnation ? -1 : 1))
+    .map(({ member }) => member)
+}
+
+function scoreMember(endpoint: EndpointId, incarnation: Incarnation): number {
+  return hashText(`${endpoint} ${incarnation}`)
+}
