Policy: scheduler tables and systems, endpoint ranking, load shares

Cause: the daemon has the naive router only; the seams for a scheduler are committed without an implementation.

Change: createScheduler, applySchedulerEvent, runScheduler, setPolicy, setLoadShare, listQueued, readEndpoint, rankEndpoints, and load shares by owned endpoints with a hold-back time after a gain. A first version: ranks with floors, refusal of late requests, one load for all waiting requests of an adapter, eviction of the least popular adapter that is not in use.

Ruled out: a shared token service for loads (a coordinator), and static shares (they don't follow membership).

--- /dev/null
+++ b/packages/policy/src/events.ts
@@ -0,0 +1,231 @@
+import type {
+  AdapterKey,
+  EndpointId,
+  EndpointInfo,
+  EngineReport,
+  GrantResult,
+  Millis,
+  RequestId,
+} from "@galenaway/core"
+import { updateLimit } from "./capacity.js"
+import { addPopularity } from "./popularity.js"
+import { addQueued, removeQueued } from "./queue.js"
+import type { SchedulerEvent } from "./scheduler.js"
+import type { EndpointRow, SchedulerTables } from "./tables.js"
+
+/** How far a report may lie behind what was ordered. */
+const REPORT_LAG_MS = 2000
+const BLOCKED_RETRY_MS = 1000
+const BACKOFF_START_MS = 500
+const BACKOFF_LIMIT_MS = 30_000
+
+/** Applies one event to the tables. Events of an endpoint that isn't owned have no effect. */
+export function applySchedulerEvent(
+  tables: SchedulerTables,
+  event: SchedulerEvent,
+  now: Millis,
+): void {
+  switch (event.kind) {
+    case "submitted":
+      if (tables.placed.has(event.request.id)) return
+      addPopularity(tables, event.request.adapter, now)
+      addQueued(tables.queue, event.request)
+      return
+    case "canceled":
+      removeQueued(tables.queue, event.request)
+      return
+    case "returned":
+      applyReturn(tables, event.request, event.result, now)
+      return
+    case "endpoint-gained":
+      addEndpoint(tables, event.info, event.running, now)
+      return
+    case "endpoint-lost":
+      removeEndpoint(tables, event.endpoint)
+      return
+    case "reported":
+      updateEndpoint(tables, event.report.endpoint, (row) => {
+        applyReport(tables, row, event.report, now)
+      })
+      return
+    case "unreachable":
+      updateEndpoint(tables, event.endpoint, (row) => {
+        row.isReachable = false
+      })
+      return
+    case "phase-changed":
+      updateEndpoint(tables, event.endpoint, (row) => {
+        row.phase = event.phase
+      })
+      return
+    case "suspects-changed":
+      updateEndpoint(tables, event.endpoint, (row) => {
+        row.suspects = event.suspects
+      })
+      return
+    case "loaded":
+      tables.backoffs.delete(event.adapter)
+      updateEndpoint(tables, event.endpoint, (row) => {
+        row.loading.delete(event.adapter)
+        addResident(row, event.adapter, now)
+      })
+      return
+    case "load-failed":
+      updateEndpoint(tables, event.endpoint, (row) => {
+        if (row.loading.delete(event.adapter)) delayLoad(tables, event.adapter, now)
+      })
+      return
+    case "evicted":
+      updateEndpoint(tables, event.endpoint, (row) => {
+        row.evicting.delete(event.adapter)
+        row.residents.delete(event.adapter)
+        row.evictedAt.set(event.adapter, now)
+      })
+      return
+    case "eviction-blocked":
+      updateEndpoint(tables, event.endpoint, (row) => {
+        row.evicting.delete(event.adapter)
+        row.blockedUntil.set(event.adapter, now + BLOCKED_RETRY_MS)
+      })
+      return
+  }
+}
+
+function updateEndpoint(
+  tables: SchedulerTables,
+  endpoint: EndpointId,
+  update: (row: EndpointRow) => void,
+): void {
+  const row = tables.endpoints.get(endpoint)
+  if (row) update(row)
+}
+
+function addEndpoint(
+  tables: SchedulerTables,
+  info: EndpointInfo,
+  running: readonly { readonly request: RequestId; readonly adapter: AdapterKey }[],
+  now: Millis,
+): void {
+  removeEndpoint(tables, info.id)
+  const row: EndpointRow = {
+    info,
+    phase: "live",
+    isReachable: true,
+    incarnation: undefined,
+    residents: new Map(),
+    loading: new Map(),
+    evicting: new Set(),
+    evictedAt: new Map(),
+    blockedUntil: new Map(),
+    suspects: new Set(),
+    running: new Map(),
+    runningByRank: { urgent: 0, standard: 0, bulk: 0 },
+    limit: info.capacity,
+  }
+  tables.endpoints.set(info.id, row)
+  for (const { request, adapter } of running) {
+    row.running.set(request, { adapter, rank: "standard", grantedAt: now, maxTokens: 0 })
+    row.runningByRank.standard++
+    tables.placed.set(request, info.id)
+    addResident(row, adapter, now).running = countRunning(row, adapter)
+  }
+}
+
+function removeEndpoint(tables: SchedulerTables, endpoint: EndpointId): void {
+  const row = tables.endpoints.get(endpoint)
+  if (!row) return
+  for (const request of row.running.keys()) tables.placed.delete(request)
+  tables.endpoints.delete(endpoint)
+}
+
+function addResident(row: EndpointRow, adapter: AdapterKey, now: Millis) {
+  const known = row.residents.get(adapter)
+  if (known) return known
+  const resident = { loadedAt: now, usedAt: now, running: countRunning(row, adapter) }
+  row.residents.set(adapter, resident)
+  row.evictedAt.delete(adapter)
+  return resident
+}
+
+function countRunning(row: EndpointRow, adapter: AdapterKey): number {
+  let count = 0
+  for (const run of row.running.values()) if (run.adapter === adapter) count++
+  return count
+}
+
+function applyReturn(
+  tables: SchedulerTables,
+  request: RequestId,
+  result: GrantResult,
+  now: Millis,
+): void {
+  const endpoint = tables.placed.get(request)
+  if (endpoint === undefined) return
+  tables.placed.delete(request)
+  updateEndpoint(tables, endpoint, (row) => {
+    const run = row.running.get(request)
+    if (!run) return
+    row.running.delete(request)
+    row.runningByRank[run.rank]--
+    if (result === "adapter-missing") row.residents.delete(run.adapter)
+    if (result === "endpoint-down") row.isReachable = false
+    updateResidentUse(row, run.adapter, now)
+  })
+}
+
+function updateResidentUse(row: EndpointRow, adapter: AdapterKey, now: Millis): void {
+  const resident = row.residents.get(adapter)
+  if (!resident) return
+  resident.running--
+  resident.usedAt = now
+}
+
+function applyReport(
+  tables: SchedulerTables,
+  row: EndpointRow,
+  report: EngineReport,
+  now: Millis,
+): void {
+  row.isReachable = true
+  const isRestart = row.incarnation !== undefined && row.incarnation !== report.incarnation
+  if (isRestart) clearEndpoint(tables, row)
+  const isFirst = row.incarnation === undefined
+  row.incarnation = report.incarnation
+  if (isFirst) for (const adapter of report.resident) addResident(row, adapter, now)
+  else correctResidents(row, report, now)
+  updateLimit(row, report)
+}
+
+/** After a restart nothing of before is left on the engine. */
+function clearEndpoint(tables: SchedulerTables, row: EndpointRow): void {
+  for (const request of row.running.keys()) tables.placed.delete(request)
+  row.running.clear()
+  row.runningByRank.urgent = 0
+  row.runningByRank.standard = 0
+  row.runningByRank.bulk = 0
+  row.residents.clear()
+  row.loading.clear()
+  row.evicting.clear()
+  row.evictedAt.clear()
+  row.blockedUntil.clear()
+}
+
+/** Takes over what a report says of the distant past; what was ordered since is known better here. */
+function correctResidents(row: EndpointRow, report: EngineReport, now: Millis): void {
+  const reported = new Set(report.resident)
+  for (const [adapter, resident] of row.residents) {
+    const isSettled = now - resident.loadedAt > REPORT_LAG_MS && resident.running === 0
+    if (isSettled && !reported.has(adapter) && !row.evicting.has(adapter))
+      row.residents.delete(adapter)
+  }
+  for (const [adapter, at] of row.evictedAt)
+    if (now - at > REPORT_LAG_MS) row.evictedAt.delete(adapter)
+  for (const adapter of reported)
+    if (!row.evictedAt.has(adapter) && !row.loading.has(adapter)) addResident(row, adapter, now)
+}
+
+function delayLoad(tables: SchedulerTables, adapter: AdapterKey, now: Millis): void {
+  const failures = (tables.backoffs.get(adapter)?.failures ?? 0) + 1
+  const delay = Math.min(BACKOFF_LIMIT_MS, BACKOFF_START_MS * 2 ** (failures - 1))
+  tables.backoffs.set(adapter, { failures, retryAt: now + delay })
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,5 +1,18 @@
+export { applySchedulerEvent } from "./events.js"
 export * from "./hash.js"
 export * from "./naive.js"
+export { rankEndpoints } from "./placement.js"
+export { runScheduler } from "./run.js"
 export * from "./scheduler.js"
 export * from "./settings.js"
+export * from "./share.js"
+export {
+  createScheduler,
+  type EndpointState,
+  listQueued,
+  readEndpoint,
+  type SchedulerTables,
+  setLoadShare,
+  setPolicy,
+} from "./tables.js"
 export * from "./view.js"
--- /dev/null
+++ b/packages/policy/src/popularity.ts
@@ -0,0 +1,37 @@
+import type { AdapterKey, Millis } from "@galenaway/core"
+import type { Popularity, SchedulerTables } from "./tables.js"
+
+const HALF_LIFE_MS = 60_000
+const FORGET_BELOW = 0.05
+const TABLE_LIMIT = 4096
+
+/** Counts one request for an adapter. */
+export function addPopularity(tables: SchedulerTables, adapter: AdapterKey, now: Millis): void {
+  const entry = tables.popularity.get(adapter)
+  if (entry) {
+    entry.count = computeDecayed(entry, now) + 1
+    entry.at = now
+    return
+  }
+  if (tables.popularity.size >= TABLE_LIMIT) removeForgotten(tables, now)
+  tables.popularity.set(adapter, { count: 1, at: now })
+}
+
+/** Returns the decayed count of an adapter's requests. */
+export function getPopularity(tables: SchedulerTables, adapter: AdapterKey, now: Millis): number {
+  const entry = tables.popularity.get(adapter)
+  return entry ? computeDecayed(entry, now) : 0
+}
+
+function computeDecayed(entry: Popularity, now: Millis): number {
+  return entry.count * 2 ** ((entry.at - now) / HALF_LIFE_MS)
+}
+
+/** Drops what has decayed, else the older half, so that the table stays bounded. */
+function removeForgotten(tables: SchedulerTables, now: Millis): void {
+  for (const [adapter, entry] of tables.popularity)
+    if (computeDecayed(entry, now) < FORGET_BELOW) tables.popularity.delete(adapter)
+  if (tables.popularity.size < TABLE_LIMIT) return
+  const byAge = [...tables.popularity].sort(([, a], [, b]) => a.at - b.at)
+  for (const [adapter] of byAge.slice(0, TABLE_LIMIT / 2)) tables.popularity.delete(adapter)
+}
--- /dev/null
+++ b/packages/policy/src/refuse.ts
@@ -0,0 +1,67 @@
+import { type Millis, RANKS, type RouteRequest } from "@galenaway/core"
+import { removeQueued } from "./queue.js"
+import type { SchedulerOrder } from "./scheduler.js"
+import { isOpen, type SchedulerTables } from "./tables.js"
+
+const QUEUE_LIMIT_BYTES = 8 * 1024 * 1024
+/** The shortest time from a grant to the first token. */
+const FIRST_TOKEN_MS = 60
+
+/** Refuses what can't be on time any more, and what the bounded queues can't hold. */
+export function runRefusals(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
+  refuseLate(tables, now, orders)
+  refuseExcess(tables, orders)
+}
+
+function refuseLate(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
+  const horizon = now + FIRST_TOKEN_MS
+  const coldHorizon = horizon + tables.settings.loads.loadMs
+  for (const rank of RANKS) {
+    const late: RouteRequest[] = []
+    for (const request of tables.queue.byRank[rank]) {
+      if (request.deadline >= coldHorizon) break
+      if (request.deadline < horizon || isCold(tables, request)) late.push(request)
+    }
+    for (const request of late)
+      refuseQueued(tables, orders, request, "deadline", "the deadline can't be met")
+  }
+}
+
+function isCold(tables: SchedulerTables, { adapter }: RouteRequest): boolean {
+  for (const row of tables.endpoints.values())
+    if (isOpen(row) && (row.residents.has(adapter) || row.loading.has(adapter))) return false
+  return true
+}
+
+/** Drops the least urgent first, and of a rank the one with the latest deadline. */
+function refuseExcess(tables: SchedulerTables, orders: SchedulerOrder[]): void {
+  const { queue, settings } = tables
+  for (const rank of RANKS) {
+    const list = queue.byRank[rank]
+    while (list.length > settings.queueLimit[rank]) refuseLast(tables, list, orders)
+  }
+  for (const rank of [...RANKS].reverse()) {
+    const list = queue.byRank[rank]
+    while (queue.bytes > QUEUE_LIMIT_BYTES && list.length > 0) refuseLast(tables, list, orders)
+  }
+}
+
+function refuseLast(
+  tables: SchedulerTables,
+  list: readonly RouteRequest[],
+  orders: SchedulerOrder[],
+): void {
+  const last = list.at(-1)
+  if (last) refuseQueued(tables, orders, last, "overloaded", "the queue is full")
+}
+
+function refuseQueued(
+  tables: SchedulerTables,
+  orders: SchedulerOrder[],
+  request: RouteRequest,
+  code: "deadline" | "overloaded",
+  message: string,
+): void {
+  removeQueued(tables.queue, request.id)
+  orders.push({ kind: "refuse", request: request.id, code, message })
+}
--- /dev/null
+++ b/packages/policy/src/share.ts
@@ -0,0 +1,149 @@
+import type { DataCentre, EndpointId, Incarnation, Millis } from "@galenaway/core"
+import type { LoadLimits } from "./settings.js"
+
+/**
+ * How long an ownership must have been seen unchanged before it counts. It is
+ * more than twice the time in which a change reaches every instance.
+ */
+export const SHARE_HOLD_BACK_MS = 10_000
+/** A view that wasn't confirmed for this long may have missed a change. It is less than half of the hold-back time. */
+export const SHARE_VIEW_LIFETIME_MS = 4000
+/** What is left of a share that a successor may be using too. */
+const CONTESTED_SHARE = 0.5
+
+/** One owner's part of the weight store's budget. */
+export interface LoadShare {
+  readonly ratePerSecond: number
+  /** Loads that may start at once. */
+  readonly burst: number
+  /** Loads in transit at once. */
+  readonly inTransit: number
+}
+
+/** The part of an ownership document that the share depends on. */
+export interface OwnershipView {
+  readonly dataCentre: DataCentre
+  readonly members: readonly { readonly phase: "live" | "leaving" | "suspect" }[]
+  readonly ownerships: readonly OwnedEndpoint[]
+}
+
+/** Who owns an endpoint, and since which epoch of the document. */
+export interface OwnedEndpoint {
+  readonly endpoint: EndpointId
+  readonly owner: Incarnation
+  readonly epoch: number
+}
+
+/** What an instance has seen of the ownership documents, as far as its share depends on it. */
+export interface ShareTables {
+  readonly self: Incarnation
+  readonly documents: Map<DataCentre, SeenDocument>
+  /** Number of endpoints in all documents, with the time at which the number was last seen. */
+  readonly totals: Map<number, Millis>
+  /** Number of owners in all documents, likewise. */
+  readonly owners: Map<number, Millis>
+}
+
+interface SeenDocument {
+  readonly view: OwnershipView
+  confirmedAt: Millis
+  /** Own endpoints with the epoch of the ownership and the time at which it was first seen. */
+  readonly gains: Map<EndpointId, Gain>
+}
+
+interface Gain {
+  readonly epoch: number
+  readonly at: Millis
+  /** Whether the predecessor may still be using the share. */
+  readonly isContested: boolean
+}
+
+/** Creates the tables of an instance that has seen nothing yet. */
+export function createShareTables(self: Incarnation): ShareTables {
+  return { self, documents: new Map(), totals: new Map(), owners: new Map() }
+}
+
+/** Takes in a document that was read at this time. It is called for each read or watch, also when nothing changed. */
+export function applyOwnership(tables: ShareTables, view: OwnershipView, now: Millis): void {
+  const before = tables.documents.get(view.dataCentre)
+  const hasSuspect = view.members.some((member) => member.phase === "suspect")
+  const gains = new Map<EndpointId, Gain>()
+  for (const { endpoint, owner, epoch } of view.ownerships) {
+    if (owner !== tables.self) continue
+    const gain = before?.gains.get(endpoint)
+    const isKept = gain?.epoch === epoch
+    const isContested = hasSuspect && (!isKept || gain.isContested)
+    gains.set(endpoint, { epoch, at: isKept ? gain.at : now, isContested })
+  }
+  tables.documents.set(view.dataCentre, { view, confirmedAt: now, gains })
+  markSeen(tables.totals, countEndpoints(tables), now)
+  markSeen(tables.owners, countOwners(tables), now)
+}
+
+/**
+ * Computes an instance's part of the weight store's budget from what it owns.
+ * The parts of all instances never add up to more than the whole rate while
+ * changes reach everybody within {@link SHARE_VIEW_LIFETIME_MS}: a loss counts
+ * at once, a gain only after {@link SHARE_HOLD_BACK_MS}.
+ */
+export function computeLoadShare(tables: ShareTables, limits: LoadLimits, now: Millis): LoadShare {
+  let owned = 0
+  for (const document of tables.documents.values()) owned += countOwned(document, now)
+  const total = findHighest(tables.totals, now)
+  const owners = findHighest(tables.owners, now)
+  if (owned === 0 || total === 0) return { ratePerSecond: 0, burst: 0, inTransit: 0 }
+  const share = owned / total
+  return {
+    ratePerSecond: limits.ratePerSecond * share,
+    burst: computeWhole(limits.burst, owners, share),
+    inTransit: computeWhole(limits.inTransit, owners, share),
+  }
+}
+
+/** Gives each owner one, and divides the rest. With more owners than the limit, the sum is the number of owners. */
+function computeWhole(limit: number, owners: number, share: number): number {
+  return 1 + Math.floor(Math.max(0, limit - owners) * share)
+}
+
+function countOwned(document: SeenDocument, now: Millis): number {
+  const isStale = now - document.confirmedAt > SHARE_VIEW_LIFETIME_MS
+  let owned = 0
+  for (const gain of document.gains.values()) {
+    if (now - gain.at < SHARE_HOLD_BACK_MS) continue
+    owned += isStale || gain.isContested ? CONTESTED_SHARE : 1
+  }
+  return owned
+}
+
+function countEndpoints(tables: ShareTables): number {
+  let count = 0
+  for (const { view } of tables.documents.values()) count += view.ownerships.length
+  return count
+}
+
+function countOwners(tables: ShareTables): number {
+  const owners = new Set<Incarnation>()
+  for (const { view } of tables.documents.values())
+    for (const { owner } of view.ownerships) owners.add(owner)
+  return owners.size
+}
+
+function markSeen(seen: Map<number, Millis>, value: number, now: Millis): void {
+  for (const [old, at] of seen) if (now - at > SHARE_HOLD_BACK_MS) seen.delete(old)
+  seen.set(value, now)
+}
+
+/** Returns the highest value seen within the hold-back time, or the last one. */
+function findHighest(seen: ReadonlyMap<number, Millis>, now: Millis): number {
+  let highest = 0
+  let latest = 0
+  let latestAt = -Infinity
+  for (const [value, at] of seen) {
+    if (at >= latestAt) {
+      latest = value
+      latestAt = at
+    }
+    if (now - at <= SHARE_HOLD_BACK_MS) highest = Math.max(highest, value)
+  }
+  return Math.max(highest, latest)
+}
--- /dev/null
+++ b/packages/policy/src/tables.ts
@@ -0,0 +1,166 @@
+import type {
+  AdapterKey,
+  ByRank,
+  EndpointId,
+  EndpointInfo,
+  EndpointPhase,
+  Millis,
+  Rank,
+  RequestId,
+  RouteRequest,
+} from "@galenaway/core"
+import { createQueue, type RequestQueue } from "./queue.js"
+import type { PolicySettings } from "./settings.js"
+import type { LoadShare } from "./share.js"
+
+/** Everything that an owner's scheduler knows. Only this package's functions change it. */
+export interface SchedulerTables {
+  settings: PolicySettings
+  share: LoadShare
+  readonly queue: RequestQueue
+  readonly endpoints: Map<EndpointId, EndpointRow>
+  /** Where each granted and not yet returned request runs. */
+  readonly placed: Map<RequestId, EndpointId>
+  readonly popularity: Map<AdapterKey, Popularity>
+  readonly backoffs: Map<AdapterKey, Backoff>
+  readonly loadBudget: LoadBudget
+}
+
+/** An endpoint that this instance owns. */
+export interface EndpointRow {
+  readonly info: EndpointInfo
+  phase: EndpointPhase
+  isReachable: boolean
+  /** The engine's incarnation by its latest report; undefined before the first. */
+  incarnation: string | undefined
+  readonly residents: Map<AdapterKey, ResidentRow>
+  /** Ordered and unanswered loads, with the time of the order. */
+  readonly loading: Map<AdapterKey, Millis>
+  /** Ordered and unanswered evictions. */
+  readonly evicting: Set<AdapterKey>
+  /** Adapters evicted of late, which a lagging report may still name. */
+  readonly evictedAt: Map<AdapterKey, Millis>
+  /** Adapters whose eviction was blocked, and when it may be tried again. */
+  readonly blockedUntil: Map<AdapterKey, Millis>
+  suspects: ReadonlySet<AdapterKey>
+  readonly running: Map<RequestId, RunningRow>
+  readonly runningByRank: Record<Rank, number>
+  /** How many requests may run at once, learned from reports and returned grants. */
+  limit: number
+}
+
+/** An adapter on an engine. */
+export interface ResidentRow {
+  readonly loadedAt: Millis
+  usedAt: Millis
+  /** Grants that pin it. */
+  running: number
+}
+
+/** A granted request. */
+export interface RunningRow {
+  readonly adapter: AdapterKey
+  readonly rank: Rank
+  readonly grantedAt: Millis
+  readonly maxTokens: number
+}
+
+/** A count of requests that halves with time. */
+export interface Popularity {
+  count: number
+  at: Millis
+}
+
+/** When a failing load may be tried again. */
+export interface Backoff {
+  failures: number
+  retryAt: Millis
+}
+
+/** Loads that may start now. It refills at the share's rate up to its burst. */
+export interface LoadBudget {
+  tokens: number
+  at: Millis | undefined
+}
+
+/** What the owner tells others of an endpoint. */
+export interface EndpointState {
+  readonly phase: EndpointPhase
+  readonly isReachable: boolean
+  readonly running: number
+  readonly queued: ByRank<number>
+  readonly resident: ReadonlySet<AdapterKey>
+  readonly loading: ReadonlySet<AdapterKey>
+}
+
+/** Creates the tables of an owner without endpoints. It orders no load before its share is set. */
+export function createScheduler(settings: PolicySettings): SchedulerTables {
+  return {
+    settings,
+    share: { ratePerSecond: 0, burst: 0, inTransit: 0 },
+    queue: createQueue(),
+    endpoints: new Map(),
+    placed: new Map(),
+    popularity: new Map(),
+    backoffs: new Map(),
+    loadBudget: { tokens: 0, at: undefined },
+  }
+}
+
+/** Changes the policy. It holds from the next tick on, also for what waits. */
+export function setPolicy(tables: SchedulerTables, settings: PolicySettings): void {
+  tables.settings = settings
+}
+
+/** Changes this owner's part of the weight store's budget. It holds from the next tick on. */
+export function setLoadShare(tables: SchedulerTables, share: LoadShare): void {
+  tables.share = share
+  tables.loadBudget.tokens = Math.min(tables.loadBudget.tokens, share.burst)
+}
+
+/** Lists the waiting requests. */
+export function listQueued(tables: SchedulerTables): readonly RouteRequest[] {
+  return [...tables.queue.byId.values()]
+}
+
+/**
+ * Reads what the owner tells others of an endpoint. Requests wait at the owner
+ * and not at an endpoint, so each endpoint is given its part of the queue.
+ */
+export function readEndpoint(
+  tables: SchedulerTables,
+  endpoint: EndpointId,
+): EndpointState | undefined {
+  const row = tables.endpoints.get(endpoint)
+  if (!row) return undefined
+  const parts = Math.max(1, tables.endpoints.size)
+  const { urgent, standard, bulk } = tables.queue.byRank
+  const queued = {
+    urgent: Math.ceil(urgent.length / parts),
+    standard: Math.ceil(standard.length / parts),
+    bulk: Math.ceil(bulk.length / parts),
+  }
+  return {
+    phase: row.phase,
+    isReachable: row.isReachable,
+    running: row.running.size,
+    queued,
+    resident: new Set([...row.residents.keys()].filter((key) => canGrant(row, key))),
+    loading: new Set(row.loading.keys()),
+  }
+}
+
+/** Tells whether new work may be sent to an endpoint. */
+export function isOpen(row: EndpointRow): boolean {
+  return row.isReachable && row.phase === "live" && row.incarnation !== undefined
+}
+
+/** Tells whether an adapter may be granted at an endpoint: it is resident, not about to leave, and not suspect. */
+export function canGrant(row: EndpointRow, adapter: AdapterKey): boolean {
+  return row.residents.has(adapter) && !row.evicting.has(adapter) && !row.suspects.has(adapter)
+}
+
+/** Counts the adapters that take a slot or are about to. */
+export function countSlots(row: EndpointRow): number {
+  return row.residents.size + row.loading.size
+}
