Decide grants and evictions of an owned endpoint, and what a member answers

Cause: the types of owner and member stood without transactions. Ruled out: - one predecessor and one set of suspects: with A paused and B dead, C needs what both announced. Predecessors are kept by epoch, each with its witnesses. - announcements known by adapter and epoch only: a late settlement or a late acknowledgement would count for a newer announcement. They carry a number. - a restart of the endpoint clears a predecessor's suspects: a paused predecessor sends its order to the restarted endpoint. Only own orders end. - a fence that outlives a restart: the endpoint forgets the number. - granting beside a lone, living predecessor: it may load and evict anything, so its own answer or its end is awaited. Change: the owner counts as its own witness, so that its answer tells a successor what it may still order; witnesses are told the suspects of an epoch before anything is announced in it, and only such a witness seals the epoch. Not yet checked against the specification.

--- /dev/null
+++ b/packages/coordination/src/create-owner.ts
@@ -0,0 +1,94 @@
+import type { Fencing, Incarnation } from "@galenaway/core"
+import type { Ownership, Predecessor } from "./document.js"
+import type { OwnerEffect, OwnerState, OwnerTransaction, PredecessorState } from "./owner.js"
+import { finishTransaction, listWitnesses, removeAnnounced } from "./settle.js"
+
+/**
+ * Creates the state of a new owner, called when the document first names this
+ * incarnation as the owner. The members are all of that document. The owner
+ * asks them what they hold; it grants once the predecessors can do no more
+ * harm, and evicts once every member has answered or is known to be gone.
+ */
+export function createOwner(
+  ownership: Ownership,
+  fencing: Fencing,
+  members: readonly Incarnation[],
+): OwnerTransaction {
+  const state: OwnerState = {
+    endpoint: ownership.endpoint,
+    fencing,
+    ownership,
+    phase: "taking-over",
+    awaited: new Set(members),
+    returned: new Set(),
+    predecessors: createPredecessors(ownership.predecessors),
+    isFenced: false,
+    unbriefed: new Set(listWitnesses(ownership)),
+    grants: new Map(),
+    evictions: new Map(),
+    unresolved: new Map(),
+    announcements: 0,
+    suspects: new Set(),
+  }
+  return finishTransaction(state, { state, effects: listOpening(state) })
+}
+
+/**
+ * Begins a new epoch of the same owner, after its witnesses were replaced or
+ * its epoch was sealed. What is announced is given up. What is ordered goes
+ * on, and is told to the new witnesses before anything else is announced.
+ */
+export function renewOwner(
+  before: OwnerState,
+  ownership: Ownership,
+  members: readonly Incarnation[],
+): OwnerTransaction {
+  const { evictions, blocked } = removeAnnounced(before)
+  const state: OwnerState = {
+    ...before,
+    ownership,
+    phase: "taking-over",
+    awaited: new Set(members),
+    returned: new Set(),
+    predecessors: new Map(
+      ownership.predecessors.map((entry) => [entry.epoch, renewPredecessor(before, entry)]),
+    ),
+    isFenced: false,
+    unbriefed: new Set(listWitnesses(ownership)),
+    evictions,
+  }
+  return { state, effects: [...blocked, ...listOpening(state)] }
+}
+
+/** The first messages of an epoch, which are also repeated until they are answered. */
+export function listOpening({
+  awaited,
+  ownership,
+  fencing,
+  isFenced,
+}: OwnerState): readonly OwnerEffect[] {
+  const { epoch } = ownership
+  const asks = [...awaited].map((to): OwnerEffect => ({ kind: "ask-holdings", to, epoch }))
+  if (fencing === "ignored" || isFenced) return asks
+  return [{ kind: "fence", fencingNumber: epoch }, ...asks]
+}
+
+function createPredecessors(
+  entries: readonly Predecessor[],
+): ReadonlyMap<number, PredecessorState> {
+  return new Map(entries.map((entry) => [entry.epoch, createPredecessor(entry)]))
+}
+
+function createPredecessor(entry: Predecessor): PredecessorState {
+  const witnesses = new Set(listWitnesses(entry))
+  const { owner, epoch } = entry
+  return { owner, epoch, witnesses, isBriefed: false, announced: new Set() }
+}
+
+/** An owner knows its own orders of earlier epochs; they stay among its evictions and unresolved orders. */
+function renewPredecessor(before: OwnerState, entry: Predecessor): PredecessorState {
+  const known = before.predecessors.get(entry.epoch)
+  if (known) return known
+  const isOwn = entry.epoch === before.ownership.epoch
+  return { ...createPredecessor(entry), isBriefed: isOwn }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,4 @@
+export { createOwner } from "./create-owner.js"
 export * from "./document.js"
 export * from "./format.js"
 export * from "./member.js"
@@ -11,3 +12,5 @@
 } from "./membership.js"
 export * from "./owner.js"
 export * from "./ownership.js"
+export { createMember, updateMember } from "./update-member.js"
+export { canGrant, isPinned, updateOwner } from "./update-owner.js"
--- /dev/null
+++ b/packages/coordination/src/update-member.ts
@@ -0,0 +1,159 @@
+import type { Grant, Incarnation, EndpointId } from "@galenaway/core"
+import type { Ownership } from "./document.js"
+import type {
+  AnnouncedEviction,
+  MemberEndpoint,
+  MemberEvent,
+  MemberReply,
+  MemberState,
+  MemberTransaction,
+} from "./member.js"
+
+const UNKNOWN_ENDPOINT: MemberEndpoint = {
+  minimumEpoch: 0,
+  briefedEpoch: -1,
+  sealedEpoch: -1,
+  held: new Map(),
+  announced: [],
+}
+const ACCEPTED: MemberReply = { kind: "accepted" }
+
+/** Creates the state of a new incarnation, which holds nothing and has witnessed nothing. */
+export function createMember(self: Incarnation): MemberState {
+  return { self, endpoints: new Map() }
+}
+
+/** Makes the next state of a member and its reply. The reply may leave only once the state is in force. */
+export function updateMember(state: MemberState, event: MemberEvent): MemberTransaction {
+  const id = getEndpoint(event)
+  const before = state.endpoints.get(id) ?? UNKNOWN_ENDPOINT
+  const { next, reply } = updateEndpoint(before, event)
+  if (next === before) return { state, reply }
+  return { state: { ...state, endpoints: new Map(state.endpoints).set(id, next) }, reply }
+}
+
+interface EndpointTransaction {
+  readonly next: MemberEndpoint
+  readonly reply: MemberReply
+}
+
+function getEndpoint(event: MemberEvent): EndpointId {
+  switch (event.kind) {
+    case "grant-arrived":
+      return event.grant.endpoint
+    case "ownership-seen":
+      return event.ownership.endpoint
+    default:
+      return event.endpoint
+  }
+}
+
+function updateEndpoint(before: MemberEndpoint, event: MemberEvent): EndpointTransaction {
+  switch (event.kind) {
+    case "grant-arrived":
+      return takeGrant(before, event.grant)
+    case "grant-ended":
+      return { next: endGrant(before, event.grant), reply: ACCEPTED }
+    case "eviction-announced":
+      return takeAnnouncement(before, event)
+    case "eviction-settled":
+      return { next: settleEviction(before, event), reply: ACCEPTED }
+    case "witness-briefed":
+      return takeBriefing(before, event)
+    case "holdings-asked":
+      return tellHoldings(before, event.epoch)
+    case "seal-asked":
+      return sealEpoch(before, event.epoch)
+    case "ownership-seen":
+      return { next: closeEpochs(before, event.ownership), reply: ACCEPTED }
+  }
+}
+
+function takeGrant(before: MemberEndpoint, grant: Grant): EndpointTransaction {
+  if (grant.epoch < before.minimumEpoch) return refuse(before)
+  const held = new Map(before.held).set(grant.id, grant)
+  return { next: { ...before, held }, reply: ACCEPTED }
+}
+
+function endGrant(before: MemberEndpoint, id: string): MemberEndpoint {
+  if (!before.held.has(id)) return before
+  const held = new Map(before.held)
+  held.delete(id)
+  return { ...before, held }
+}
+
+function takeAnnouncement(
+  before: MemberEndpoint,
+  { adapter, epoch, announcement }: AnnouncedEviction,
+): EndpointTransaction {
+  if (epoch < before.minimumEpoch || epoch <= before.sealedEpoch) return refuse(before)
+  const announced = addAnnounced(before.announced, { adapter, epoch, announcement })
+  return { next: { ...before, announced }, reply: ACCEPTED }
+}
+
+function addAnnounced(
+  announced: readonly AnnouncedEviction[],
+  added: AnnouncedEviction,
+): readonly AnnouncedEviction[] {
+  const isSame = ({ adapter, epoch }: AnnouncedEviction) =>
+    adapter === added.adapter && epoch === added.epoch
+  const known = announced.find(isSame)
+  if (known && known.announcement >= added.announcement) return announced
+  return [...announced.filter((other) => !isSame(other)), added]
+}
+
+function settleEviction(before: MemberEndpoint, settled: AnnouncedEviction): MemberEndpoint {
+  const announced = before.announced.filter(
+    ({ adapter, epoch, announcement }) =>
+      adapter !== settled.adapter || epoch !== settled.epoch || announcement > settled.announcement,
+  )
+  return announced.length === before.announced.length ? before : { ...before, announced }
+}
+
+function takeBriefing(
+  before: MemberEndpoint,
+  event: Extract<MemberEvent, { kind: "witness-briefed" }>,
+): EndpointTransaction {
+  const { epoch, announcement, adapters } = event
+  if (epoch < before.minimumEpoch) return refuse(before)
+  const announced = adapters.reduce<readonly AnnouncedEviction[]>(
+    (all, adapter) => addAnnounced(all, { adapter, epoch, announcement }),
+    before.announced,
+  )
+  const briefedEpoch = Math.max(before.briefedEpoch, epoch)
+  return { next: { ...before, briefedEpoch, announced }, reply: ACCEPTED }
+}
+
+function tellHoldings(before: MemberEndpoint, epoch: number): EndpointTransaction {
+  if (epoch < before.minimumEpoch) return refuse(before)
+  const grants = [...before.held.values()]
+  const { announced } = before
+  return {
+    next: { ...before, minimumEpoch: epoch },
+    reply: { kind: "holdings", epoch, grants, announced },
+  }
+}
+
+/** Only a witness that the owner has briefed knows what older orders may still evict. */
+function sealEpoch(before: MemberEndpoint, epoch: number): EndpointTransaction {
+  if (epoch < before.minimumEpoch || epoch !== before.briefedEpoch) return refuse(before)
+  const { announced } = before
+  return {
+    next: { ...before, sealedEpoch: Math.max(before.sealedEpoch, epoch) },
+    reply: { kind: "sealed", epoch, announced },
+  }
+}
+
+/** Forgets announcements of epochs whose owners are gone, or resolved according to the document. */
+function closeEpochs(before: MemberEndpoint, ownership: Ownership): MemberEndpoint {
+  if (ownership.epoch < before.minimumEpoch) return before
+  const open = new Set(ownership.predecessors.map(({ epoch }) => epoch))
+  const announced = before.announced.filter(
+    ({ epoch }) => epoch >= ownership.epoch || open.has(epoch),
+  )
+  return { ...before, minimumEpoch: ownership.epoch, announced }
+}
+
+function refuse(before: MemberEndpoint): EndpointTransaction {
+  return { next: before, reply: { kind: "refused", minimumEpoch: before.minimumEpoch } }
+}
--- /dev/null
+++ b/packages/coordination/src/update-owner.ts
@@ -0,0 +1,168 @@
+import { type AdapterKey, type Incarnation, RefusedError } from "@galenaway/core"
+import { listOpening, renewOwner } from "./create-owner.js"
+import { applyHoldings } from "./holdings.js"
+import type { OwnerEffect, OwnerEvent, OwnerState, OwnerTransaction } from "./owner.js"
+import { finishTransaction, listBriefings, listWitnesses } from "./settle.js"
+import {
+  abandonEviction,
+  applyAcknowledgement,
+  applyUnloadAnswer,
+  deposeOwner,
+  listOutstanding,
+  refuseAnnouncement,
+  removeWitness,
+  wantEviction,
+  withoutKey,
+} from "./evictions.js"
+
+type EventOf<K extends OwnerEvent["kind"]> = Extract<OwnerEvent, { kind: K }>
+
+/** Makes the next state of an owner and the effects that the shell carries out in their order. */
+export function updateOwner(state: OwnerState, event: OwnerEvent): OwnerTransaction {
+  return finishTransaction(state, applyEvent(state, event))
+}
+
+/** Tells whether the adapter may be granted: no order of anybody can evict it without asking this owner. */
+export function canGrant(state: OwnerState, adapter: AdapterKey): boolean {
+  return state.phase === "active" && !state.evictions.has(adapter) && !state.suspects.has(adapter)
+}
+
+/** Tells whether a holder uses the adapter, or may use it for all that is known. A pinned adapter is not evicted. */
+export function isPinned(state: OwnerState, adapter: AdapterKey): boolean {
+  if (state.awaited.size > 0) return true
+  return [...state.grants.values()].some(({ grant }) => grant.adapter === adapter)
+}
+
+function applyEvent(state: OwnerState, event: OwnerEvent): OwnerTransaction {
+  switch (event.kind) {
+    case "eviction-wanted":
+      return wantEviction(state, event.adapter, isPinned(state, event.adapter))
+    case "eviction-abandoned":
+      return abandonEviction(state, event.adapter)
+    case "acknowledged":
+      return applyAcknowledgement(state, event)
+    case "announcement-refused":
+      return refuseAnnouncement(state, event)
+    case "witness-briefed":
+      return applyBriefing(state, event)
+    case "unload-answered":
+      return applyUnloadAnswer(state, event)
+    case "granted":
+      return addGrant(state, event)
+    case "grant-returned":
+      return removeGrant(state, event.grant)
+    case "holdings-reported":
+      return applyHoldings(state, event)
+    case "fence-answered":
+      return applyFenceAnswer(state, event)
+    case "member-gone":
+      return removeGoneMember(state, event.member)
+    case "endpoint-restarted":
+      return restartEndpoint(state)
+    case "ownership-changed":
+      return changeOwnership(state, event)
+    case "retry-due":
+      return { state, effects: listUnanswered(state) }
+  }
+}
+
+function applyBriefing(state: OwnerState, event: EventOf<"witness-briefed">): OwnerTransaction {
+  if (event.epoch !== state.ownership.epoch || state.phase !== "active")
+    return { state, effects: [] }
+  const unbriefed = withoutItem(state.unbriefed, event.witness)
+  return { state: { ...state, unbriefed }, effects: [] }
+}
+
+function addGrant(state: OwnerState, { grant, holder }: EventOf<"granted">): OwnerTransaction {
+  if (!canGrant(state, grant.adapter))
+    throw new RefusedError(
+      "conflict",
+      "grant",
+      state.endpoint,
+      `${grant.adapter} may be evicted, so it is not granted`,
+    )
+  const grants = new Map(state.grants).set(grant.id, { grant, holder })
+  return { state: { ...state, grants }, effects: [] }
+}
+
+/** A grant may come back before its holder's report names it. */
+function removeGrant(state: OwnerState, id: string): OwnerTransaction {
+  if (state.grants.has(id))
+    return { state: { ...state, grants: withoutKey(state.grants, id) }, effects: [] }
+  if (state.awaited.size === 0) return { state, effects: [] }
+  return { state: { ...state, returned: new Set([...state.returned, id]) }, effects: [] }
+}
+
+function applyFenceAnswer(state: OwnerState, event: EventOf<"fence-answered">): OwnerTransaction {
+  const { fencingNumber, result } = event
+  const { epoch } = state.ownership
+  if (fencingNumber !== epoch || state.phase === "deposed") return { state, effects: [] }
+  if (result === "fenced") return deposeOwner(state)
+  if (result !== "done") return { state, effects: [] }
+  const unresolved = new Map([...state.unresolved].filter(([, order]) => order.epoch >= epoch))
+  return { state: { ...state, isFenced: true, unresolved }, effects: [] }
+}
+
+/** Whoever is gone holds no grant, orders nothing, and can no longer tell a successor. */
+function removeGoneMember(state: OwnerState, member: Incarnation): OwnerTransaction {
+  const next = {
+    ...state,
+    awaited: withoutItem(state.awaited, member),
+    unbriefed: withoutItem(state.unbriefed, member),
+    grants: new Map([...state.grants].filter(([, { holder }]) => holder !== member)),
+    predecessors: new Map([...state.predecessors].filter(([, { owner }]) => owner !== member)),
+  }
+  return removeWitness(next, member)
+}
+
+/** An endpoint that restarts forgets the fencing numbers that it has seen. */
+function restartEndpoint(state: OwnerState): OwnerTransaction {
+  const next = {
+    ...state,
+    unresolved: new Map(),
+    isFenced: false,
+    unbriefed: state.isFenced ? new Set(listWitnesses(state.ownership)) : state.unbriefed,
+  }
+  return { state: next, effects: next.phase === "deposed" ? [] : listOpening(next) }
+}
+
+function changeOwnership(
+  state: OwnerState,
+  { ownership, members }: EventOf<"ownership-changed">,
+): OwnerTransaction {
+  if (ownership.epoch < state.ownership.epoch) return { state, effects: [] }
+  if (ownership.owner !== state.ownership.owner) return deposeOwner(state)
+  if (ownership.epoch > state.ownership.epoch) return renewOwner(state, ownership, members)
+  const listed = new Set(ownership.predecessors.map(({ epoch }) => epoch))
+  const predecessors = new Map([...state.predecessors].filter(([epoch]) => listed.has(epoch)))
+  return { state: { ...state, ownership, predecessors }, effects: [] }
+}
+
+function listUnanswered(state: OwnerState): readonly OwnerEffect[] {
+  if (state.phase === "deposed") return []
+  return [
+    ...listOpening(state),
+    ...listQuestions(state),
+    ...listBriefings(state),
+    ...listOutstanding(state),
+  ]
+}
+
+/** Asks the witnesses of predecessors again: their answers shrink the suspects. */
+function listQuestions({ predecessors, awaited, ownership }: OwnerState): readonly OwnerEffect[] {
+  const isOpen = (isBriefed: boolean, announced: ReadonlySet<AdapterKey>) =>
+    !isBriefed || announced.size > 0
+  const witnesses = [...predecessors.values()]
+    .filter(({ isBriefed, announced }) => isOpen(isBriefed, announced))
+    .flatMap((entry) => [...entry.witnesses])
+  return [...new Set(witnesses)]
+    .filter((witness) => !awaited.has(witness))
+    .map((to) => ({ kind: "ask-holdings", to, epoch: ownership.epoch }))
+}
+
+function withoutItem<T>(items: ReadonlySet<T>, item: T): ReadonlySet<T> {
+  if (!items.has(item)) return items
+  const next = new Set(items)
+  next.delete(item)
+  return next
+}
