--- /dev/null
+++ b/bench/src/policy/coordinated.ts
@@ -0,0 +1,278 @@
+import type { EndpointId, EndpointInfo, GrantResult, RouteRequest } from "@galenaway/core"
+import {
+  applySchedulerEvent,
+  createScheduler,
+  type EndpointView,
+  type PolicySettings,
+  rankEndpoints,
+  readEndpoint,
+  runScheduler,
+  type SchedulerEvent,
+  type SchedulerOrder,
+  type SchedulerTables,
+  setLoadShare,
+} from "@galenaway/policy"
+import { canRetry, getDelay, sendToEngine, type Site, type Strategy, type World } from "./world.js"
+
+const HEARTBEAT_MS = 200
+const REPORT_EVERY_MS = 200
+const TICK_MS = 20
+const TAKE_OVER_MS = 3000
+const ANNOUNCE_MS = 3
+
+/** Ranks the endpoints to ask. */
+export type Placement = typeof rankEndpoints
+
+/** An owner: its scheduler, and what was asked of it by whom. */
+interface Owner {
+  readonly site: Site
+  readonly tables: SchedulerTables
+  readonly asked: Map<string, Asked>
+  readonly views: Map<EndpointId, EndpointView>
+}
+
+interface Asked {
+  readonly request: RouteRequest
+  readonly from: Owner
+  /** Owners that refused it before. */
+  readonly tried: readonly Owner[]
+}
+
+/** The scheduler on four instances, each owning a part of the engines. */
+export class CoordinatedStrategy implements Strategy {
+  private readonly owners: readonly Owner[]
+  private readonly ownerOf = new Map<EndpointId, Owner>()
+
+  constructor(
+    private readonly world: World,
+    private readonly settings: PolicySettings,
+    private readonly placement: Placement,
+  ) {
+    this.owners = world.sites.map((site) => ({
+      site,
+      tables: createScheduler(settings),
+      asked: new Map(),
+      views: new Map(),
+    }))
+    for (const info of world.infos) this.gain(this.chooseOwner(info), info)
+    this.shareLoads()
+    for (const owner of this.owners) this.startTicks(owner)
+  }
+
+  submit(request: RouteRequest, site: Site): void {
+    const from = this.owners[site.index]
+    if (from && site.isUp) this.ask(request, from, [])
+  }
+
+  loseInstance(site: Site): void {
+    const lost = this.owners[site.index]
+    if (!lost) return
+    for (const { request, from, tried } of lost.asked.values())
+      if (from !== lost && !this.isPlaced(lost, request)) this.ask(request, from, [...tried, lost])
+    this.world.simulation.after(TAKE_OVER_MS, () => {
+      this.takeOver(lost)
+    })
+  }
+
+  private isPlaced(owner: Owner, request: RouteRequest): boolean {
+    return owner.tables.placed.has(request.id)
+  }
+
+  private ask(request: RouteRequest, from: Owner, tried: readonly Owner[]): void {
+    const { now } = this.world.simulation
+    const views = [...from.views.values()]
+    const ranked = this.placement(views, request, from.site.dataCentre, now)
+    const owner = ranked
+      .map((id) => this.ownerOf.get(id))
+      .find((other) => other?.site.isUp && !tried.includes(other))
+    if (!owner) {
+      this.refuse(request)
+      return
+    }
+    this.world.simulation.after(getDelay(from.site.dataCentre, owner.site.dataCentre), () => {
+      if (!owner.site.isUp) {
+        this.ask(request, from, [...tried, owner])
+        return
+      }
+      owner.asked.set(request.id, { request, from, tried })
+      this.change(owner, { kind: "submitted", request })
+    })
+  }
+
+  private refuse(request: RouteRequest): void {
+    const record = this.world.records.get(request.id)
+    if (record) record.refusedAt ??= this.world.simulation.now
+  }
+
+  private change(owner: Owner, event: SchedulerEvent): void {
+    if (!owner.site.isUp) return
+    applySchedulerEvent(owner.tables, event, this.world.simulation.now)
+    this.run(owner)
+  }
+
+  private run(owner: Owner): void {
+    for (const order of runScheduler(owner.tables, this.world.simulation.now))
+      this.carryOut(owner, order)
+  }
+
+  private carryOut(owner: Owner, order: SchedulerOrder): void {
+    switch (order.kind) {
+      case "grant":
+        this.grant(owner, order.request, order.endpoint)
+        return
+      case "refuse":
+        this.handleRefusal(owner, order.request, order.code === "overloaded")
+        return
+      case "load":
+        this.load(owner, order.endpoint, order.adapter)
+        return
+      case "evict":
+        this.world.simulation.after(ANNOUNCE_MS, () => {
+          if (this.ownerOf.get(order.endpoint) !== owner || !owner.site.isUp) return
+          this.world.engines.get(order.endpoint)?.unload(order.adapter)
+          this.change(owner, { ...order, kind: "evicted" })
+        })
+        return
+    }
+  }
+
+  private grant(owner: Owner, id: string, endpoint: EndpointId): void {
+    const asked = owner.asked.get(id)
+    if (!asked) return
+    const { request, from } = asked
+    const delay = getDelay(owner.site.dataCentre, from.site.dataCentre)
+    this.world.simulation.after(delay, () => {
+      sendToEngine(this.world, request, endpoint, from.site, (result) => {
+        if (!from.site.isUp) return
+        const ended = { done: "done", missing: "adapter-missing", failed: "endpoint-down" } as const
+        this.world.simulation.after(delay, () => {
+          this.giveBack(owner, id, ended[result])
+        })
+        const record = this.world.records.get(id)
+        if (result === "done" || !record) return
+        if (canRetry(record)) this.ask(request, from, [])
+        else this.refuse(request)
+      })
+    })
+  }
+
+  private giveBack(owner: Owner, request: string, result: GrantResult): void {
+    owner.asked.delete(request)
+    this.change(owner, { kind: "returned", request, result })
+  }
+
+  private handleRefusal(owner: Owner, id: string, mayTryOthers: boolean): void {
+    const asked = owner.asked.get(id)
+    if (!asked) return
+    owner.asked.delete(id)
+    const { request, from, tried } = asked
+    if (mayTryOthers && tried.length === 0) this.ask(request, from, [owner])
+    else this.refuse(request)
+  }
+
+  private load(owner: Owner, endpoint: EndpointId, adapter: RouteRequest["adapter"]): void {
+    this.world.engines.get(endpoint)?.load(adapter, (isLoaded) => {
+      this.world.simulation.after(0, () => {
+        this.change(owner, { kind: isLoaded ? "loaded" : "load-failed", endpoint, adapter })
+      })
+    })
+  }
+
+  private startTicks(owner: Owner): void {
+    const { simulation } = this.world
+    simulation.every(TICK_MS, () => {
+      if (owner.site.isUp) this.run(owner)
+      return owner.site.isUp
+    })
+    simulation.every(REPORT_EVERY_MS, () => {
+      if (owner.site.isUp) this.readReports(owner)
+      return owner.site.isUp
+    })
+    simulation.every(HEARTBEAT_MS, () => {
+      if (owner.site.isUp) this.sendViews(owner)
+      return owner.site.isUp
+    })
+    this.readReports(owner)
+    this.sendViews(owner)
+  }
+
+  private readReports(owner: Owner): void {
+    for (const endpoint of owner.tables.endpoints.keys()) {
+      const report = this.world.engines.get(endpoint)?.report()
+      this.change(owner, report ? { kind: "reported", report } : { kind: "unreachable", endpoint })
+    }
+  }
+
+  private sendViews(owner: Owner): void {
+    for (const { info } of owner.tables.endpoints.values()) {
+      const state = readEndpoint(owner.tables, info.id)
+      if (!state) continue
+      for (const other of this.owners) {
+        const delay = getDelay(owner.site.dataCentre, other.site.dataCentre)
+        const seenAt = this.world.simulation.now + delay
+        this.world.simulation.after(delay, () => {
+          other.views.set(info.id, { ...state, info, owner: String(owner.site.index), seenAt })
+        })
+      }
+    }
+  }
+
+  private chooseOwner(info: EndpointInfo): Owner {
+    const live = this.owners.filter(({ site }) => site.isUp)
+    const near = live.filter(({ site }) => site.dataCentre === info.dataCentre)
+    const [first, ...rest] = near.length > 0 ? near : live
+    if (!first) throw new Error("no instance is up")
+    return rest.reduce(
+      (best, other) => (other.tables.endpoints.size < best.tables.endpoints.size ? other : best),
+      first,
+    )
+  }
+
+  private gain(owner: Owner, info: EndpointInfo, running: RouteRequest[] = []): void {
+    this.ownerOf.set(info.id, owner)
+    const held = running.map(({ id, adapter }) => ({ request: id, adapter }))
+    this.change(owner, { kind: "endpoint-gained", info, running: held })
+  }
+
+  private takeOver(lost: Owner): void {
+    for (const { info, running } of lost.tables.endpoints.values()) {
+      const owner = this.chooseOwner(info)
+      const held = [...running.keys()].flatMap((id) => this.listHeld(lost, id))
+      for (const asked of held) owner.asked.set(asked.request.id, asked)
+      this.gain(
+        owner,
+        info,
+        held.map(({ request }) => request),
+      )
+    }
+    this.shareLoads()
+    for (const owner of this.owners) this.releaseGrants(owner, lost)
+  }
+
+  /** Lists a running grant if its holder is still there to return it. */
+  private listHeld(lost: Owner, id: string): Asked[] {
+    const asked = lost.asked.get(id)
+    const record = this.world.records.get(id)
+    return asked?.from.site.isUp && record?.doneAt === undefined && asked ? [asked] : []
+  }
+
+  private releaseGrants(owner: Owner, lost: Owner): void {
+    for (const [id, { from }] of owner.asked)
+      if (from === lost) {
+        this.change(owner, { kind: "canceled", request: id })
+        this.giveBack(owner, id, "failed")
+      }
+  }
+
+  private shareLoads(): void {
+    const { loads } = this.settings
+    for (const { tables } of this.owners) {
+      const part = tables.endpoints.size / this.world.infos.length
+      setLoadShare(tables, {
+        ratePerSecond: loads.ratePerSecond * part,
+        burst: 1,
+        inTransit: Math.max(1, Math.floor(loads.inTransit * part)),
+      })
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/policy/engine.ts
@@ -0,0 +1,234 @@
+import {
+  type AdapterKey,
+  type EndpointId,
+  type EngineReport,
+  getRankOrder,
+  type Rank,
+} from "@galenaway/core"
+import type { Simulation } from "./simulation.js"
+
+const STEP_MS = 15
+const STEP_MS_PER_REQUEST = 0.5
+const PREFILL_MS = 20
+const REPORT_LAG_MS = 200
+const MS_PER_SECOND = 1000
+/** Requests that an engine runs at once. */
+export const BATCH_LIMIT = 16
+
+/** The weight store: starts are spaced by the rate beyond a burst, and transfers slow down when too many are in transit. */
+export class StoreModel {
+  private nextStart = 0
+  private inTransit = 0
+  loads = 0
+  highestTransit = 0
+
+  constructor(
+    private readonly simulation: Simulation,
+    private readonly ratePerSecond = 7,
+    private readonly burst = 3,
+    private readonly loadMs = 250,
+    private readonly fullSpeedTransit = 24,
+  ) {}
+
+  /** Transfers one adapter. */
+  transfer(onDone: () => void): void {
+    const spacing = MS_PER_SECOND / this.ratePerSecond
+    const { now } = this.simulation
+    this.nextStart = Math.max(this.nextStart, now - (this.burst - 1) * spacing) + spacing
+    this.inTransit++
+    this.loads++
+    this.highestTransit = Math.max(this.highestTransit, this.inTransit)
+    this.simulation.after(Math.max(0, this.nextStart - spacing - now), () => {
+      const ms = this.loadMs * Math.max(1, this.inTransit / this.fullSpeedTransit)
+      this.simulation.after(ms, () => {
+        this.inTransit--
+        onDone()
+      })
+    })
+  }
+}
+
+/** A request at an engine, and who hears of it. */
+export interface EngineRun {
+  readonly request: string
+  readonly adapter: AdapterKey
+  readonly rank: Rank
+  readonly tokens: number
+  readonly onFirst: () => void
+  readonly onEnd: (result: "done" | "failed") => void
+}
+
+interface ActiveRun {
+  readonly run: EngineRun
+  readyAt: number
+  made: number
+}
+
+/** What an engine did. */
+export interface EngineCounts {
+  tokens: number
+  steps: number
+  loads: number
+  failedLoads: number
+  /** Loads whose adapter served no request before it left. */
+  unusedLoads: number
+  evictionsInUse: number
+  missing: number
+}
+
+interface Resident {
+  readonly loadedAt: number
+  uses: number
+}
+
+/** An engine with a continuous batch: each step gives every running request one token. */
+export class EngineModel {
+  readonly resident = new Map<AdapterKey, Resident>()
+  readonly counts: EngineCounts = {
+    tokens: 0,
+    steps: 0,
+    loads: 0,
+    failedLoads: 0,
+    unusedLoads: 0,
+    evictionsInUse: 0,
+    missing: 0,
+  }
+  failShare = 0
+  private waiting: EngineRun[] = []
+  private running: ActiveRun[] = []
+  private incarnation = 1
+  private isStepping = false
+  private isDown = false
+  private latest: EngineReport
+
+  constructor(
+    readonly id: EndpointId,
+    private readonly simulation: Simulation,
+    private readonly store: StoreModel,
+    private readonly random: () => number,
+    private readonly slots: number,
+  ) {
+    this.latest = this.createReport()
+    simulation.every(REPORT_LAG_MS, () => {
+      this.latest = this.createReport()
+      return true
+    })
+  }
+
+  /** Returns the latest report, or undefined while the engine is down. */
+  report(): EngineReport | undefined {
+    return this.isDown ? undefined : this.latest
+  }
+
+  /** Starts a request. Returns why not, when it can't. */
+  submit(run: EngineRun): "accepted" | "down" | "missing" {
+    if (this.isDown) return "down"
+    const resident = this.resident.get(run.adapter)
+    if (!resident) {
+      this.counts.missing++
+      return "missing"
+    }
+    resident.uses++
+    this.waiting.push(run)
+    this.waiting.sort((a, b) => getRankOrder(a.rank) - getRankOrder(b.rank))
+    this.admit()
+    return "accepted"
+  }
+
+  /** Stops a request without a word. */
+  cancel(request: string): void {
+    this.waiting = this.waiting.filter((run) => run.request !== request)
+    this.running = this.running.filter(({ run }) => run.request !== request)
+    this.admit()
+  }
+
+  /** Loads an adapter from the store. */
+  load(adapter: AdapterKey, onDone: (isLoaded: boolean) => void): void {
+    const { incarnation } = this
+    if (this.isDown) {
+      onDone(false)
+      return
+    }
+    this.store.transfer(() => {
+      const isFailing = this.random() < this.failShare
+      const isFull = !this.resident.has(adapter) && this.resident.size >= this.slots
+      if (isFailing || isFull || this.isDown || incarnation !== this.incarnation) {
+        this.counts.failedLoads++
+        onDone(false)
+        return
+      }
+      this.counts.loads++
+      if (!this.resident.has(adapter))
+        this.resident.set(adapter, { loadedAt: this.simulation.now, uses: 0 })
+      onDone(true)
+    })
+  }
+
+  /** Evicts an adapter. */
+  unload(adapter: AdapterKey): void {
+    if (this.isDown) return
+    const isUsed = (run: EngineRun) => run.adapter === adapter
+    if (this.waiting.some(isUsed) || this.running.some(({ run }) => isUsed(run)))
+      this.counts.evictionsInUse++
+    if (this.resident.get(adapter)?.uses === 0) this.counts.unusedLoads++
+    this.resident.delete(adapter)
+  }
+
+  /** Takes the engine away. Its runs fail, its adapters are gone. */
+  stop(): void {
+    this.isDown = true
+    this.incarnation++
+    this.resident.clear()
+    const failed = [...this.waiting, ...this.running.map(({ run }) => run)]
+    this.waiting = []
+    this.running = []
+    for (const run of failed) run.onEnd("failed")
+  }
+
+  /** Brings a stopped engine back, empty. */
+  start(): void {
+    this.isDown = false
+    this.latest = this.createReport()
+  }
+
+  private createReport(): EngineReport {
+    return {
+      endpoint: this.id,
+      incarnation: String(this.incarnation),
+      running: this.running.length,
+      waiting: this.waiting.length,
+      resident: [...this.resident.keys()],
+      cacheUsage: this.running.length / BATCH_LIMIT,
+    }
+  }
+
+  private admit(): void {
+    while (this.running.length < BATCH_LIMIT) {
+      const run = this.waiting.shift()
+      if (!run) break
+      this.running.push({ run, readyAt: this.simulation.now + PREFILL_MS, made: 0 })
+    }
+    if (this.isStepping || this.running.length === 0) return
+    this.isStepping = true
+    const ms = STEP_MS + STEP_MS_PER_REQUEST * this.running.length
+    this.simulation.after(ms, () => {
+      this.isStepping = false
+      this.step()
+    })
+  }
+
+  private step(): void {
+    this.counts.steps++
+    const ended: EngineRun[] = []
+    for (const active of this.running) {
+      if (active.readyAt > this.simulation.now) continue
+      active.made++
+      this.counts.tokens++
+      if (active.made === 1) active.run.onFirst()
+      if (active.made >= active.run.tokens) ended.push(active.run)
+    }
+    this.running = this.running.filter(({ run }) => !ended.includes(run))
+    for (const run of ended) run.onEnd("done")
+    this.admit()
+  }
+}
--- /dev/null
+++ b/bench/src/policy/figures.ts
@@ -0,0 +1,106 @@
+import { type ByRank, type Rank, RANKS } from "@galenaway/core"
+import { BATCH_LIMIT } from "./engine.js"
+import { BEFORE_MS, DURING_MS } from "./workload.js"
+import type { RequestRecord, World } from "./world.js"
+
+const PERCENT = 100
+const MS_PER_SECOND = 1000
+
+/** What one run is judged by. Shares are in percent. */
+export interface Figures {
+  /** Share of the requests that arrived in the disturbed time whose first token came within the target. */
+  readonly onTime: ByRank<number>
+  /** Answers a second in the disturbed time against the time before. */
+  readonly kept: ByRank<number>
+  /** Share of the tokens made in the disturbed time. */
+  readonly tokenShare: ByRank<number>
+  readonly stalls: number
+  readonly stallMs: number
+  readonly urgentStalls: number
+  readonly urgentStallMs: number
+  readonly batchFill: number
+  readonly refused: number
+  readonly loads: number
+  /** Loads that failed or served no request. */
+  readonly wastedLoads: number
+  readonly evictionsInUse: number
+  readonly highestTransit: number
+}
+
+/** Computes the figures of a finished run. */
+export function computeFigures(world: World): Figures {
+  const records = [...world.records.values()]
+  const stalled = records.filter(({ stalledMs }) => stalledMs !== undefined)
+  const urgentStalled = stalled.filter(({ request }) => request.rank === "urgent")
+  const counts = [...world.engines.values()].map((engine) => engine.counts)
+  const sum = (select: (count: (typeof counts)[number]) => number) =>
+    counts.reduce((total, count) => total + select(count), 0)
+  const tokens = mapRanks((rank) => sumTokens(records, rank))
+  const allTokens = RANKS.reduce((total, rank) => total + tokens[rank], 0)
+  return {
+    onTime: mapRanks((rank) => computeOnTime(records, rank)),
+    kept: mapRanks((rank) => computeKept(records, rank)),
+    tokenShare: mapRanks((rank) => (PERCENT * tokens[rank]) / Math.max(1, allTokens)),
+    stalls: stalled.length,
+    stallMs: computeMean(stalled),
+    urgentStalls: urgentStalled.length,
+    urgentStallMs: computeMean(urgentStalled),
+    batchFill:
+      (PERCENT * sum((count) => count.tokens)) / (BATCH_LIMIT * sum((count) => count.steps)),
+    refused: records.filter(
+      ({ refusedAt, doneAt }) => refusedAt !== undefined && doneAt === undefined,
+    ).length,
+    loads: sum((count) => count.loads + count.failedLoads),
+    wastedLoads: sum((count) => count.failedLoads + count.unusedLoads),
+    evictionsInUse: sum((count) => count.evictionsInUse),
+    highestTransit: world.store.highestTransit,
+  }
+}
+
+function mapRanks(compute: (rank: Rank) => number): ByRank<number> {
+  return { urgent: compute("urgent"), standard: compute("standard"), bulk: compute("bulk") }
+}
+
+function computeOnTime(records: readonly RequestRecord[], rank: Rank): number {
+  const arrived = records.filter(
+    ({ request }) =>
+      request.rank === rank &&
+      request.arrivedAt >= DURING_MS.start &&
+      request.arrivedAt < DURING_MS.end,
+  )
+  const onTime = arrived.filter(
+    ({ request, firstTokenAt }) => (firstTokenAt ?? Infinity) <= request.deadline,
+  )
+  return (PERCENT * onTime.length) / arrived.length
+}
+
+function computeKept(records: readonly RequestRecord[], rank: Rank): number {
+  const before = computeRate(records, rank, BEFORE_MS)
+  return (PERCENT * computeRate(records, rank, DURING_MS)) / before
+}
+
+function computeRate(
+  records: readonly RequestRecord[],
+  rank: Rank,
+  { start, end }: typeof BEFORE_MS,
+): number {
+  const ended = records.filter(
+    ({ request, doneAt }) =>
+      request.rank === rank && doneAt !== undefined && doneAt >= start && doneAt < end,
+  )
+  return (MS_PER_SECOND * ended.length) / (end - start)
+}
+
+function sumTokens(records: readonly RequestRecord[], rank: Rank): number {
+  let tokens = 0
+  for (const { request, doneAt } of records) {
+    if (request.rank !== rank || doneAt === undefined) continue
+    if (doneAt >= DURING_MS.start && doneAt < DURING_MS.end) tokens += request.maxTokens
+  }
+  return tokens
+}
+
+function computeMean(records: readonly RequestRecord[]): number {
+  const total = records.reduce((sum, { stalledMs }) => sum + (stalledMs ?? 0), 0)
+  return records.length === 0 ? 0 : total / records.length
+}
--- /dev/null
+++ b/bench/src/policy/naive.ts
@@ -0,0 +1,119 @@
+import type { AdapterKey, EndpointId, RouteRequest } from "@galenaway/core"
+import { chooseNaive, type NaiveRow } from "@galenaway/policy"
+import { canRetry, sendToEngine, type Site, type Strategy, type World } from "./world.js"
+
+const REPORT_EVERY_MS = 200
+
+type Waiter = (isLoaded: boolean) => void
+
+/** The naive router on four instances, each with its own late reports. */
+export class NaiveStrategy implements Strategy {
+  private readonly views: readonly ReadonlyMap<EndpointId, NaiveRow>[]
+  private readonly loads: readonly Map<string, Waiter[]>[]
+
+  constructor(private readonly world: World) {
+    this.views = world.sites.map(() => createRows(world))
+    this.loads = world.sites.map(() => new Map<string, Waiter[]>())
+    world.sites.forEach((site, index) => {
+      const offset = (REPORT_EVERY_MS * index) / world.sites.length
+      world.simulation.after(offset, () => {
+        this.refresh(site)
+        world.simulation.every(REPORT_EVERY_MS, () => {
+          this.refresh(site)
+          return site.isUp
+        })
+      })
+    })
+  }
+
+  submit(request: RouteRequest, site: Site): void {
+    const rows = this.views[site.index]
+    const record = this.world.records.get(request.id)
+    if (!site.isUp || !rows || !record) return
+    const { simulation } = this.world
+    const decision = chooseNaive(rows.values(), request.adapter, simulation.now)
+    if (decision.kind === "refuse") {
+      record.refusedAt = simulation.now
+      return
+    }
+    const { endpoint } = decision
+    const send = () => {
+      sendToEngine(this.world, request, endpoint, site, (result) => {
+        if (result === "done") return
+        if (result === "missing") rows.get(endpoint)?.lastUsed.delete(request.adapter)
+        this.retry(request, site)
+      })
+    }
+    if (decision.kind === "use") send()
+    else
+      this.load(site, endpoint, request.adapter, decision.evict, (isLoaded) => {
+        if (isLoaded) send()
+        else {
+          record.attempts++
+          this.retry(request, site)
+        }
+      })
+  }
+
+  loseInstance(site: Site): void {
+    this.loads[site.index]?.clear()
+  }
+
+  private retry(request: RouteRequest, site: Site): void {
+    const record = this.world.records.get(request.id)
+    if (!record || !site.isUp) return
+    if (canRetry(record)) this.submit(request, site)
+    else record.refusedAt ??= this.world.simulation.now
+  }
+
+  private load(
+    site: Site,
+    endpoint: EndpointId,
+    adapter: AdapterKey,
+    evict: AdapterKey | undefined,
+    onDone: Waiter,
+  ): void {
+    const loads = this.loads[site.index]
+    const row = this.views[site.index]?.get(endpoint)
+    const engine = this.world.engines.get(endpoint)
+    if (!loads || !row || !engine) return
+    const key = `${endpoint} ${adapter}`
+    const waiters = loads.get(key)
+    if (waiters) {
+      waiters.push(onDone)
+      return
+    }
+    loads.set(key, [onDone])
+    if (evict !== undefined) {
+      row.lastUsed.delete(evict)
+      engine.unload(evict)
+    }
+    engine.load(adapter, (isLoaded) => {
+      if (isLoaded) row.lastUsed.set(adapter, this.world.simulation.now)
+      const joined = loads.get(key) ?? []
+      loads.delete(key)
+      for (const waiter of joined) waiter(isLoaded)
+    })
+  }
+
+  private refresh(site: Site): void {
+    for (const row of this.views[site.index]?.values() ?? []) {
+      const report = this.world.engines.get(row.info.id)?.report()
+      row.isReachable = report !== undefined
+      row.report = report
+      if (!report) continue
+      const reported = new Set(report.resident)
+      for (const adapter of row.lastUsed.keys())
+        if (!reported.has(adapter)) row.lastUsed.delete(adapter)
+      for (const adapter of reported) if (!row.lastUsed.has(adapter)) row.lastUsed.set(adapter, 0)
+    }
+  }
+}
+
+function createRows(world: World): ReadonlyMap<EndpointId, NaiveRow> {
+  const rows = world.infos.map((info): [EndpointId, NaiveRow] => [
+    info.id,
+    { info, isReachable: true, report: undefined, lastUsed: new Map() },
+  ])
+  return new Map(rows)
+}
--- /dev/null
+++ b/bench/src/policy/simulation.ts
@@ -0,0 +1,79 @@
+/** A hand-moved clock with an agenda: what is due runs in order of time, then of entry. */
+export class Simulation {
+  private readonly heap: Entry[] = []
+  private entries = 0
+  now = 0
+
+  /** Runs an action after a delay in milliseconds. */
+  after(delayMs: number, run: () => void): void {
+    const entry = { at: this.now + delayMs, order: this.entries++, run }
+    this.heap.push(entry)
+    this.siftUp(this.heap.length - 1)
+  }
+
+  /** Runs an action again and again until it returns false. */
+  every(periodMs: number, run: () => boolean): void {
+    this.after(periodMs, () => {
+      if (run()) this.every(periodMs, run)
+    })
+  }
+
+  /** Runs everything that is due until an end, in milliseconds. */
+  runUntil(end: number): void {
+    for (;;) {
+      const next = this.heap[0]
+      if (!next || next.at > end) break
+      this.removeFirst()
+      this.now = next.at
+      next.run()
+    }
+    this.now = end
+  }
+
+  private removeFirst(): void {
+    const last = this.heap.pop()
+    if (!last || this.heap.length === 0) return
+    this.heap[0] = last
+    this.siftDown(0)
+  }
+
+  private siftUp(start: number): void {
+    let index = start
+    while (index > 0) {
+      const parent = (index - 1) >> 1
+      if (!this.swapIfBefore(index, parent)) return
+      index = parent
+    }
+  }
+
+  private siftDown(start: number): void {
+    let index = start
+    for (;;) {
+      let child = 2 * index + 1
+      if (child >= this.heap.length) return
+      if (child + 1 < this.heap.length && this.isBefore(child + 1, child)) child++
+      if (!this.swapIfBefore(child, index)) return
+      index = child
+    }
+  }
+
+  private swapIfBefore(a: number, b: number): boolean {
+    const [first, second] = [this.heap[a], this.heap[b]]
+    if (!first || !second || !this.isBefore(a, b)) return false
+    this.heap[a] = second
+    this.heap[b] = first
+    return true
+  }
+
+  private isBefore(a: number, b: number): boolean {
+    const [first, second] = [this.heap[a], this.heap[b]]
+    if (!first || !second) return false
+    return first.at < second.at || (first.at === second.at && first.order < second.order)
+  }
+}
+
+interface Entry {
+  readonly at: number
+  readonly order: number
+  readonly run: () => void
+}
