Time line: hybrid clock, bounded recorder, merge, filter and text

Cause: the seams had a Recorder that kept nothing, so nobody could see what several processes did about one request.

Change: createRecorder keeps the latest events of one process in a ring under a hybrid logical clock; mergeEvents orders the events of all processes by it; filterEvents by request also brings the loads, evictions and ownerships that the request's way depended on; formatTimeline writes one line for each event. A peer's time more than 60 s ahead of the own wall clock is refused and told once a minute: the order against that peer is then not assured, but one wrong clock doesn't drag all others along. The daemon registers the recorder.

Ruled out: sorting by wall clock. Without the drift bound a test shows the clock dragged ten minutes ahead. Vector clocks were ruled out for their size, one number for each process in every message.

Conclusion: packages/observe/test, 12 tests pass; order against peers beyond the drift bound isn't covered.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -5,11 +5,11 @@
 import type { EndpointId, EndpointInfo, EnginePort, PlatformPort, Router } from "@galenaway/core"
 import {
   createLog,
+  createRecorder,
   type Log,
   type Metrics,
   type Recorder,
   silentMetrics,
-  silentRecorder,
 } from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
 import { CompletionHandler } from "./caller/completions.js"
@@ -53,7 +53,10 @@
   parts.registerInstance<Agent>(TOKENS.agent, createAgent())
   const { id: instance, dataCentre } = settings
   parts.registerInstance<Log>(TOKENS.log, createLog(settings.logLevel, { instance, dataCentre }))
-  parts.registerInstance<Recorder>(TOKENS.recorder, silentRecorder)
+  parts.registerInstance<Recorder>(
+    TOKENS.recorder,
+    createRecorder({ instance, dataCentre, clock: systemClock }),
+  )
   parts.registerInstance<Metrics>(TOKENS.metrics, silentMetrics)
   parts.registerInstance<ConfigurationKeeper>(TOKENS.keeper, defaultKeeper)
   registerCached<PlatformPort>(
--- /dev/null
+++ b/packages/observe/src/dependency.ts
@@ -0,0 +1,100 @@
+import type { AdapterKey, EndpointId, RequestId } from "@galenaway/core"
+import type { EventKind, TimelineEvent } from "./event.js"
+
+/** Where a request went: its places in the merged events, its adapter and its endpoints. */
+interface RequestPath {
+  readonly request: RequestId
+  readonly first: number
+  readonly last: number
+  readonly adapters: ReadonlySet<AdapterKey>
+  readonly endpoints: ReadonlySet<EndpointId>
+}
+
+type Relation = "adapter" | "ownership" | "slot" | "none"
+
+/**
+ * Lists the events of a request and those that its way depended on: what
+ * happened to its adapter and at its endpoints while it was under way, and the
+ * earlier load and ownership that it found in place.
+ */
+export function listDependencies(
+  events: readonly TimelineEvent[],
+  request: RequestId,
+): readonly TimelineEvent[] {
+  const path = findPath(events, request)
+  if (!path) return []
+  const earlier = findEarlierCauses(events, path)
+  return events.filter((event, index) => {
+    if (event.request === request) return true
+    if (index < path.first) return earlier.has(event)
+    return index <= path.last && isRelated(event, path)
+  })
+}
+
+function findPath(events: readonly TimelineEvent[], request: RequestId): RequestPath | undefined {
+  const first = events.findIndex((event) => event.request === request)
+  if (first < 0) return undefined
+  const last = events.findLastIndex((event) => event.request === request)
+  const own = events.filter((event) => event.request === request)
+  const adapters = new Set(own.flatMap(({ adapter }) => adapter ?? []))
+  const endpoints = new Set(own.flatMap(({ endpoint }) => endpoint ?? []))
+  return { request, first, last, adapters, endpoints }
+}
+
+function isRelated(event: TimelineEvent, path: RequestPath): boolean {
+  if (event.request !== undefined) return false
+  switch (getRelation(event.kind)) {
+    case "adapter":
+      return hasAdapter(event, path) && (path.endpoints.size === 0 || hasEndpoint(event, path))
+    case "ownership":
+    case "slot":
+      return hasEndpoint(event, path)
+    case "none":
+      return false
+  }
+}
+
+/** Finds the last load of the adapter and the last ownership, for each endpoint, before the request arrived. */
+function findEarlierCauses(
+  events: readonly TimelineEvent[],
+  path: RequestPath,
+): ReadonlySet<TimelineEvent> {
+  const latest = new Map<string, TimelineEvent>()
+  for (const event of events.slice(0, path.first)) {
+    if (!isRelated(event, path) || !isLasting(event.kind)) continue
+    latest.set(`${event.kind} ${event.endpoint ?? ""} ${event.adapter ?? ""}`, event)
+  }
+  return new Set(latest.values())
+}
+
+function isLasting(kind: EventKind): boolean {
+  return kind === "load-ordered" || kind === "load-done" || kind === "ownership-gained"
+}
+
+function getRelation(kind: EventKind): Relation {
+  switch (kind) {
+    case "load-ordered":
+    case "load-done":
+    case "load-failed":
+      return "adapter"
+    case "ownership-gained":
+    case "ownership-lost":
+      return "ownership"
+    case "eviction-announced":
+    case "eviction-ordered":
+    case "eviction-done":
+    case "endpoint-lost":
+    case "endpoint-back":
+      return "slot"
+    default:
+      return "none"
+  }
+}
+
+function hasAdapter(event: TimelineEvent, path: RequestPath): boolean {
+  return event.adapter !== undefined && path.adapters.has(event.adapter)
+}
+
+function hasEndpoint(event: TimelineEvent, path: RequestPath): boolean {
+  return event.endpoint !== undefined && path.endpoints.has(event.endpoint)
+}
--- a/packages/observe/src/event.ts
+++ b/packages/observe/src/event.ts
@@ -33,6 +33,8 @@
   | "instance-started"
   | "instance-draining"
   | "instance-stopped"
+  /** A peer's time was too far ahead to be taken. */
+  | "clock-refused"
 
 /** A time that respects causes: wall time in milliseconds, then a counter. */
 export interface HybridTime {
