Metrics: histograms by rank in the Prometheus text format

Cause: measurements went nowhere, the daemon registered silent metrics.

Change: createMetrics keeps hdr-histogram-js histograms (1 µs to 1 h, two significant digits, fixed size), counters and gauges; formatMetrics writes summaries with quantiles, counters and gauges with HELP and TYPE lines. Quantiles cover the last one to two minutes, so that they still say something after months; counts and sums cover the whole run. The daemon registers it.

Ruled out: one histogram for the whole run (a test shows an old 9 s load gone from the quantile two windows later; it would stay for good), and growing histograms (a duration of 1e12 ms or Infinity counts as the longest one; a test shows the memory unchanged).

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -5,11 +5,11 @@
 import type { EndpointId, EndpointInfo, EnginePort, PlatformPort, Router } from "@galenaway/core"
 import {
   createLog,
+  createMetrics,
   createRecorder,
   type Log,
   type Metrics,
   type Recorder,
-  silentMetrics,
 } from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
 import { CompletionHandler } from "./caller/completions.js"
@@ -57,7 +57,7 @@
     TOKENS.recorder,
     createRecorder({ instance, dataCentre, clock: systemClock }),
   )
-  parts.registerInstance<Metrics>(TOKENS.metrics, silentMetrics)
+  parts.registerInstance<Metrics>(TOKENS.metrics, createMetrics(systemClock))
   parts.registerInstance<ConfigurationKeeper>(TOKENS.keeper, defaultKeeper)
   registerCached<PlatformPort>(
     parts,
--- /dev/null
+++ b/packages/observe/src/registry.ts
@@ -0,0 +1,188 @@
+import { type Clock, type Rank, RANKS } from "@galenaway/core"
+import { type Family, formatExposition, type Label, type Sample } from "./exposition.js"
+import type { Count, Level, Metrics, RankCount, RankTiming, Timing } from "./metrics.js"
+import { DurationWindow } from "./window.js"
+
+const PREFIX = "galenaway_"
+const QUANTILES = [0.5, 0.95, 0.99]
+
+const RANK_TIMINGS: Readonly<Record<RankTiming, string>> = {
+  wait: "Time from a request's arrival to its grant.",
+  "first-token": "Time from a request's arrival to its first token.",
+  "between-tokens": "Time between two tokens of one answer.",
+}
+
+const TIMINGS: Readonly<Record<Timing, string>> = {
+  load: "Time from the order to load an adapter to its answer.",
+  stall: "Time that a request waited for an adapter to load.",
+  "platform-call": "Time of one call to the platform's service.",
+  tick: "Time of one tick of the scheduler.",
+}
+
+const RANK_COUNTS: Readonly<Record<RankCount, string>> = {
+  requests: "Requests received.",
+  refusals: "Requests refused without being run.",
+  failures: "Requests that failed after they may have run.",
+  cancellations: "Requests that their callers canceled.",
+}
+
+const COUNTS: Readonly<Record<Count, string>> = {
+  loads: "Adapter loads ordered.",
+  "load-failures": "Adapter loads that failed.",
+  evictions: "Adapters evicted.",
+  grants: "Grants given as an owner.",
+  "ownership-changes": "Endpoints gained or lost as an owner.",
+  "platform-reads": "Reads of the platform's service.",
+  "platform-writes": "Writes to the platform's service.",
+  "platform-watches": "Watches of the platform's service; each wait is one call.",
+  "platform-failures": "Calls to the platform's service that failed.",
+  resumes: "Streams resumed on a fresh connection.",
+  claims: "Idempotency keys claimed.",
+}
+
+const LEVELS: Readonly<Record<Level, string>> = {
+  "batch-fill": "Share of the owned engines' batches in use, 0 to 1.",
+  queued: "Requests queued as an owner.",
+  running: "Requests running on owned endpoints.",
+}
+
+/** Metrics that can be read. Their memory is fixed when they are created. */
+export interface MetricsRegistry extends Metrics {
+  /** Formats all metrics in the Prometheus text exposition format. */
+  formatMetrics(): string
+  /** Estimates the memory of all histograms in bytes. */
+  estimateBytes(): number
+}
+
+/** Creates the metrics of one process. The clock decides which durations are recent. */
+export function createMetrics(clock: Clock): MetricsRegistry {
+  return new HdrMetrics(clock)
+}
+
+class HdrMetrics implements MetricsRegistry {
+  private readonly rankTimings = createTable(RANK_TIMINGS, () => createByRank(createWindow))
+  private readonly timings = createTable(TIMINGS, createWindow)
+  private readonly rankCounts = createTable(RANK_COUNTS, () => createByRank(createCounter))
+  private readonly counts = createTable(COUNTS, createCounter)
+  private readonly levels = createTable(LEVELS, createCounter)
+
+  constructor(private readonly clock: Clock) {}
+
+  timeRank(timing: RankTiming, rank: Rank, ms: number): void {
+    this.rankTimings[timing][rank].add(ms, this.clock.now())
+  }
+
+  time(timing: Timing, ms: number): void {
+    this.timings[timing].add(ms, this.clock.now())
+  }
+
+  countRank(count: RankCount, rank: Rank): void {
+    this.rankCounts[count][rank].value++
+  }
+
+  count(count: Count, by = 1): void {
+    if (by > 0) this.counts[count].value += by
+  }
+
+  setLevel(level: Level, value: number): void {
+    this.levels[level].value = value
+  }
+
+  formatMetrics(): string {
+    return formatExposition([
+      ...listKeys(RANK_TIMINGS).map((key) => this.createRankSummary(key)),
+      ...listKeys(TIMINGS).map((key) => this.createSummary(key)),
+      ...listKeys(RANK_COUNTS).map((key) => this.createRankCounter(key)),
+      ...listKeys(COUNTS).map((key) => createCounterFamily(key, COUNTS[key], this.counts[key])),
+      ...listKeys(LEVELS).map((key) => createGauge(key, LEVELS[key], this.levels[key])),
+    ])
+  }
+
+  estimateBytes(): number {
+    const byRank = listKeys(this.rankTimings).flatMap((key) => Object.values(this.rankTimings[key]))
+    const windows = [...byRank, ...Object.values(this.timings)]
+    return windows.reduce((sum, window) => sum + window.estimateBytes(), 0)
+  }
+
+  private createRankSummary(key: RankTiming): Family {
+    const samples = RANKS.flatMap((rank) =>
+      createSummarySamples(this.rankTimings[key][rank], createRankLabels(rank), this.clock.now()),
+    )
+    return { name: formatName(key, "_seconds"), help: RANK_TIMINGS[key], type: "summary", samples }
+  }
+
+  private createSummary(key: Timing): Family {
+    const samples = createSummarySamples(this.timings[key], [], this.clock.now())
+    return { name: formatName(key, "_seconds"), help: TIMINGS[key], type: "summary", samples }
+  }
+
+  private createRankCounter(key: RankCount): Family {
+    const samples = RANKS.map((rank) => ({
+      labels: createRankLabels(rank),
+      value: this.rankCounts[key][rank].value,
+    }))
+    return { name: formatName(key, "_total"), help: RANK_COUNTS[key], type: "counter", samples }
+  }
+}
+
+interface Counter {
+  value: number
+}
+
+function createCounter(): Counter {
+  return { value: 0 }
+}
+
+function createWindow(): DurationWindow {
+  return new DurationWindow()
+}
+
+function createByRank<T>(create: () => T): Record<Rank, T> {
+  return { urgent: create(), standard: create(), bulk: create() }
+}
+
+function createTable<K extends string, T>(
+  keys: Readonly<Record<K, string>>,
+  create: () => T,
+): Record<K, T> {
+  return Object.fromEntries(listKeys(keys).map((key) => [key, create()])) as Record<K, T>
+}
+
+function listKeys<K extends string>(table: Readonly<Record<K, unknown>>): K[] {
+  return Object.keys(table) as K[]
+}
+
+function createSummarySamples(
+  window: DurationWindow,
+  labels: readonly Label[],
+  now: number,
+): readonly Sample[] {
+  const values = window.getQuantiles(QUANTILES, now)
+  const { count, sum } = window.getTotals()
+  const quantiles = QUANTILES.map((quantile, index) => ({
+    labels: [...labels, { name: "quantile", value: String(quantile) }],
+    value: values[index] ?? NaN,
+  }))
+  return [
+    ...quantiles,
+    { suffix: "_sum", labels, value: sum },
+    { suffix: "_count", labels, value: count },
+  ]
+}
+
+function createCounterFamily(key: Count, help: string, { value }: Counter): Family {
+  const samples = [{ labels: [], value }]
+  return { name: formatName(key, "_total"), help, type: "counter", samples }
+}
+
+function createGauge(key: Level, help: string, { value }: Counter): Family {
+  return { name: formatName(key, ""), help, type: "gauge", samples: [{ labels: [], value }] }
+}
+
+function createRankLabels(rank: Rank): readonly Label[] {
+  return [{ name: "rank", value: rank }]
+}
+
+function formatName(key: string, unit: string): string {
+  return `${PREFIX}${key.replaceAll("-", "_")}${unit}`
+}
--- /dev/null
+++ b/packages/observe/src/window.ts
@@ -0,0 +1,73 @@
+import { build, type Histogram } from "hdr-histogram-js"
+
+const WINDOW_MS = 60_000
+const MICROS_PER_MS = 1000
+const MICROS_PER_SECOND = 1_000_000
+/** Longer durations count as this one, so that the memory of a histogram is fixed. */
+const LONGEST_MICROS = 3_600_000_000
+const SIGNIFICANT_DIGITS = 2
+
+/**
+ * Durations of one kind. Quantiles are those of the last one to two minutes,
+ * so that they follow what happens now also after months; count and sum are
+ * those of the whole run.
+ */
+export class DurationWindow {
+  private current = createHistogram()
+  private previous = createHistogram()
+  private windowEnd = WINDOW_MS
+  private count = 0
+  private sumMicros = 0
+
+  /** Adds a duration. Anything that is no number is left out. */
+  add(ms: number, now: number): void {
+    const micros = Math.round(ms * MICROS_PER_MS)
+    if (Number.isNaN(micros)) return
+    this.rotate(now)
+    const bounded = Math.min(Math.max(micros, 0), LONGEST_MICROS)
+    this.current.recordValue(bounded)
+    this.count++
+    this.sumMicros += bounded
+  }
+
+  /** Reads quantiles, each from 0 to 1, in seconds. They are NaN while there is no recent duration. */
+  getQuantiles(quantiles: readonly number[], now: number): readonly number[] {
+    this.rotate(now)
+    const recent = createHistogram()
+    recent.add(this.previous)
+    recent.add(this.current)
+    if (recent.totalCount === 0) return quantiles.map(() => NaN)
+    return quantiles.map(
+      (quantile) => recent.getValueAtPercentile(quantile * 100) / MICROS_PER_SECOND,
+    )
+  }
+
+  /** Reads the number of durations of the whole run and their sum in seconds. */
+  getTotals(): { readonly count: number; readonly sum: number } {
+    return { count: this.count, sum: this.sumMicros / MICROS_PER_SECOND }
+  }
+
+  /** Estimates the memory of its counters in bytes. It never grows. */
+  estimateBytes(): number {
+    return this.current.estimatedFootprintInBytes + this.previous.estimatedFootprintInBytes
+  }
+
+  private rotate(now: number): void {
+    if (now < this.windowEnd) return
+    const isIdle = now >= this.windowEnd + WINDOW_MS
+    const oldest = this.previous
+    this.previous = this.current
+    this.current = oldest
+    this.current.reset()
+    if (isIdle) this.previous.reset()
+    this.windowEnd = (Math.floor(now / WINDOW_MS) + 1) * WINDOW_MS
+  }
+}
+
+function createHistogram(): Histogram {
+  return build({
+    bitBucketSize: 32,
+    highestTrackableValue: LONGEST_MICROS,
+    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
+  })
+}
