Logs: key=value lines formatted in the calling thread, secrets redacted

Cause: pino-logfmt writes a value with a newline unquoted, so one event becomes two lines (its option to escape newlines doesn't parse back), writes nested fields as [object Object], and knows no secrets.

Change: createLog formats pino's JSON as key=value pairs in the calling thread.

A secret inside a message's text isn't found. When a process exits with a write under way, that write's lines can stand after later ones.

--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./event.js"
 export * from "./hybrid.js"
 export * from "./log.js"
+export * from "./logfmt.js"
 export * from "./metrics.js"
 export * from "./recorder.js"
 export * from "./registry.js"
--- a/packages/observe/src/log.ts
+++ b/packages/observe/src/log.ts
@@ -1,4 +1,6 @@
-import { type DestinationStream, type Logger, pino } from "pino"
+import { type DestinationStream, type Logger, pino, stdTimeFunctions } from "pino"
+import { GalenawayError } from "@galenaway/core"
+import { formatLogLine, type LogFields } from "./logfmt.js"
 
 /** Levels at which the daemon logs. */
 export type LogLevel = "debug" | "info" | "warn" | "error"
@@ -9,20 +11,42 @@
   readonly dataCentre: string
 }
 
-/** A logger that writes one line of key=value pairs for each event. */
+/**
+ * A logger that writes one line of key=value pairs for each event. Pass
+ * `request`, `step` and `peer` as fields, or a {@link GalenawayError} as `err`,
+ * whose step and peer then stand on the line.
+ */
 export type Log = Logger
 
+const STANDARD_ERROR = 2
+
 /** Creates a logger that writes to standard error, or to the stream that a test passes. */
 export function createLog(
   level: LogLevel,
   origin: LogOrigin,
-  destination?: DestinationStream,
+  destination: DestinationStream = pino.destination({ dest: STANDARD_ERROR, sync: false }),
 ): Log {
-  const stream = destination ?? createLogfmtStream()
-  return pino({ level, base: { ...origin } }, stream)
+  const options = {
+    level,
+    base: { ...origin },
+    timestamp: stdTimeFunctions.isoTime,
+    formatters: { level: (label: string) => ({ level: label }), log: addPlace },
+  }
+  return pino(options, createLineStream(destination))
+}
+
+/** Formats pino's JSON in the calling thread, since a worker thread would need far more memory. */
+function createLineStream(destination: DestinationStream): DestinationStream {
+  return {
+    write: (json) => {
+      destination.write(`${formatLogLine(JSON.parse(json) as LogFields)}\n`)
+    },
+  }
 }
 
-function createLogfmtStream(): DestinationStream {
-  const options = { includeLevelLabel: true, levelLabelKey: "level", destination: 2 }
-  return pino.transport({ target: "pino-logfmt", options })
+function addPlace(fields: Record<string, unknown>): Record<string, unknown> {
+  const { err } = fields
+  if (!(err instanceof GalenawayError)) return fields
+  const { code, step, peer, outcome } = err
+  return { step, peer, code, outcome, ...fields }
 }
