--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -16,6 +16,7 @@
 import { ServiceHandler } from "./caller/services.js"
 import { systemClock } from "./clock.js"
 import { type ConfigurationKeeper, defaultKeeper } from "./configuration/keeper.js"
+import { Coordination } from "./coordination.js"
 import { HttpEngine } from "./endpoint/engine.js"
 import { ConsulPlatform } from "./platform/consul.js"
 import { NaiveRouter } from "./router/naive.js"
@@ -68,17 +69,8 @@
     mapEngines(settings.endpoints, c.resolve(TOKENS.agent)),
   )
   registerCached<RowMap>(parts, TOKENS.rows, () => mapRows(settings.endpoints))
-  registerCached<Router>(
-    parts,
-    TOKENS.router,
-    (c) =>
-      new NaiveRouter(
-        c.resolve(TOKENS.rows),
-        c.resolve(TOKENS.engines),
-        systemClock,
-        c.resolve(TOKENS.incarnation),
-      ),
-  )
+  registerCached(parts, Coordination, (c) => createCoordination(settings, c))
+  registerCached<Router>(parts, TOKENS.router, (c) => createRouter(settings, c))
   registerCached(
     parts,
     CompletionHandler,
@@ -106,6 +98,34 @@
   parts.register<T>(token as symbol, { useFactory: instanceCachingFactory(create) })
 }
 
+function createCoordination(settings: Settings, parts: DependencyContainer): Coordination {
+  return new Coordination({
+    settings,
+    incarnation: parts.resolve(TOKENS.incarnation),
+    platform: parts.resolve(TOKENS.platform),
+    engines: parts.resolve(TOKENS.engines),
+    clock: systemClock,
+    recorder: parts.resolve(TOKENS.recorder),
+    metrics: parts.resolve(TOKENS.metrics),
+    log: parts.resolve(TOKENS.log),
+    keeper: parts.resolve(TOKENS.keeper),
+  })
+}
+
+function createRouter(settings: Settings, parts: DependencyContainer): Router {
+  switch (settings.router) {
+    case "coordinated":
+      return parts.resolve(Coordination).router
+    case "naive":
+      return new NaiveRouter(
+        parts.resolve(TOKENS.rows),
+        parts.resolve(TOKENS.engines),
+        systemClock,
+        parts.resolve(TOKENS.incarnation),
+      )
+  }
+}
+
 function createAgent(): Agent {
   return new Agent({
     keepAliveTimeout: KEEP_ALIVE_MS,
--- /dev/null
+++ b/packages/daemon/src/coordination.ts
@@ -0,0 +1,330 @@
+import type { Server } from "@grpc/grpc-js"
+import {
+  type Clock,
+  describeError,
+  type EndpointId,
+  type EndpointInfo,
+  type Incarnation,
+  type PlatformPort,
+  type Router,
+} from "@galenaway/core"
+import type { MemberEvent, MemberReply, OwnershipDocument } from "@galenaway/coordination"
+import type { Log, Metrics, Recorder } from "@galenaway/observe"
+import type { ConfigurationKeeper } from "./configuration/keeper.js"
+import type { EngineMap } from "./container.js"
+import type { Heartbeat } from "./generated/peer.js"
+import { OwnershipDocuments } from "./ownership/documents.js"
+import { Heartbeats } from "./ownership/heartbeats.js"
+import { Holder } from "./ownership/holder.js"
+import { Membership } from "./ownership/membership.js"
+import { OwnedEndpoints } from "./ownership/owned.js"
+import { LoadShares } from "./ownership/shares.js"
+import { PeerTable } from "./ownership/peers.js"
+import { PeerCaller } from "./peer/client.js"
+import { type PeerHandlers, startPeerServer } from "./peer/server.js"
+import { CoordinatedRouter } from "./router/coordinated.js"
+import { Dispatcher } from "./router/dispatcher.js"
+import { OwnerlessRouter } from "./router/ownerless.js"
+import { ReturnQueue } from "./router/returns.js"
+import { formatDigest, ViewTable } from "./router/views.js"
+import type { Settings } from "./settings.js"
+import { waitFor } from "./wait.js"
+
+const LIST_INTERVAL_MS = 1000
+const SHARE_INTERVAL_MS = 500
+const RETRY_INTERVAL_MS = 200
+const READY_POLL_MS = 20
+const HANDOVER_LIMIT_MS = 5000
+const FINISH_LIMIT_MS = 2000
+const ORDERS_LIMIT_MS = 3000
+
+/** What the coordination of an instance needs from the daemon. */
+export interface CoordinationParts {
+  readonly settings: Settings
+  readonly incarnation: Incarnation
+  readonly platform: PlatformPort
+  readonly engines: EngineMap
+  readonly clock: Clock
+  readonly recorder: Recorder
+  readonly metrics: Metrics
+  readonly log: Log
+  readonly keeper: ConfigurationKeeper
+}
+
+/**
+ * The coordination of one instance: membership and ownership, grants as owner
+ * and as holder, heartbeats, and the router over them.
+ */
+export class Coordination {
+  readonly router: Router
+  readonly caller: PeerCaller
+  readonly peers: PeerTable
+  readonly documents: OwnershipDocuments
+  readonly membership: Membership
+  readonly owned: OwnedEndpoints
+  readonly dispatcher: Dispatcher
+  readonly views: ViewTable
+  readonly holder: Holder
+  private readonly returns: ReturnQueue
+  private readonly heartbeats: Heartbeats
+  private readonly stopped = new AbortController()
+  private readonly shares: LoadShares
+  private server: Server | undefined
+  private isLeaving = false
+
+  constructor(private readonly parts: CoordinationParts) {
+    const { settings, incarnation, platform, engines, clock, recorder, metrics, log } = parts
+    const infos = mapEngines(settings.endpoints)
+    const dataCentres = [...new Set([...infos.values()].map((info) => info.dataCentre))]
+    this.shares = new LoadShares(incarnation, infos.size, clock)
+    this.holder = new Holder(incarnation)
+    this.caller = new PeerCaller(incarnation, settings.peerKey, recorder)
+    this.peers = new PeerTable(clock, settings.dataCentre)
+    this.documents = new OwnershipDocuments(incarnation, dataCentres, platform, recorder, log)
+    this.membership = new Membership(
+      {
+        incarnation,
+        instance: settings.id,
+        dataCentre: settings.dataCentre,
+        peerAddress: formatAddress(settings),
+      },
+      settings.endpoints,
+      this.documents,
+      this.peers,
+      clock,
+      recorder,
+      log,
+    )
+    this.owned = new OwnedEndpoints(
+      incarnation,
+      infos,
+      engines,
+      this.caller,
+      this.membership,
+      this.holder.handle,
+      this.shares,
+      recorder,
+      log,
+    )
+    this.dispatcher = new Dispatcher(
+      incarnation,
+      parts.keeper.getPolicy(),
+      this.owned,
+      infos,
+      engines,
+      clock,
+      recorder,
+      metrics,
+      log,
+    )
+    this.views = new ViewTable(
+      incarnation,
+      [...infos.values()],
+      this.documents,
+      this.peers,
+      clock,
+      (endpoint) => this.dispatcher.readLoad(endpoint),
+    )
+    this.returns = new ReturnQueue(incarnation, this.documents, this.caller, (returns) => {
+      this.dispatcher.takeReturns(returns)
+    })
+    const ownerless = new OwnerlessRouter(
+      incarnation,
+      this.documents,
+      this.peers,
+      this.caller,
+      engines,
+      clock,
+      recorder,
+      this.holder.handle,
+    )
+    this.heartbeats = new Heartbeats(
+      this.caller,
+      this.peers,
+      clock,
+      () => this.createHeartbeat(),
+      (heartbeat) => {
+        this.handleHeartbeat(heartbeat)
+      },
+    )
+    this.router = new CoordinatedRouter({
+      self: incarnation,
+      home: settings.dataCentre,
+      views: this.views,
+      documents: this.documents,
+      caller: this.caller,
+      dispatcher: this.dispatcher,
+      returns: this.returns,
+      ownerless,
+      clock,
+      recorder,
+      handleMember: this.holder.handle,
+      getMinimumEpoch: this.holder.getMinimumEpoch,
+    })
+  }
+
+  /** Joins the fleet. It resolves when peers can call this instance. */
+  async start(): Promise<void> {
+    const { settings, recorder } = this.parts
+    const { host, port } = settings.peerListen
+    this.server = await startPeerServer(
+      { host, port },
+      settings.peerKey,
+      recorder,
+      this.createHandlers(),
+    )
+    for (const peer of settings.peers) this.peers.add(`${peer.host}:${peer.port}`)
+    this.documents.onChange((document) => {
+      this.handleDocument(document)
+    })
+    this.membership.onGone((incarnation) => {
+      this.dispatcher.handleGone(incarnation)
+    })
+    this.dispatcher.start()
+    this.documents.start()
+    this.membership.start()
+    this.heartbeats.start()
+    void this.repeat(LIST_INTERVAL_MS, () => this.readList())
+    void this.repeat(SHARE_INTERVAL_MS, () => {
+      this.updateShare()
+    })
+    void this.repeat(RETRY_INTERVAL_MS, () => {
+      this.owned.retry()
+    })
+  }
+
+  /** Waits until every engine of this data centre can be reached, or until the limit, in milliseconds. */
+  async waitForOwners(limitMs: number): Promise<void> {
+    const { settings, clock } = this.parts
+    const end = clock.now() + limitMs
+    const isReady = () =>
+      this.views
+        .list()
+        .filter((view) => view.info.dataCentre === settings.dataCentre)
+        .every((view) => view.isReachable)
+    while (!isReady() && clock.now() < end) await waitFor(READY_POLL_MS)
+  }
+
+  /** Hands the owned endpoints over. Running requests go on. */
+  async leave(): Promise<void> {
+    this.isLeaving = true
+    await this.membership.leave(HANDOVER_LIMIT_MS)
+    await this.heartbeats.callAll()
+  }
+
+  /** Leaves the fleet. No request runs any more. */
+  async stop(): Promise<void> {
+    await this.returns.flush()
+    if (await this.waitForOrders(ORDERS_LIMIT_MS)) await this.membership.finish(FINISH_LIMIT_MS)
+    this.stopped.abort()
+    this.heartbeats.stop()
+    this.documents.stop()
+    this.dispatcher.stop()
+    this.server?.forceShutdown()
+    this.caller.close()
+  }
+
+  /** Waits until no order of this instance can still take effect. Otherwise others must find out that it has ended. */
+  private async waitForOrders(limitMs: number): Promise<boolean> {
+    const end = this.parts.clock.now() + limitMs
+    while (this.owned.hasOpenOrders() && this.parts.clock.now() < end) await waitFor(READY_POLL_MS)
+    return !this.owned.hasOpenOrders()
+  }
+
+  private createHandlers(): PeerHandlers {
+    const { clock, keeper } = this.parts
+    return {
+      grant: (request, holder, signal) => this.dispatcher.submit(request, holder, signal),
+      takeReturns: (returns) => {
+        this.dispatcher.takeReturns(returns)
+      },
+      handleMember: (event) => this.handlePeerEvent(event),
+      exchange: (heartbeat) => {
+        this.handleHeartbeat(heartbeat)
+        return this.createHeartbeat()
+      },
+      getConfiguration: () => ({ revision: keeper.revision, document: keeper.document }),
+      now: () => clock.now(),
+    }
+  }
+
+  /** Handles what a peer asks of this member. A successor's question ends this instance's part of the load budget first. */
+  private handlePeerEvent(event: MemberEvent): MemberReply {
+    const reply = this.holder.handle(event)
+    if (event.kind === "holdings-asked" && reply.kind === "holdings") {
+      this.shares.handleAsked(event.endpoint, event.epoch)
+      this.updateShare()
+    }
+    return reply
+  }
+
+  private createHeartbeat(): Omit<Heartbeat, "time"> {
+    const { settings, incarnation, keeper } = this.parts
+    const endpoints = this.owned.listActive().flatMap(({ endpoint }) => {
+      const load = this.dispatcher.readLoad(endpoint)
+      return load ? [formatDigest(endpoint, this.views.getPhase(endpoint), load)] : []
+    })
+    return {
+      incarnation,
+      instance: settings.id,
+      dataCentre: settings.dataCentre,
+      peerAddress: formatAddress(settings),
+      isLeaving: this.isLeaving,
+      configurationRevision: keeper.revision,
+      endpoints,
+    }
+  }
+
+  private handleHeartbeat(heartbeat: Heartbeat): void {
+    if (heartbeat.incarnation === this.parts.incarnation) return
+    const replaced = this.peers.hear(heartbeat)
+    if (replaced !== undefined) this.membership.handleGone(replaced)
+    this.views.handleDigests(heartbeat.endpoints)
+  }
+
+  private handleDocument(document: OwnershipDocument): void {
+    this.updateShare()
+    const members = document.members.map((member) => member.incarnation)
+    for (const ownership of document.ownerships) {
+      this.holder.handle({ kind: "ownership-seen", ownership })
+      this.owned.handleOwnership(ownership, members)
+    }
+  }
+
+  private async repeat(intervalMs: number, run: () => Promise<void> | void): Promise<void> {
+    const { signal } = this.stopped
+    while (!signal.aborted) {
+      await run()
+      await waitFor(intervalMs, signal)
+    }
+  }
+
+  /** Recomputes this instance's share of the weight store's budget. */
+  private updateShare(): void {
+    if (this.documents.isPlatformUp)
+      for (const document of this.documents.list()) this.shares.handleDocument(document)
+    this.dispatcher.setLoadShare(this.shares.compute(this.parts.keeper.getPolicy().loads))
+  }
+
+  /** Reads the platform's list of instances and endpoints. */
+  private async readList(): Promise<void> {
+    const { platform, log } = this.parts
+    try {
+      const listings = await platform.list()
+      this.membership.handleListings(listings)
+      for (const endpoint of this.views.handleListings(listings))
+        this.dispatcher.setPhase(endpoint, this.views.getPhase(endpoint))
+    } catch (error) {
+      log.debug({ step: "platform", error: describeError(error) }, "list-failed")
+    }
+  }
+}
+
+function mapEngines(endpoints: readonly EndpointInfo[]): ReadonlyMap<EndpointId, EndpointInfo> {
+  const engines = endpoints.filter((endpoint) => endpoint.kind === "engine")
+  return new Map(engines.map((info) => [info.id, info]))
+}
+
+function formatAddress({ peerListen }: Settings): string {
+  return `${peerListen.host}:${peerListen.port}`
+}
--- /dev/null
+++ b/packages/daemon/src/ownership/documents.ts
@@ -0,0 +1,181 @@
+import {
+  type DataCentre,
+  describeError,
+  type EndpointId,
+  type Incarnation,
+  type PlatformPort,
+} from "@galenaway/core"
+import {
+  createDocument,
+  formatDocument,
+  type Member,
+  type Ownership,
+  type OwnershipDocument,
+  parseDocument,
+} from "@galenaway/coordination"
+import type { Log, Recorder } from "@galenaway/observe"
+import { waitFor } from "../wait.js"
+
+const RETRY_MIN_MS = 100
+const RETRY_MAX_MS = 2000
+const WATCH_PAUSE_MS = 20
+
+/** Makes the next document from the current one. Returns the same object when nothing is to change. */
+export type DocumentEdit = (document: OwnershipDocument) => OwnershipDocument
+
+interface Known {
+  readonly document: OwnershipDocument
+  readonly revision: number
+}
+
+/**
+ * The ownership documents of the data centres whose endpoints this instance
+ * routes to. It watches them, keeps the last ones through an outage of the
+ * platform's service, and changes them by compare-and-swap.
+ */
+export class OwnershipDocuments {
+  private readonly known = new Map<DataCentre, Known>()
+  private readonly ownerships = new Map<EndpointId, Ownership>()
+  private readonly listeners: ((document: OwnershipDocument) => void)[] = []
+  private readonly stopped = new AbortController()
+  private isConnected = true
+
+  constructor(
+    private readonly self: Incarnation,
+    readonly dataCentres: readonly DataCentre[],
+    private readonly platform: PlatformPort,
+    private readonly recorder: Recorder,
+    private readonly log: Log,
+  ) {}
+
+  /** Whether the last call to the platform's service was answered. */
+  get isPlatformUp(): boolean {
+    return this.isConnected
+  }
+
+  /** Calls a listener with each newer document. */
+  onChange(listener: (document: OwnershipDocument) => void): void {
+    this.listeners.push(listener)
+  }
+
+  /** Starts watching. */
+  start(): void {
+    for (const dataCentre of this.dataCentres) void this.watchLoop(dataCentre)
+  }
+
+  /** Stops watching. */
+  stop(): void {
+    this.stopped.abort()
+  }
+
+  /** Returns the last known document of a data centre. */
+  get(dataCentre: DataCentre): OwnershipDocument | undefined {
+    return this.known.get(dataCentre)?.document
+  }
+
+  /** Lists the last known documents. */
+  list(): readonly OwnershipDocument[] {
+    return [...this.known.values()].map(({ document }) => document)
+  }
+
+  /** Finds who owns an endpoint. */
+  findOwnership(endpoint: EndpointId): Ownership | undefined {
+    return this.ownerships.get(endpoint)
+  }
+
+  /** Finds a member by its incarnation in any document. */
+  findMember(incarnation: Incarnation): Member | undefined {
+    for (const { document } of this.known.values()) {
+      const member = document.members.find((each) => each.incarnation === incarnation)
+      if (member) return member
+    }
+    return undefined
+  }
+
+  /**
+   * Applies an edit to the current document until it has taken effect, nothing
+   * is to change, or the documents are stopped. A lost reply is settled by
+   * reading back: the author and epoch tell whether the write was this one.
+   */
+  async edit(dataCentre: DataCentre, edit: DocumentEdit, signal?: AbortSignal): Promise<boolean> {
+    let pause = RETRY_MIN_MS
+    while (!this.stopped.signal.aborted && signal?.aborted !== true) {
+      const isDone = await this.tryEdit(dataCentre, edit)
+      if (isDone) return true
+      await waitFor(pause * (0.5 + Math.random()), this.stopped.signal)
+      pause = Math.min(pause * 2, RETRY_MAX_MS)
+    }
+    return false
+  }
+
+  private async tryEdit(dataCentre: DataCentre, edit: DocumentEdit): Promise<boolean> {
+    const key = formatKey(dataCentre)
+    try {
+      const stored = await this.platform.read(key)
+      this.setConnected(true)
+      const document = stored ? parseDocument(stored.value) : createDocument(dataCentre)
+      if (stored) this.learn(dataCentre, { document, revision: stored.revision })
+      const next = edit(document)
+      if (next === document) return true
+      return await this.platform.compareAndSwap(key, stored?.revision ?? 0, formatDocument(next))
+    } catch (error) {
+      // A write without a reply may have taken effect. The next try reads the
+      // document back, and the edit then finds nothing left to change.
+      this.setConnected(false)
+      this.log.warn({ step: "platform", dataCentre, error: describeError(error) }, "edit-failed")
+      return false
+    }
+  }
+
+  private async watchLoop(dataCentre: DataCentre): Promise<void> {
+    const { signal } = this.stopped
+    let pause = RETRY_MIN_MS
+    while (!signal.aborted) {
+      try {
+        const revision = this.known.get(dataCentre)?.revision ?? 0
+        const stored = await this.readNext(dataCentre, revision)
+        this.setConnected(true)
+        pause = RETRY_MIN_MS
+        if (stored) {
+          const document = parseDocument(stored.value)
+          this.learn(dataCentre, { document, revision: stored.revision })
+        }
+        await waitFor(WATCH_PAUSE_MS, signal)
+      } catch {
+        this.setConnected(false)
+        await waitFor(pause * (0.5 + Math.random()), signal)
+        pause = Math.min(pause * 2, RETRY_MAX_MS)
+      }
+    }
+  }
+
+  private readNext(dataCentre: DataCentre, revision: number) {
+    const key = formatKey(dataCentre)
+    return revision === 0
+      ? this.platform.read(key)
+      : this.platform.watch(key, revision, this.stopped.signal)
+  }
+
+  /** Takes a document unless a later one is known. */
+  private learn(dataCentre: DataCentre, next: Known): void {
+    const current = this.known.get(dataCentre)
+    if (current && current.document.epoch >= next.document.epoch) return
+    this.known.set(dataCentre, next)
+    for (const { endpoint } of current?.document.ownerships ?? []) this.ownerships.delete(endpoint)
+    for (const ownership of next.document.ownerships)
+      this.ownerships.set(ownership.endpoint, ownership)
+    for (const listener of this.listeners) listener(next.document)
+  }
+
+  private setConnected(isConnected: boolean): void {
+    if (this.isConnected === isConnected) return
+    this.isConnected = isConnected
+    const kind = isConnected ? "platform-back" : "platform-lost"
+    this.recorder.record({ kind, peer: "platform", step: "platform" })
+    this.log.warn({ step: "platform", author: this.self }, kind)
+  }
+}
+
+function formatKey(dataCentre: DataCentre): string {
+  return `galenaway/ownership/${dataCentre}`
+}
--- /dev/null
+++ b/packages/daemon/src/ownership/heartbeats.ts
@@ -0,0 +1,63 @@
+import type { Clock } from "@galenaway/core"
+import type { Heartbeat } from "../generated/peer.js"
+import type { PeerCaller } from "../peer/client.js"
+import { waitFor } from "../wait.js"
+import type { PeerRow, PeerTable } from "./peers.js"
+
+const INTERVAL_MS = 500
+/** Peers that are called in one round. With more, the rounds take turns. */
+const FANOUT = 8
+
+/** Exchanges heartbeats with the other instances. Each exchange tells both sides of each other. */
+export class Heartbeats {
+  private readonly stopped = new AbortController()
+  private turn = 0
+
+  constructor(
+    private readonly caller: PeerCaller,
+    private readonly peers: PeerTable,
+    private readonly clock: Clock,
+    private readonly createHeartbeat: () => Omit<Heartbeat, "time">,
+    private readonly handleHeartbeat: (heartbeat: Heartbeat) => void,
+  ) {}
+
+  /** Starts the rounds. */
+  start(): void {
+    void this.loop()
+  }
+
+  /** Stops the rounds. */
+  stop(): void {
+    this.stopped.abort()
+  }
+
+  /** Calls every peer at once, as when there is news that can't wait for its turn. */
+  async callAll(): Promise<void> {
+    await Promise.all(this.peers.list().map((row) => this.callOne(row)))
+  }
+
+  private async loop(): Promise<void> {
+    const { signal } = this.stopped
+    while (!signal.aborted) {
+      const startedAt = this.clock.now()
+      await Promise.all(this.chooseRound().map((row) => this.callOne(row)))
+      const left = INTERVAL_MS - (this.clock.now() - startedAt)
+      if (left > 0) await waitFor(left, signal)
+    }
+  }
+
+  private chooseRound(): readonly PeerRow[] {
+    const rows = this.peers.list()
+    if (rows.length <= FANOUT) return rows
+    const start = (this.turn++ * FANOUT) % rows.length
+    return [...rows.slice(start), ...rows.slice(0, start)].slice(0, FANOUT)
+  }
+
+  private async callOne(row: PeerRow): Promise<void> {
+    try {
+      this.handleHeartbeat(await this.caller.exchange(row.address, this.createHeartbeat()))
+    } catch {
+      // The peer's silence is judged by when it was last heard.
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/ownership/holder.ts
@@ -0,0 +1,35 @@
+import type { EndpointId, Incarnation } from "@galenaway/core"
+import {
+  createMember,
+  type MemberEvent,
+  type MemberReply,
+  type MemberState,
+  updateMember,
+} from "@galenaway/coordination"
+
+/** This instance as a member: what it holds and has witnessed. */
+export class Holder {
+  private state: MemberState
+
+  constructor(self: Incarnation) {
+    this.state = createMember(self)
+  }
+
+  /** Handles an event and returns the reply. */
+  readonly handle = (event: MemberEvent): MemberReply => {
+    const { state, reply } = updateMember(this.state, event)
+    this.state = state
+    return reply
+  }
+
+  /** Returns the lowest epoch of an endpoint that this member still takes. */
+  readonly getMinimumEpoch = (endpoint: EndpointId): number =>
+    this.state.endpoints.get(endpoint)?.minimumEpoch ?? 0
+
+  /** Counts the grants that this member holds. */
+  countHeld(): number {
+    let held = 0
+    for (const endpoint of this.state.endpoints.values()) held += endpoint.held.size
+    return held
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/ownership/membership.ts
@@ -0,0 +1,280 @@
+import type {
+  Clock,
+  DataCentre,
+  EndpointId,
+  EndpointInfo,
+  Incarnation,
+  InstanceId,
+  Listing,
+  Millis,
+} from "@galenaway/core"
+import type { Member, MemberPhase, OwnershipDocument, Resolution } from "@galenaway/coordination"
+import type { Log, Recorder } from "@galenaway/observe"
+import { probeProcess } from "../peer/probe.js"
+import { waitFor } from "../wait.js"
+import type { OwnershipDocuments } from "./documents.js"
+import type { PeerTable } from "./peers.js"
+import { type Knowledge, reconcileDocument } from "./reconcile.js"
+
+const FOREIGN_GRACE_MS = 3000
+const CHECK_INTERVAL_MS = 250
+const SPREAD_MS = 100
+/** How long an order that was sent may still be on its way to an endpoint after its sender has ended. */
+const ORDER_LIFETIME_MS = 5000
+
+/** Who this instance is, as it enters itself into the documents. */
+export interface SelfInfo {
+  readonly incarnation: Incarnation
+  readonly instance: InstanceId
+  readonly dataCentre: DataCentre
+  readonly peerAddress: string
+}
+
+/**
+ * Keeps this instance's membership and the fleet's ownerships in line with
+ * what it knows: who is gone, who is silent, who leaves. It writes only when
+ * a document has to change.
+ */
+export class Membership {
+  private phase: MemberPhase | "left" = "live"
+  private readonly unownedSince = new Map<DataCentre, Millis>()
+  private readonly goneListeners: ((incarnation: Incarnation) => void)[] = []
+  /** Incarnations that ended so long ago that nothing of theirs is on its way. */
+  private readonly settled = new Set<Incarnation>()
+  /** Endpoints that need a new epoch, with the epoch that is to end. */
+  private readonly renewals = new Map<EndpointId, number>()
+  private resolutions: readonly Resolution[] = []
+  private readonly stopped = new AbortController()
+  private readonly probing = new Set<Incarnation>()
+  private readonly editing = new Set<DataCentre>()
+
+  constructor(
+    private readonly self: SelfInfo,
+    private readonly endpoints: readonly EndpointInfo[],
+    private readonly documents: OwnershipDocuments,
+    private readonly peers: PeerTable,
+    private readonly clock: Clock,
+    private readonly recorder: Recorder,
+    private readonly log: Log,
+  ) {}
+
+  /** Calls a listener with each incarnation whose process has ended, once nothing that it sent can be on its way. */
+  onGone(listener: (incarnation: Incarnation) => void): void {
+    this.goneListeners.push(listener)
+  }
+
+  /** Starts to join, and to keep the documents in line. */
+  start(): void {
+    this.documents.onChange((document) => {
+      this.handleDocument(document)
+    })
+    void this.checkLoop()
+  }
+
+  /** Hands every endpoint over, so that others own them. It returns when the documents say so, or at the limit. */
+  async leave(limitMs: Millis): Promise<void> {
+    this.phase = "leaving"
+    await this.editAll(AbortSignal.timeout(limitMs))
+  }
+
+  /** Takes this instance out of the documents, at most until the limit. Nothing that it holds may be in use any more. */
+  async finish(limitMs: Millis): Promise<void> {
+    this.phase = "left"
+    await this.editAll(AbortSignal.timeout(limitMs))
+    this.stopped.abort()
+  }
+
+  /** Records that an incarnation's process has ended. */
+  handleGone(incarnation: Incarnation): void {
+    if (this.peers.isGone(incarnation)) return
+    this.peers.setGone(incarnation)
+    this.recorder.record({ kind: "member-gone", peer: incarnation })
+    this.log.info({ step: "peer", peer: incarnation }, "member-gone")
+    this.reconcileAll()
+    setTimeout(() => {
+      this.settled.add(incarnation)
+      for (const listener of this.goneListeners) listener(incarnation)
+      this.reconcileAll()
+    }, ORDER_LIFETIME_MS).unref()
+  }
+
+  /** Asks for a new epoch of an endpoint that this instance owns. */
+  renew(endpoint: EndpointId): void {
+    const epoch = this.documents.findOwnership(endpoint)?.epoch
+    if (epoch === undefined) return
+    this.renewals.set(endpoint, epoch)
+    this.reconcileAll()
+  }
+
+  /** Tells that an earlier ownership no longer matters, so that the document needn't name it. */
+  resolvePredecessors(resolutions: readonly Resolution[]): void {
+    this.resolutions = [...this.resolutions, ...resolutions]
+    this.reconcileAll()
+  }
+
+  /** Takes the platform's list. An instance that it calls gone has ended for good. */
+  handleListings(listings: readonly Listing[]): void {
+    for (const { id, phase } of listings) {
+      if (phase !== "gone" || id === this.self.instance) continue
+      for (const member of this.listMembers())
+        if (member.instance === id) this.handleGone(member.incarnation)
+    }
+  }
+
+  /** Lists all members of all documents, each once. */
+  listMembers(): readonly Member[] {
+    const members = new Map<Incarnation, Member>()
+    for (const document of this.documents.list())
+      for (const member of document.members) members.set(member.incarnation, member)
+    return [...members.values()]
+  }
+
+  private handleDocument(document: OwnershipDocument): void {
+    for (const member of document.members) {
+      if (member.incarnation === this.self.incarnation) continue
+      // Only one process can listen on an address: an older incarnation on this one's has ended.
+      if (member.peerAddress === this.self.peerAddress) {
+        this.handleGone(member.incarnation)
+        continue
+      }
+      this.peers.add(member.peerAddress, member.dataCentre)
+      const isWronglySuspected =
+        member.phase === "suspect" && this.peers.isHeard(member.incarnation)
+      if (isWronglySuspected) this.peers.extendPatience(member.incarnation)
+    }
+    this.dropResolved(document)
+    this.reconcile(document.dataCentre)
+  }
+
+  /** Forgets the resolutions that the document reflects. */
+  private dropResolved(document: OwnershipDocument): void {
+    this.resolutions = this.resolutions.filter(({ endpoint, epoch }) => {
+      const ownership = document.ownerships.find((each) => each.endpoint === endpoint)
+      return !ownership || ownership.predecessors.some((each) => each.epoch === epoch)
+    })
+  }
+
+  private async checkLoop(): Promise<void> {
+    const { signal } = this.stopped
+    while (!signal.aborted) {
+      this.probeSilent()
+      this.reconcileAll()
+      await waitFor(CHECK_INTERVAL_MS, signal)
+    }
+  }
+
+  /** Asks the kernel of each silent peer whether the process still listens. */
+  private probeSilent(): void {
+    for (const member of this.listMembers()) {
+      const { incarnation, peerAddress } = member
+      if (incarnation === this.self.incarnation || this.probing.has(incarnation)) continue
+      if (this.peers.isGone(incarnation)) continue
+      const row = this.peers.list().find((each) => each.address === peerAddress)
+      if (row && this.clock.now() - row.heardAt < CHECK_INTERVAL_MS * 2) continue
+      void this.probe(incarnation, peerAddress)
+    }
+  }
+
+  private async probe(incarnation: Incarnation, address: string): Promise<void> {
+    this.probing.add(incarnation)
+    const result = await probeProcess(address)
+    this.probing.delete(incarnation)
+    if (result === "gone") this.handleGone(incarnation)
+  }
+
+  private reconcileAll(): void {
+    for (const dataCentre of this.documents.dataCentres) this.reconcile(dataCentre)
+  }
+
+  /** Edits a document if this instance knows better, one edit at a time. */
+  private reconcile(dataCentre: DataCentre): void {
+    if (this.phase === "left" || this.editing.has(dataCentre)) return
+    const document = this.documents.get(dataCentre)
+    const knowledge = this.getKnowledge(dataCentre)
+    if (document && reconcileDocument(document, knowledge) === document) return
+    this.editing.add(dataCentre)
+    void this.editLater(dataCentre)
+  }
+
+  private async editLater(dataCentre: DataCentre): Promise<void> {
+    // Several instances learn of a death at once; the spread lets one write it for all.
+    await waitFor(Math.random() * SPREAD_MS, this.stopped.signal)
+    await this.editOne(dataCentre, this.stopped.signal)
+    this.editing.delete(dataCentre)
+  }
+
+  private async editAll(signal: AbortSignal): Promise<void> {
+    await Promise.all(this.documents.dataCentres.map((each) => this.editOne(each, signal)))
+  }
+
+  private editOne(dataCentre: DataCentre, signal: AbortSignal): Promise<boolean> {
+    return this.documents.edit(
+      dataCentre,
+      (document) => reconcileDocument(document, this.getKnowledge(dataCentre)),
+      signal,
+    )
+  }
+
+  private getKnowledge(dataCentre: DataCentre): Knowledge {
+    const { phase } = this
+    return {
+      self: phase === "left" ? undefined : { ...this.self, phase },
+      selfIncarnation: this.self.incarnation,
+      endpoints: this.listEndpoints(dataCentre),
+      renewals: this.listRenewals(),
+      resolutions: this.resolutions,
+      isGone: (member) => this.isMemberGone(member),
+      isSilent: (member) => this.isMemberSilent(member, dataCentre),
+      mayTakeOver: (each) => this.mayTakeOver(each),
+    }
+  }
+
+  private listRenewals(): ReadonlySet<EndpointId> {
+    for (const [endpoint, epoch] of this.renewals)
+      if (this.documents.findOwnership(endpoint)?.epoch !== epoch) this.renewals.delete(endpoint)
+    return new Set(this.renewals.keys())
+  }
+
+  private listEndpoints(dataCentre: DataCentre): EndpointId[] {
+    return this.endpoints
+      .filter((endpoint) => endpoint.dataCentre === dataCentre && endpoint.kind === "engine")
+      .map((endpoint) => endpoint.id)
+  }
+
+  private isMemberGone(member: Member): boolean {
+    return this.settled.has(member.incarnation)
+  }
+
+  /** A document's own data centre judges its members; others judge only the last live one of that data centre. */
+  private isMemberSilent(member: Member, dataCentre: DataCentre): boolean {
+    if (this.peers.isGone(member.incarnation)) return true
+    const row = this.peers.list().find((each) => each.address === member.peerAddress)
+    if (!row || !this.peers.isSilent(row)) return false
+    if (this.self.dataCentre === dataCentre) return true
+    if (member.dataCentre !== dataCentre) return false
+    const document = this.documents.get(dataCentre)
+    const others = document?.members.filter(
+      (each) =>
+        each.dataCentre === dataCentre &&
+        each.phase === "live" &&
+        each.incarnation !== member.incarnation,
+    )
+    return (others ?? []).length === 0
+  }
+
+  private mayTakeOver(dataCentre: DataCentre): boolean {
+    if (dataCentre === this.self.dataCentre) return true
+    const document = this.documents.get(dataCentre)
+    const hasLive = document?.members.some(
+      (member) => member.dataCentre === dataCentre && member.phase === "live",
+    )
+    if (hasLive === true) {
+      this.unownedSince.delete(dataCentre)
+      return false
+    }
+    const now = this.clock.now()
+    const since = this.unownedSince.get(dataCentre) ?? now
+    this.unownedSince.set(dataCentre, since)
+    return now - since >= FOREIGN_GRACE_MS
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/ownership/owned.ts
@@ -0,0 +1,270 @@
+import {
+  type AdapterKey,
+  describeError,
+  type EndpointId,
+  type EndpointInfo,
+  type EnginePort,
+  type Grant,
+  type Incarnation,
+} from "@galenaway/core"
+import {
+  canGrant,
+  createOwner,
+  type MemberEvent,
+  type MemberReply,
+  type Ownership,
+  type OwnerEffect,
+  type OwnerEvent,
+  type OwnerState,
+  updateOwner,
+} from "@galenaway/coordination"
+import type { Log, Recorder } from "@galenaway/observe"
+import type { PeerCaller } from "../peer/client.js"
+import type { Membership } from "./membership.js"
+import type { LoadShares } from "./shares.js"
+
+type EffectOf<K extends OwnerEffect["kind"]> = Extract<OwnerEffect, { kind: K }>
+type WitnessEvent = Extract<
+  MemberEvent,
+  { kind: "holdings-asked" | "eviction-announced" | "eviction-settled" | "witness-briefed" }
+>
+
+/** An adapter name that no engine holds: an order about it has no effect but to show its fencing number. */
+const FENCE_ADAPTER = "galenaway/fence@0" as AdapterKey
+
+/** What others are told of an owned endpoint. */
+export interface OwnedListener {
+  onActivated(endpoint: EndpointId, state: OwnerState): void
+  onDeposed(endpoint: EndpointId): void
+  onEvicted(endpoint: EndpointId, adapter: AdapterKey): void
+  onEvictionBlocked(endpoint: EndpointId, adapter: AdapterKey): void
+  onSuspectsChanged(endpoint: EndpointId, suspects: ReadonlySet<AdapterKey>): void
+}
+
+/** Runs the owner's transactions for each endpoint that this instance owns, and carries out their effects. */
+export class OwnedEndpoints {
+  private readonly states = new Map<EndpointId, OwnerState>()
+  private listener: OwnedListener | undefined
+
+  constructor(
+    private readonly self: Incarnation,
+    private readonly infos: ReadonlyMap<EndpointId, EndpointInfo>,
+    private readonly engines: ReadonlyMap<EndpointId, EnginePort>,
+    private readonly caller: PeerCaller,
+    private readonly membership: Membership,
+    private readonly handleOwnMember: (event: MemberEvent) => MemberReply,
+    private readonly shares: LoadShares,
+    private readonly recorder: Recorder,
+    private readonly log: Log,
+  ) {}
+
+  /** Sets who is told. It is called once, before the first ownership. */
+  setListener(listener: OwnedListener): void {
+    this.listener = listener
+  }
+
+  /** Lists the endpoints that this instance owns and may grant. */
+  listActive(): readonly OwnerState[] {
+    return [...this.states.values()].filter((state) => state.phase === "active")
+  }
+
+  /** Returns the state of an owned endpoint. */
+  get(endpoint: EndpointId): OwnerState | undefined {
+    return this.states.get(endpoint)
+  }
+
+  /** Takes the ownership of an endpoint as its document has it now, with the document's members. */
+  handleOwnership(ownership: Ownership, members: readonly Incarnation[]): void {
+    const state = this.states.get(ownership.endpoint)
+    if (state?.ownership.epoch !== ownership.epoch) this.shares.handleNewEpoch(ownership.endpoint)
+    if (state && state.phase !== "deposed")
+      this.apply(ownership.endpoint, { kind: "ownership-changed", ownership, members })
+    else if (ownership.owner === this.self) this.takeOver(ownership, members)
+  }
+
+  /** Repeats what is unanswered, for lost messages. It is called again and again. */
+  retry(): void {
+    for (const [endpoint, state] of this.states)
+      if (state.phase !== "deposed") this.apply(endpoint, { kind: "retry-due" })
+  }
+
+  /** Tells whether an order that this instance sent may still take effect. */
+  hasOpenOrders(): boolean {
+    return [...this.states.values()].some(
+      (state) =>
+        state.unresolved.size > 0 ||
+        [...state.evictions.values()].some(({ step }) => step === "ordered"),
+    )
+  }
+
+  /** Tells whether an adapter may be granted at an endpoint. */
+  canGrant(endpoint: EndpointId, adapter: AdapterKey): boolean {
+    const state = this.states.get(endpoint)
+    return state !== undefined && canGrant(state, adapter)
+  }
+
+  /** Applies an event and carries out what follows from it. */
+  apply(endpoint: EndpointId, event: OwnerEvent): void {
+    const state = this.states.get(endpoint)
+    if (!state) return
+    const transaction = updateOwner(state, event)
+    this.commit(endpoint, transaction.state, transaction.effects)
+  }
+
+  /** Tells every owned endpoint that an incarnation's process has ended. Returns the grants that it held. */
+  handleGone(member: Incarnation): readonly Grant[] {
+    const freed: Grant[] = []
+    for (const [endpoint, state] of this.states) {
+      for (const { grant, holder } of state.grants.values())
+        if (holder === member) freed.push(grant)
+      this.apply(endpoint, { kind: "member-gone", member })
+    }
+    return freed
+  }
+
+  private takeOver(ownership: Ownership, members: readonly Incarnation[]): void {
+    const info = this.infos.get(ownership.endpoint)
+    if (!info) return
+    const { state, effects } = createOwner(ownership, info.fencing, members)
+    this.recorder.record({
+      kind: "ownership-gained",
+      endpoint: ownership.endpoint,
+      note: `epoch ${ownership.epoch}`,
+    })
+    this.commit(ownership.endpoint, state, effects)
+  }
+
+  private commit(endpoint: EndpointId, next: OwnerState, effects: readonly OwnerEffect[]): void {
+    this.states.set(endpoint, next)
+    for (const effect of effects) this.run(endpoint, next.ownership.epoch, effect)
+  }
+
+  private run(endpoint: EndpointId, epoch: number, effect: OwnerEffect): void {
+    switch (effect.kind) {
+      case "ask-holdings":
+        void this.askHoldings(endpoint, effect.to, effect.epoch)
+        return
+      case "announce": {
+        const { to, adapter } = effect
+        this.recorder.record({ kind: "eviction-announced", endpoint, adapter, peer: to })
+        void this.announce(endpoint, effect)
+        return
+      }
+      case "settle":
+        void this.askMember(effect.to, { ...effect, kind: "eviction-settled", endpoint })
+        return
+      case "brief-witness":
+        void this.brief(endpoint, effect)
+        return
+      case "unload":
+        void this.unload(endpoint, effect)
+        return
+      case "fence":
+        void this.fence(endpoint, effect.fencingNumber)
+        return
+      case "evicted":
+        this.recorder.record({ kind: "eviction-done", endpoint, adapter: effect.adapter })
+        this.listener?.onEvicted(endpoint, effect.adapter)
+        return
+      case "eviction-blocked":
+        this.listener?.onEvictionBlocked(endpoint, effect.adapter)
+        return
+      case "suspects-changed":
+        this.listener?.onSuspectsChanged(endpoint, effect.suspects)
+        return
+      case "renewal-wanted":
+        this.membership.renew(endpoint)
+        return
+      case "predecessor-resolved":
+        this.membership.resolvePredecessors([{ endpoint, epoch: effect.epoch }])
+        return
+      case "activated":
+        this.activate(endpoint, epoch)
+        return
+      case "deposed":
+        this.recorder.record({ kind: "ownership-lost", endpoint })
+        this.log.info({ step: "grant", endpoint, epoch }, "ownership-lost")
+        this.listener?.onDeposed(endpoint)
+        return
+    }
+  }
+
+  private activate(endpoint: EndpointId, epoch: number): void {
+    const state = this.states.get(endpoint)
+    if (!state) return
+    this.log.info({ step: "grant", endpoint, epoch }, "ownership-active")
+    this.listener?.onActivated(endpoint, state)
+  }
+
+  private async askHoldings(endpoint: EndpointId, to: Incarnation, epoch: number): Promise<void> {
+    const reply = await this.askMember(to, { kind: "holdings-asked", endpoint, epoch })
+    if (reply?.kind !== "holdings") return
+    const ownership = this.states.get(endpoint)?.ownership
+    if (ownership?.epoch === epoch) this.shares.handleAnswer(ownership, to)
+    const { grants, announced } = reply
+    this.apply(endpoint, { kind: "holdings-reported", member: to, epoch, grants, announced })
+  }
+
+  private async announce(endpoint: EndpointId, effect: EffectOf<"announce">): Promise<void> {
+    const { to, adapter, epoch, announcement } = effect
+    const event = { kind: "eviction-announced", endpoint, adapter, epoch, announcement } as const
+    const reply = await this.askMember(to, event)
+    if (reply?.kind === "accepted")
+      this.apply(endpoint, { kind: "acknowledged", witness: to, adapter, epoch, announcement })
+    if (reply?.kind !== "refused") return
+    const { minimumEpoch } = reply
+    this.apply(endpoint, { ...event, kind: "announcement-refused", minimumEpoch })
+  }
+
+  private async brief(endpoint: EndpointId, effect: EffectOf<"brief-witness">): Promise<void> {
+    const { to, epoch } = effect
+    const reply = await this.askMember(to, { ...effect, kind: "witness-briefed", endpoint })
+    if (reply?.kind === "accepted")
+      this.apply(endpoint, { kind: "witness-briefed", witness: to, epoch })
+  }
+
+  private async unload(endpoint: EndpointId, effect: EffectOf<"unload">): Promise<void> {
+    const { adapter, announcement, fencingNumber } = effect
+    this.recorder.record({ kind: "eviction-ordered", endpoint, adapter })
+    const result = await this.engines.get(endpoint)?.unload({ adapter, fencingNumber })
+    this.apply(endpoint, {
+      kind: "unload-answered",
+      adapter,
+      announcement,
+      result: result ?? "rejected",
+    })
+  }
+
+  private async fence(endpoint: EndpointId, fencingNumber: number): Promise<void> {
+    const order = { adapter: FENCE_ADAPTER, fencingNumber }
+    const result = await this.engines.get(endpoint)?.unload(order)
+    if (result) this.apply(endpoint, { kind: "fence-answered", fencingNumber, result })
+  }
+
+  /** Sends an event to a member, this instance included. Returns undefined when it didn't answer. */
+  private async askMember(to: Incarnation, event: WitnessEvent): Promise<MemberReply | undefined> {
+    if (to === this.self) return this.handleOwnMember(event)
+    const member = this.membership.listMembers().find((each) => each.incarnation === to)
+    if (!member) return undefined
+    try {
+      return await this.callMember(member.peerAddress, event)
+    } catch (error) {
+      this.log.debug({ step: "peer", peer: to, error: describeError(error) }, event.kind)
+      return undefined
+    }
+  }
+
+  private callMember(address: string, event: WitnessEvent): Promise<MemberReply> {
+    const { endpoint } = event
+    switch (event.kind) {
+      case "holdings-asked":
+        return this.caller.askHoldings(address, endpoint, event.epoch)
+      case "eviction-announced":
+        return this.caller.announceEviction(address, endpoint, event)
+      case "eviction-settled":
+        return this.caller.settleEviction(address, endpoint, event)
+      case "witness-briefed":
+        return this.caller.briefWitness(address, { ...event, adapters: [...event.adapters] })
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/ownership/peers.ts
@@ -0,0 +1,107 @@
+import type { Clock, DataCentre, Incarnation, InstanceId, Millis } from "@galenaway/core"
+import type { Heartbeat } from "../generated/peer.js"
+
+/** What this instance knows of another one by its heartbeats. */
+export interface PeerRow {
+  readonly address: string
+  incarnation: Incarnation | undefined
+  instance: InstanceId | undefined
+  dataCentre: DataCentre | undefined
+  isLeaving: boolean
+  configurationRevision: number
+  /** When it last answered or called. */
+  heardAt: Millis
+  /** How long it may be silent before it is suspected. It grows when a suspicion was wrong. */
+  patienceMs: Millis
+}
+
+const PATIENCE_MS = 2000
+const FOREIGN_PATIENCE_MS = 5000
+const MAX_PATIENCE_MS = 60_000
+
+/** The table of other instances, by the address of their peer interface. */
+export class PeerTable {
+  private readonly rows = new Map<string, PeerRow>()
+  private readonly gone = new Set<Incarnation>()
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly home: DataCentre,
+  ) {}
+
+  /** Lists the rows. */
+  list(): readonly PeerRow[] {
+    return [...this.rows.values()]
+  }
+
+  /** Adds an address, unless it is known. */
+  add(address: string, dataCentre?: DataCentre): void {
+    if (this.rows.has(address)) return
+    const isNear = dataCentre === undefined || dataCentre === this.home
+    this.rows.set(address, {
+      address,
+      incarnation: undefined,
+      instance: undefined,
+      dataCentre,
+      isLeaving: false,
+      configurationRevision: 0,
+      heardAt: this.clock.now(),
+      patienceMs: isNear ? PATIENCE_MS : FOREIGN_PATIENCE_MS,
+    })
+  }
+
+  /** Removes an address. */
+  remove(address: string): void {
+    this.rows.delete(address)
+  }
+
+  /** Takes a heartbeat. Returns the incarnation that it replaces at its address, whose process is gone. */
+  hear(heartbeat: Heartbeat): Incarnation | undefined {
+    this.add(heartbeat.peerAddress, heartbeat.dataCentre)
+    const row = this.rows.get(heartbeat.peerAddress)
+    if (!row || this.gone.has(heartbeat.incarnation)) return undefined
+    const previous = row.incarnation
+    row.incarnation = heartbeat.incarnation
+    row.instance = heartbeat.instance
+    row.dataCentre = heartbeat.dataCentre
+    row.isLeaving = heartbeat.isLeaving
+    row.configurationRevision = heartbeat.configurationRevision
+    row.heardAt = this.clock.now()
+    return previous !== undefined && previous !== heartbeat.incarnation ? previous : undefined
+  }
+
+  /** Records that an incarnation's process has ended. */
+  setGone(incarnation: Incarnation): void {
+    this.gone.add(incarnation)
+    for (const row of this.rows.values())
+      if (row.incarnation === incarnation) row.incarnation = undefined
+  }
+
+  /** Tells whether an incarnation's process is known to have ended. */
+  isGone(incarnation: Incarnation): boolean {
+    return this.gone.has(incarnation)
+  }
+
+  /** Tells whether an incarnation answered lately. */
+  isHeard(incarnation: Incarnation): boolean {
+    const row = this.findRow(incarnation)
+    return row !== undefined && !this.isSilent(row)
+  }
+
+  /** Tells whether a row has been silent beyond its patience. */
+  isSilent(row: PeerRow): boolean {
+    return this.clock.now() - row.heardAt > row.patienceMs
+  }
+
+  /** Waits longer before the next suspicion of an incarnation, since the last one was wrong. */
+  extendPatience(incarnation: Incarnation): void {
+    const row = this.findRow(incarnation)
+    if (row) row.patienceMs = Math.min(row.patienceMs * 2, MAX_PATIENCE_MS)
+  }
+
+  /** Finds the row of an incarnation. */
+  findRow(incarnation: Incarnation): PeerRow | undefined {
+    for (const row of this.rows.values()) if (row.incarnation === incarnation) return row
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer/client.ts
@@ -0,0 +1,222 @@
+import {
+  type ChannelCredentials,
+  credentials,
+  Metadata,
+  type ServiceError,
+  status,
+} from "@grpc/grpc-js"
+import {
+  type EndpointId,
+  GalenawayError,
+  type Grant,
+  type Incarnation,
+  type RouteRequest,
+} from "@galenaway/core"
+import type { AnnouncedEviction, MemberReply } from "@galenaway/coordination"
+import type { HybridTime, Recorder } from "@galenaway/observe"
+import {
+  type Briefing,
+  type ConfigurationReply,
+  type GrantReply,
+  type Heartbeat,
+  type MemberAnswer,
+  PeerClient,
+} from "../generated/peer.js"
+import {
+  formatGrantRequest,
+  type GrantAnswer,
+  type GrantReturn,
+  parseGrantAnswer,
+  parseMemberReply,
+} from "./codec.js"
+
+const CALL_TIMEOUT_MS = 1000
+const MIN_GRANT_TIMEOUT_MS = 100
+const GRANT_MARGIN_MS = 200
+
+/** Name of the metadata entry that carries the secret between instances. */
+export const PEER_KEY_HEADER = "x-galenaway-peer-key"
+
+/** A document of the configuration as a peer passes it on. */
+export interface PassedConfiguration {
+  readonly revision: number
+  readonly document: string
+}
+
+interface Reply {
+  readonly time: HybridTime | undefined
+}
+
+type Send<T> = (
+  client: PeerClient,
+  options: { deadline: number },
+  done: (error: ServiceError | null, reply: T) => void,
+) => { cancel(): void }
+
+/** Calls other instances. A call that fails throws an error with the peer's address and the outcome `unknown`. */
+export class PeerCaller {
+  private readonly clients = new Map<string, PeerClient>()
+  private readonly metadata = new Metadata()
+  private readonly channel: ChannelCredentials = credentials.createInsecure()
+
+  constructor(
+    private readonly self: Incarnation,
+    peerKey: string,
+    private readonly recorder: Recorder,
+  ) {
+    this.metadata.set(PEER_KEY_HEADER, peerKey)
+  }
+
+  /** Asks an owner for a grant; waits in its queue until the deadline. Aborting takes the request out of the queue. */
+  async requestGrant(
+    address: string,
+    request: RouteRequest,
+    now: number,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
+    const message = formatGrantRequest(request, this.self, now, this.recorder.stamp())
+    const timeout = Math.max(MIN_GRANT_TIMEOUT_MS, request.deadline - now + GRANT_MARGIN_MS)
+    const reply = await this.call<GrantReply>(
+      address,
+      (client, options, done) => client.requestGrant(message, this.metadata, options, done),
+      timeout,
+      signal,
+    )
+    return parseGrantAnswer(reply)
+  }
+
+  /** Gives grants back to the endpoint's owner. */
+  async returnGrants(address: string, returns: readonly GrantReturn[]): Promise<void> {
+    const message = { time: this.recorder.stamp(), grants: [...returns] }
+    await this.call(address, (client, options, done) =>
+      client.returnGrants(message, this.metadata, options, done),
+    )
+  }
+
+  /** Announces an eviction to a witness. */
+  announceEviction(
+    address: string,
+    endpoint: EndpointId,
+    eviction: AnnouncedEviction,
+  ): Promise<MemberReply> {
+    const message = { time: this.recorder.stamp(), endpoint, ...eviction }
+    return this.askMember(address, (client, options, done) =>
+      client.announceEviction(message, this.metadata, options, done),
+    )
+  }
+
+  /** Tells a witness that an announced eviction is settled. */
+  settleEviction(
+    address: string,
+    endpoint: EndpointId,
+    eviction: AnnouncedEviction,
+  ): Promise<MemberReply> {
+    const message = { time: this.recorder.stamp(), endpoint, ...eviction }
+    return this.askMember(address, (client, options, done) =>
+      client.settleEviction(message, this.metadata, options, done),
+    )
+  }
+
+  /** Tells a witness that this owner is active, and what older orders may still evict. */
+  briefWitness(address: string, briefing: Omit<Briefing, "time">): Promise<MemberReply> {
+    const message = { time: this.recorder.stamp(), ...briefing }
+    return this.askMember(address, (client, options, done) =>
+      client.briefWitness(message, this.metadata, options, done),
+    )
+  }
+
+  /** Asks a member what it holds and has witnessed; it then takes nothing of an older epoch. */
+  askHoldings(address: string, endpoint: EndpointId, epoch: number): Promise<MemberReply> {
+    const message = { time: this.recorder.stamp(), endpoint, epoch }
+    return this.askMember(address, (client, options, done) =>
+      client.askHoldings(message, this.metadata, options, done),
+    )
+  }
+
+  /** Asks a witness to seal an epoch, for use without an owner. */
+  sealEpoch(address: string, endpoint: EndpointId, epoch: number): Promise<MemberReply> {
+    const message = { time: this.recorder.stamp(), endpoint, epoch }
+    return this.askMember(address, (client, options, done) =>
+      client.sealEpoch(message, this.metadata, options, done),
+    )
+  }
+
+  /** Exchanges heartbeats. */
+  exchange(address: string, heartbeat: Omit<Heartbeat, "time">): Promise<Heartbeat> {
+    const message = { ...heartbeat, time: this.recorder.stamp() }
+    return this.call(address, (client, options, done) =>
+      client.exchange(message, this.metadata, options, done),
+    )
+  }
+
+  /** Reads the configuration from a peer. Returns undefined when it has none above the revision. */
+  async fetchConfiguration(
+    address: string,
+    aboveRevision: number,
+  ): Promise<PassedConfiguration | undefined> {
+    const message = { time: this.recorder.stamp(), aboveRevision }
+    const { revision, document } = await this.call<ConfigurationReply>(
+      address,
+      (client, options, done) => client.fetchConfiguration(message, this.metadata, options, done),
+    )
+    return revision > aboveRevision ? { revision, document } : undefined
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const client of this.clients.values()) client.close()
+    this.clients.clear()
+  }
+
+  private async askMember(address: string, send: Send<MemberAnswer>): Promise<MemberReply> {
+    return parseMemberReply(await this.call(address, send))
+  }
+
+  private call<T extends Reply>(
+    address: string,
+    send: Send<T>,
+    timeoutMs = CALL_TIMEOUT_MS,
+    signal?: AbortSignal,
+  ): Promise<T> {
+    return new Promise((resolve, reject) => {
+      const pending = send(
+        this.getClient(address),
+        { deadline: Date.now() + timeoutMs },
+        (error, reply) => {
+          signal?.removeEventListener("abort", cancel)
+          if (error) {
+            reject(wrapServiceError(address, error))
+            return
+          }
+          if (reply.time) this.recorder.merge(reply.time)
+          resolve(reply)
+        },
+      )
+      const cancel = () => {
+        pending.cancel()
+      }
+      signal?.addEventListener("abort", cancel, { once: true })
+    })
+  }
+
+  private getClient(address: string): PeerClient {
+    const known = this.clients.get(address)
+    if (known) return known
+    const client = new PeerClient(address, this.channel, {
+      "grpc.initial_reconnect_backoff_ms": 100,
+      "grpc.max_reconnect_backoff_ms": 1000,
+    })
+    this.clients.set(address, client)
+    return client
+  }
+}
+
+/** Returns the grant's place in a log line. */
+export function describeGrant(grant: Grant): string {
+  return `${grant.adapter} at ${grant.endpoint} epoch ${grant.epoch}`
+}
+
+function wrapServiceError(address: string, error: ServiceError): GalenawayError {
+  const code = error.code === status.CANCELLED ? "canceled" : "peer-down"
+  return new GalenawayError(code, "peer", address, "unknown", error.details, { cause: error })
+}
--- /dev/null
+++ b/packages/daemon/src/peer/codec.ts
@@ -0,0 +1,141 @@
+import {
+  type AdapterKey,
+  type ErrorCode,
+  type Grant,
+  type GrantResult,
+  isRank,
+  type Millis,
+  RefusedError,
+  type RouteRequest,
+} from "@galenaway/core"
+import type { AnnouncedEviction, MemberReply } from "@galenaway/coordination"
+import type { HybridTime } from "@galenaway/observe"
+import type {
+  AnnouncedMessage,
+  GrantMessage,
+  GrantReply,
+  GrantRequest,
+  MemberAnswer,
+  ReturnedGrant,
+} from "../generated/peer.js"
+
+/** How an owner answered a request for a grant. */
+export type GrantAnswer =
+  | { readonly kind: "granted"; readonly grant: Grant }
+  | { readonly kind: "refused"; readonly code: ErrorCode; readonly message: string }
+
+/** A grant that its holder gives back. An empty id gives back whatever was granted for the request. */
+export interface GrantReturn {
+  readonly id: string
+  readonly endpoint: string
+  readonly request: string
+  readonly result: GrantResult
+}
+
+/** Formats a request for a grant. Times go as durations, since clocks differ. */
+export function formatGrantRequest(
+  request: RouteRequest,
+  holder: string,
+  now: Millis,
+  time: HybridTime,
+): GrantRequest {
+  return {
+    time,
+    holder,
+    request: request.id,
+    adapter: request.adapter,
+    rank: request.rank,
+    deadlineInMs: request.deadline - now,
+    waitedMs: now - request.arrivedAt,
+    prefix: request.prefix,
+    maxTokens: request.maxTokens,
+  }
+}
+
+/** Parses a request for a grant against the receiver's clock. */
+export function parseGrantRequest(message: GrantRequest, now: Millis): RouteRequest {
+  if (!isRank(message.rank))
+    throw new RefusedError("bad-request", "peer", message.holder, `rank ${message.rank}`)
+  return {
+    id: message.request,
+    adapter: message.adapter as AdapterKey,
+    rank: message.rank,
+    arrivedAt: now - message.waitedMs,
+    deadline: now + message.deadlineInMs,
+    prefix: message.prefix,
+    maxTokens: message.maxTokens,
+  }
+}
+
+/** Formats an owner's answer. */
+export function formatGrantAnswer(answer: GrantAnswer, time: HybridTime): GrantReply {
+  switch (answer.kind) {
+    case "granted":
+      return { time, grant: answer.grant, refusalCode: "", refusalMessage: "" }
+    case "refused":
+      return {
+        time,
+        grant: undefined,
+        refusalCode: answer.code,
+        refusalMessage: answer.message,
+      }
+  }
+}
+
+/** Parses an owner's answer. */
+export function parseGrantAnswer(reply: GrantReply): GrantAnswer {
+  if (reply.grant) return { kind: "granted", grant: parseGrant(reply.grant) }
+  const code = (reply.refusalCode || "peer-down") as ErrorCode
+  return { kind: "refused", code, message: reply.refusalMessage }
+}
+
+/** Parses a grant. */
+export function parseGrant(message: GrantMessage): Grant {
+  return { ...message, adapter: message.adapter as AdapterKey }
+}
+
+/** Parses a returned grant. */
+export function parseReturn(message: ReturnedGrant): GrantReturn {
+  return { ...message, result: message.result as GrantResult }
+}
+
+/** Parses an announced eviction. */
+export function parseAnnounced(message: AnnouncedMessage): AnnouncedEviction {
+  return { ...message, adapter: message.adapter as AdapterKey }
+}
+
+/** Formats a member's reply. */
+export function formatMemberReply(reply: MemberReply, time: HybridTime): MemberAnswer {
+  const empty = { time, kind: reply.kind, epoch: 0, grants: [], announced: [] }
+  switch (reply.kind) {
+    case "accepted":
+      return empty
+    case "refused":
+      return { ...empty, epoch: reply.minimumEpoch }
+    case "holdings":
+      return {
+        ...empty,
+        epoch: reply.epoch,
+        grants: [...reply.grants],
+        announced: [...reply.announced],
+      }
+    case "sealed":
+      return { ...empty, epoch: reply.epoch, announced: [...reply.announced] }
+  }
+}
+
+/** Parses a member's reply. */
+export function parseMemberReply(answer: MemberAnswer): MemberReply {
+  const announced = answer.announced.map(parseAnnounced)
+  const { epoch } = answer
+  switch (answer.kind) {
+    case "accepted":
+      return { kind: "accepted" }
+    case "holdings":
+      return { kind: "holdings", epoch, grants: answer.grants.map(parseGrant), announced }
+    case "sealed":
+      return { kind: "sealed", epoch, announced }
+    default:
+      return { kind: "refused", minimumEpoch: epoch }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peer/server.ts
@@ -0,0 +1,157 @@
+import { timingSafeEqual } from "node:crypto"
+import {
+  Server,
+  ServerCredentials,
+  type sendUnaryData,
+  type ServerUnaryCall,
+  status,
+  type UntypedHandleCall,
+} from "@grpc/grpc-js"
+import {
+  type AdapterKey,
+  describeError,
+  type Incarnation,
+  type RouteRequest,
+} from "@galenaway/core"
+import type { MemberEvent, MemberReply } from "@galenaway/coordination"
+import type { HybridTime, Recorder } from "@galenaway/observe"
+import {
+  type Announcement,
+  type Briefing,
+  type Heartbeat,
+  type HoldingsRequest,
+  type PeerServer,
+  PeerService,
+} from "../generated/peer.js"
+import type { Address } from "../settings.js"
+import { PEER_KEY_HEADER, type PassedConfiguration } from "./client.js"
+import {
+  formatGrantAnswer,
+  formatMemberReply,
+  type GrantAnswer,
+  type GrantReturn,
+  parseGrantRequest,
+  parseReturn,
+} from "./codec.js"
+
+/** What an instance does when others call it. */
+export interface PeerHandlers {
+  /** Queues a request at this owner until it is granted, refused or aborted. */
+  grant(request: RouteRequest, holder: Incarnation, signal: AbortSignal): Promise<GrantAnswer>
+  /** Takes grants back. */
+  takeReturns(returns: readonly GrantReturn[]): void
+  /** Handles an event as a member. */
+  handleMember(event: MemberEvent): MemberReply
+  /** Takes a peer's heartbeat and returns this instance's own. */
+  exchange(heartbeat: Heartbeat): Omit<Heartbeat, "time">
+  /** Returns the configuration in force. */
+  getConfiguration(): PassedConfiguration
+  /** The receiver's monotonic time in milliseconds. */
+  now(): number
+}
+
+const MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
+interface Timed {
+  readonly time?: HybridTime | undefined
+}
+
+/** Starts the interface between instances. A call without the secret is refused. */
+export async function startPeerServer(
+  address: Address,
+  peerKey: string,
+  recorder: Recorder,
+  handlers: PeerHandlers,
+): Promise<Server> {
+  const server = new Server({
+    "grpc.max_receive_message_length": MAX_MESSAGE_BYTES,
+  })
+  server.addService(PeerService, createService(peerKey, recorder, handlers))
+  await new Promise<void>((resolve, reject) => {
+    const credentials = ServerCredentials.createInsecure()
+    server.bindAsync(`${address.host}:${address.port}`, credentials, (error) => {
+      if (error) reject(error)
+      else resolve()
+    })
+  })
+  return server
+}
+
+function createService(
+  peerKey: string,
+  recorder: Recorder,
+  handlers: PeerHandlers,
+): PeerServer & Record<string, UntypedHandleCall> {
+  const reply = <Q extends Timed, R>(answer: (call: ServerUnaryCall<Q, R>) => Promise<R> | R) => {
+    return (call: ServerUnaryCall<Q, R>, done: sendUnaryData<R>): void => {
+      if (!isAuthenticated(call, peerKey)) {
+        done({ code: status.UNAUTHENTICATED, details: "wrong peer key" })
+        return
+      }
+      if (call.request.time) recorder.merge(call.request.time)
+      Promise.resolve()
+        .then(() => answer(call))
+        .then(
+          (value) => {
+            done(null, value)
+          },
+          (error: unknown) => {
+            done({ code: status.INTERNAL, details: describeError(error) })
+          },
+        )
+    }
+  }
+  const handleMember = (event: MemberEvent) =>
+    formatMemberReply(handlers.handleMember(event), recorder.stamp())
+  const parseHoldings = ({ endpoint, epoch }: HoldingsRequest) => ({ endpoint, epoch })
+  return {
+    requestGrant: reply(async (call) => {
+      const request = parseGrantRequest(call.request, handlers.now())
+      const abort = new AbortController()
+      call.on("cancelled", () => {
+        abort.abort()
+      })
+      const answer = await handlers.grant(request, call.request.holder, abort.signal)
+      return formatGrantAnswer(answer, recorder.stamp())
+    }),
+    returnGrants: reply((call) => {
+      handlers.takeReturns(call.request.grants.map(parseReturn))
+      return { time: recorder.stamp() }
+    }),
+    announceEviction: reply((call) =>
+      handleMember({ kind: "eviction-announced", ...parseAnnouncement(call.request) }),
+    ),
+    settleEviction: reply((call) =>
+      handleMember({ kind: "eviction-settled", ...parseAnnouncement(call.request) }),
+    ),
+    briefWitness: reply((call) =>
+      handleMember({ kind: "witness-briefed", ...parseBriefing(call.request) }),
+    ),
+    askHoldings: reply((call) =>
+      handleMember({ kind: "holdings-asked", ...parseHoldings(call.request) }),
+    ),
+    sealEpoch: reply((call) =>
+      handleMember({ kind: "seal-asked", ...parseHoldings(call.request) }),
+    ),
+    exchange: reply((call) => ({ ...handlers.exchange(call.request), time: recorder.stamp() })),
+    fetchConfiguration: reply(() => ({
+      ...handlers.getConfiguration(),
+      time: recorder.stamp(),
+    })),
+  }
+}
+
+function parseAnnouncement({ endpoint, adapter, epoch, announcement }: Announcement) {
+  return { endpoint, adapter: adapter as AdapterKey, epoch, announcement }
+}
+
+function parseBriefing({ endpoint, epoch, announcement, adapters }: Briefing) {
+  return { endpoint, epoch, announcement, adapters: adapters as AdapterKey[] }
+}
+
+function isAuthenticated(call: ServerUnaryCall<unknown, unknown>, peerKey: string): boolean {
+  const [sent = ""] = call.metadata.get(PEER_KEY_HEADER)
+  const given = Buffer.from(sent)
+  const expected = Buffer.from(peerKey)
+  return given.length === expected.length && timingSafeEqual(given, expected)
+}
--- /dev/null
+++ b/packages/daemon/src/router/coordinated.ts
@@ -0,0 +1,166 @@
+import {
+  type Clock,
+  type DataCentre,
+  describeError,
+  type EndpointId,
+  type Grant,
+  type GrantResult,
+  type Incarnation,
+  RefusedError,
+  type Router,
+  type RouteRequest,
+} from "@galenaway/core"
+import type { MemberEvent, MemberReply } from "@galenaway/coordination"
+import type { Recorder } from "@galenaway/observe"
+import { type EndpointView, rankEndpoints } from "@galenaway/policy"
+import type { OwnershipDocuments } from "../ownership/documents.js"
+import type { PeerCaller } from "../peer/client.js"
+import type { GrantAnswer } from "../peer/codec.js"
+import { waitFor } from "../wait.js"
+import type { Dispatcher } from "./dispatcher.js"
+import type { OwnerlessRouter } from "./ownerless.js"
+import type { ReturnQueue } from "./returns.js"
+import type { ViewTable } from "./views.js"
+
+const RETRY_PAUSE_MS = 50
+const MAX_ROUNDS = 40
+const MAX_ASKED_A_ROUND = 3
+
+/** The parts that a coordinated router works with. */
+export interface RouterParts {
+  readonly self: Incarnation
+  readonly home: DataCentre
+  readonly views: ViewTable
+  readonly documents: OwnershipDocuments
+  readonly caller: PeerCaller
+  readonly dispatcher: Dispatcher
+  readonly returns: ReturnQueue
+  readonly ownerless: OwnerlessRouter
+  readonly clock: Clock
+  readonly recorder: Recorder
+  /** Handles an event of this instance as a member. */
+  readonly handleMember: (event: MemberEvent) => MemberReply
+  /** The lowest epoch of an endpoint that this member still takes. */
+  readonly getMinimumEpoch: (endpoint: EndpointId) => number
+}
+
+/** Asks the owner of a well-chosen endpoint for a grant, and the next one when that fails without a grant. */
+export class CoordinatedRouter implements Router {
+  constructor(private readonly parts: RouterParts) {}
+
+  async acquire(request: RouteRequest, signal: AbortSignal): Promise<Grant> {
+    const { clock } = this.parts
+    let last: GrantAnswer | undefined
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      const answer = await this.runRound(request, signal)
+      if (answer?.kind === "granted") return answer.grant
+      last = answer ?? last
+      if (answer && isFinal(answer)) break
+      if (clock.now() >= request.deadline || signal.aborted) break
+      await waitFor(RETRY_PAUSE_MS, signal)
+    }
+    throw refuse(last, request, clock.now())
+  }
+
+  release(grant: Grant, result: GrantResult): void {
+    const { handleMember, returns, ownerless, getMinimumEpoch } = this.parts
+    const { endpoint, id, request } = grant
+    handleMember({ kind: "grant-ended", endpoint, grant: id })
+    ownerless.release(grant)
+    returns.add({ id, endpoint, request, result }, () => getMinimumEpoch(endpoint))
+  }
+
+  /** Asks the best owners in turn until one answers for certain. */
+  private async runRound(
+    request: RouteRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer | undefined> {
+    const { views, home, clock } = this.parts
+    const table = views.list()
+    const ranked = rankEndpoints(table, request, home, clock.now())
+    const asked = new Set<Incarnation>()
+    let last: GrantAnswer | undefined
+    for (const endpoint of ranked) {
+      const owner = this.findOwner(table, endpoint)
+      if (owner === undefined || asked.has(owner)) continue
+      if (asked.size >= MAX_ASKED_A_ROUND) break
+      asked.add(owner)
+      const answer = await this.ask(owner, endpoint, request, signal)
+      if (answer.kind === "granted" || isFinal(answer)) return answer
+      last = answer
+    }
+    const grant = await this.parts.ownerless.acquire(request, table)
+    return grant ? { kind: "granted", grant } : last
+  }
+
+  private findOwner(table: readonly EndpointView[], endpoint: EndpointId): Incarnation | undefined {
+    return table.find((view) => view.info.id === endpoint)?.owner
+  }
+
+  private async ask(
+    owner: Incarnation,
+    endpoint: EndpointId,
+    request: RouteRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
+    this.parts.recorder.record({
+      kind: "request-routed",
+      request: request.id,
+      adapter: request.adapter,
+      endpoint,
+      peer: owner,
+    })
+    const answer =
+      owner === this.parts.self
+        ? await this.parts.dispatcher.submit(request, owner, signal)
+        : await this.askPeer(owner, endpoint, request, signal)
+    return answer.kind === "granted" ? this.accept(answer.grant) : answer
+  }
+
+  private async askPeer(
+    owner: Incarnation,
+    endpoint: EndpointId,
+    request: RouteRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
+    const { documents, caller, clock, returns } = this.parts
+    const address = documents.findMember(owner)?.peerAddress
+    if (address === undefined)
+      return { kind: "refused", code: "no-owner", message: `${owner} has no address` }
+    try {
+      return await caller.requestGrant(address, request, clock.now(), signal)
+    } catch (error) {
+      // The owner may have granted it all the same: it is given back by the request's id.
+      const { id } = request
+      returns.add({ id: "", endpoint, request: id, result: "canceled" }, () => 0)
+      return { kind: "refused", code: "peer-down", message: describeError(error) }
+    }
+  }
+
+  /** Takes a grant as a holder. One of an epoch that this member has been asked to forget is given back. */
+  private accept(grant: Grant): GrantAnswer {
+    const { handleMember, returns, views } = this.parts
+    const reply = handleMember({ kind: "grant-arrived", grant })
+    if (reply.kind === "accepted") {
+      views.countSent(grant.endpoint)
+      return { kind: "granted", grant }
+    }
+    const { id, endpoint, request } = grant
+    returns.add({ id, endpoint, request, result: "canceled" }, () => 0)
+    return { kind: "refused", code: "no-owner", message: "the grant's owner has a successor" }
+  }
+}
+
+/** Tells whether asking elsewhere or again can't help. */
+function isFinal(answer: GrantAnswer): boolean {
+  if (answer.kind === "granted") return true
+  return answer.code === "deadline" || answer.code === "overloaded" || answer.code === "canceled"
+}
+
+function refuse(last: GrantAnswer | undefined, request: RouteRequest, now: number): RefusedError {
+  if (last?.kind === "refused" && isFinal(last))
+    return new RefusedError(last.code, "queue", "owner", last.message)
+  const why = last?.kind === "refused" ? last.message : "no endpoint can be reached"
+  const code = now >= request.deadline ? "deadline" : "no-endpoint"
+  return new RefusedError(code, "route", "owner", why)
+}
--- /dev/null
+++ b/packages/daemon/src/router/dispatcher.ts
@@ -0,0 +1,298 @@
+import {
+  type AdapterKey,
+  type Clock,
+  describeError,
+  type EndpointId,
+  type EndpointInfo,
+  type EndpointPhase,
+  type EnginePort,
+  type Grant,
+  type Incarnation,
+  type RequestId,
+  type RouteRequest,
+} from "@galenaway/core"
+import type { OwnerState } from "@galenaway/coordination"
+import type { Log, Metrics, Recorder } from "@galenaway/observe"
+import {
+  applySchedulerEvent,
+  createScheduler,
+  type LoadShare,
+  type PolicySettings,
+  readEndpoint,
+  runScheduler,
+  type SchedulerEvent,
+  type SchedulerOrder,
+  type SchedulerTables,
+  setLoadShare,
+  setPolicy,
+} from "@galenaway/policy"
+import type { OwnedEndpoints, OwnedListener } from "../ownership/owned.js"
+import type { GrantAnswer, GrantReturn } from "../peer/codec.js"
+import type { EndpointLoad } from "./views.js"
+
+const TICK_INTERVAL_MS = 20
+const REPORT_INTERVAL_MS = 200
+
+interface Waiting {
+  readonly request: RouteRequest
+  readonly holder: Incarnation
+  readonly settle: (answer: GrantAnswer) => void
+}
+
+/**
+ * The owner's side of routing: queues the requests for the endpoints that this
+ * instance owns, runs the scheduler's systems each tick, and carries out its
+ * orders.
+ */
+export class Dispatcher implements OwnedListener {
+  private readonly tables: SchedulerTables
+  private readonly waiting = new Map<RequestId, Waiting>()
+  private readonly granted = new Map<RequestId, Grant>()
+  private readonly reachable = new Set<EndpointId>()
+  private readonly incarnations = new Map<EndpointId, string>()
+  private readonly timers: NodeJS.Timeout[] = []
+  private isTickDue = false
+  private counter = 0
+
+  constructor(
+    private readonly self: Incarnation,
+    policy: PolicySettings,
+    private readonly owned: OwnedEndpoints,
+    private readonly infos: ReadonlyMap<EndpointId, EndpointInfo>,
+    private readonly engines: ReadonlyMap<EndpointId, EnginePort>,
+    private readonly clock: Clock,
+    private readonly recorder: Recorder,
+    private readonly metrics: Metrics,
+    private readonly log: Log,
+  ) {
+    this.tables = createScheduler(policy)
+    owned.setListener(this)
+  }
+
+  /** Starts the ticks and the reading of load reports. */
+  start(): void {
+    this.timers.push(
+      setInterval(() => {
+        this.tick()
+      }, TICK_INTERVAL_MS),
+      setInterval(() => void this.readReports(), REPORT_INTERVAL_MS),
+    )
+  }
+
+  /** Stops both. */
+  stop(): void {
+    for (const timer of this.timers) clearInterval(timer)
+  }
+
+  /** Queues a request until it is granted or refused. Aborting takes it out. */
+  submit(request: RouteRequest, holder: Incarnation, signal: AbortSignal): Promise<GrantAnswer> {
+    return new Promise((settle) => {
+      this.waiting.set(request.id, { request, holder, settle })
+      signal.addEventListener(
+        "abort",
+        () => {
+          this.cancel(request.id)
+        },
+        { once: true },
+      )
+      this.update({ kind: "submitted", request })
+    })
+  }
+
+  /** Takes grants back from their holders. */
+  takeReturns(returns: readonly GrantReturn[]): void {
+    for (const returned of returns) this.takeReturn(returned)
+  }
+
+  /** Frees what an incarnation held whose process has ended. */
+  handleGone(member: Incarnation): void {
+    for (const [request, { holder }] of this.waiting) if (holder === member) this.cancel(request)
+    for (const grant of this.owned.handleGone(member)) this.finish(grant.request, "canceled")
+  }
+
+  /** Puts a changed policy in force. */
+  setPolicy(policy: PolicySettings): void {
+    setPolicy(this.tables, policy)
+  }
+
+  /** Sets this instance's share of the weight store's budget. */
+  setLoadShare(share: LoadShare): void {
+    setLoadShare(this.tables, share)
+  }
+
+  /** Tells the scheduler of an endpoint that began or ceased to leave. */
+  setPhase(endpoint: EndpointId, phase: EndpointPhase): void {
+    this.update({ kind: "phase-changed", endpoint, phase })
+  }
+
+  /** Reads the load of an owned endpoint. Returns undefined for another one. */
+  readLoad(endpoint: EndpointId): EndpointLoad | undefined {
+    if (this.owned.get(endpoint)?.phase !== "active") return undefined
+    const row = readEndpoint(this.tables, endpoint)
+    return row && { ...row, isReachable: this.reachable.has(endpoint) }
+  }
+
+  onActivated(endpoint: EndpointId, state: OwnerState): void {
+    const info = this.infos.get(endpoint)
+    if (!info) return
+    const running = [...state.grants.values()].map(({ grant }) => grant)
+    for (const grant of running) this.granted.set(grant.request, grant)
+    this.metrics.count("ownership-changes")
+    this.update({ kind: "endpoint-gained", info, running })
+    this.update({ kind: "suspects-changed", endpoint, suspects: state.suspects })
+    void this.readReport(endpoint)
+  }
+
+  onDeposed(endpoint: EndpointId): void {
+    this.metrics.count("ownership-changes")
+    this.update({ kind: "endpoint-lost", endpoint })
+  }
+
+  onEvicted(endpoint: EndpointId, adapter: AdapterKey): void {
+    this.metrics.count("evictions")
+    this.update({ kind: "evicted", endpoint, adapter })
+  }
+
+  onEvictionBlocked(endpoint: EndpointId, adapter: AdapterKey): void {
+    this.update({ kind: "eviction-blocked", endpoint, adapter })
+  }
+
+  onSuspectsChanged(endpoint: EndpointId, suspects: ReadonlySet<AdapterKey>): void {
+    this.update({ kind: "suspects-changed", endpoint, suspects })
+  }
+
+  private cancel(request: RequestId): void {
+    const waiting = this.waiting.get(request)
+    this.waiting.delete(request)
+    this.update({ kind: "canceled", request })
+    waiting?.settle({ kind: "refused", code: "canceled", message: "canceled by its holder" })
+  }
+
+  private takeReturn({ id, endpoint, request, result }: GrantReturn): void {
+    const grant = this.granted.get(request)
+    if (grant && (id === "" || id === grant.id)) {
+      this.owned.apply(grant.endpoint, { kind: "grant-returned", grant: grant.id })
+      this.finish(request, result)
+    } else {
+      this.owned.apply(endpoint, { kind: "grant-returned", grant: id })
+      this.cancel(request)
+    }
+  }
+
+  private finish(request: RequestId, result: GrantReturn["result"]): void {
+    this.granted.delete(request)
+    this.update({ kind: "returned", request, result })
+  }
+
+  private update(event: SchedulerEvent): void {
+    applySchedulerEvent(this.tables, event, this.clock.now())
+    if (this.isTickDue) return
+    this.isTickDue = true
+    setImmediate(() => {
+      this.tick()
+    })
+  }
+
+  private tick(): void {
+    this.isTickDue = false
+    const startedAt = this.clock.now()
+    for (const order of runScheduler(this.tables, startedAt)) this.carryOut(order)
+    this.metrics.time("tick", this.clock.now() - startedAt)
+  }
+
+  private carryOut(order: SchedulerOrder): void {
+    switch (order.kind) {
+      case "grant":
+        this.grant(order.request, order.endpoint, order.adapter)
+        return
+      case "refuse": {
+        const waiting = this.waiting.get(order.request)
+        this.waiting.delete(order.request)
+        waiting?.settle({ kind: "refused", code: order.code, message: order.message })
+        return
+      }
+      case "load":
+        void this.load(order.endpoint, order.adapter)
+        return
+      case "evict":
+        this.owned.apply(order.endpoint, { kind: "eviction-wanted", adapter: order.adapter })
+        return
+    }
+  }
+
+  private grant(request: RequestId, endpoint: EndpointId, adapter: AdapterKey): void {
+    const waiting = this.waiting.get(request)
+    this.waiting.delete(request)
+    const epoch = this.owned.get(endpoint)?.ownership.epoch
+    if (!waiting || epoch === undefined || !this.owned.canGrant(endpoint, adapter)) {
+      this.finish(request, "canceled")
+      const message = `${endpoint} may not be granted now`
+      waiting?.settle({ kind: "refused", code: "no-owner", message })
+      return
+    }
+    const id = `${this.self}-${++this.counter}`
+    const grant: Grant = { id, request, endpoint, adapter, owner: this.self, epoch }
+    this.granted.set(request, grant)
+    this.owned.apply(endpoint, { kind: "granted", grant, holder: waiting.holder })
+    this.metrics.count("grants")
+    this.metrics.timeRank(
+      "wait",
+      waiting.request.rank,
+      this.clock.now() - waiting.request.arrivedAt,
+    )
+    this.recorder.record({ kind: "request-granted", request, endpoint, adapter })
+    waiting.settle({ kind: "granted", grant })
+  }
+
+  private async load(endpoint: EndpointId, adapter: AdapterKey): Promise<void> {
+    const epoch = this.owned.get(endpoint)?.ownership.epoch ?? 0
+    const startedAt = this.clock.now()
+    this.recorder.record({ kind: "load-ordered", endpoint, adapter })
+    const result = await this.engines.get(endpoint)?.load({ adapter, fencingNumber: epoch })
+    this.metrics.time("load", this.clock.now() - startedAt)
+    this.metrics.count(result === "done" ? "loads" : "load-failures")
+    const note = result ?? "no engine"
+    this.recorder.record({
+      kind: result === "done" ? "load-done" : "load-failed",
+      endpoint,
+      adapter,
+      note,
+    })
+    if (result !== "done")
+      this.log.warn({ step: "load", peer: endpoint, adapter, result: note }, "load-failed")
+    this.update({ kind: result === "done" ? "loaded" : "load-failed", endpoint, adapter })
+  }
+
+  private async readReports(): Promise<void> {
+    await Promise.all(this.owned.listActive().map((state) => this.readReport(state.endpoint)))
+  }
+
+  private async readReport(endpoint: EndpointId): Promise<void> {
+    const engine = this.engines.get(endpoint)
+    if (!engine) return
+    try {
+      const report = await engine.report()
+      if (!this.reachable.has(endpoint)) this.setReachable(endpoint, true)
+      const previous = this.incarnations.get(endpoint)
+      this.incarnations.set(endpoint, report.incarnation)
+      if (previous !== undefined && previous !== report.incarnation)
+        this.owned.apply(endpoint, { kind: "endpoint-restarted" })
+      this.update({ kind: "reported", report })
+    } catch (error) {
+      if (this.reachable.has(endpoint)) {
+        this.setReachable(endpoint, false)
+        this.log.warn(
+          { step: "route", peer: endpoint, error: describeError(error) },
+          "endpoint-lost",
+        )
+      }
+      this.update({ kind: "unreachable", endpoint })
+    }
+  }
+
+  private setReachable(endpoint: EndpointId, isReachable: boolean): void {
+    if (isReachable) this.reachable.add(endpoint)
+    else this.reachable.delete(endpoint)
+    this.recorder.record({ kind: isReachable ? "endpoint-back" : "endpoint-lost", endpoint })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/ownerless.ts
@@ -0,0 +1,164 @@
+import type {
+  AdapterKey,
+  Clock,
+  EndpointId,
+  EnginePort,
+  EngineReport,
+  Grant,
+  Incarnation,
+  RouteRequest,
+} from "@galenaway/core"
+import type { MemberEvent, MemberReply, Ownership } from "@galenaway/coordination"
+import type { Recorder } from "@galenaway/observe"
+import type { EndpointView } from "@galenaway/policy"
+import type { OwnershipDocuments } from "../ownership/documents.js"
+import type { PeerTable } from "../ownership/peers.js"
+import type { PeerCaller } from "../peer/client.js"
+
+/** How long an owner must have been silent before its endpoints are used without it. */
+const OWNER_SILENCE_MS = 3000
+const SEAL_VALID_MS = 1000
+const REPORT_VALID_MS = 250
+
+/** What a witness told when it sealed an epoch: the adapters that may still be evicted. */
+interface Seal {
+  readonly epoch: number
+  readonly avoid: ReadonlySet<AdapterKey>
+  readonly at: number
+}
+
+interface SeenReport {
+  readonly report: EngineReport
+  readonly at: number
+}
+
+/**
+ * Uses the resident adapters of endpoints whose owner doesn't answer, while
+ * no successor can be agreed on. A witness seals the owner's epoch first: it
+ * acknowledges no more evictions of it, so that the adapters which it doesn't
+ * name stay. Each instance limits itself to its share of the capacity.
+ */
+export class OwnerlessRouter {
+  private readonly seals = new Map<EndpointId, Seal>()
+  private readonly reports = new Map<EndpointId, SeenReport>()
+  private readonly running = new Map<EndpointId, number>()
+  private readonly issued = new Set<string>()
+  private counter = 0
+
+  constructor(
+    private readonly self: Incarnation,
+    private readonly documents: OwnershipDocuments,
+    private readonly peers: PeerTable,
+    private readonly caller: PeerCaller,
+    private readonly engines: ReadonlyMap<EndpointId, EnginePort>,
+    private readonly clock: Clock,
+    private readonly recorder: Recorder,
+    private readonly handleMember: (event: MemberEvent) => MemberReply,
+  ) {}
+
+  /** Finds an endpoint without an owner that has the adapter and room for one more. */
+  async acquire(request: RouteRequest, views: readonly EndpointView[]): Promise<Grant | undefined> {
+    if (this.documents.isPlatformUp) return undefined
+    for (const view of views) {
+      const ownership = this.documents.findOwnership(view.info.id)
+      if (!ownership || view.phase !== "live" || !this.isOwnerSilent(ownership)) continue
+      if (!(await this.isUsable(view, ownership, request.adapter))) continue
+      return this.issue(request, ownership)
+    }
+    return undefined
+  }
+
+  /** Frees the place of a grant that this router issued. */
+  release(grant: Grant): void {
+    if (!this.issued.delete(grant.id)) return
+    this.running.set(grant.endpoint, (this.running.get(grant.endpoint) ?? 1) - 1)
+  }
+
+  private isOwnerSilent(ownership: Ownership): boolean {
+    if (ownership.owner === this.self) return false
+    if (this.peers.isGone(ownership.owner)) return true
+    const row = this.peers.findRow(ownership.owner)
+    return row === undefined || this.clock.now() - row.heardAt > OWNER_SILENCE_MS
+  }
+
+  private async isUsable(
+    view: EndpointView,
+    ownership: Ownership,
+    adapter: AdapterKey,
+  ): Promise<boolean> {
+    const { id, capacity } = view.info
+    const members = this.documents.get(view.info.dataCentre)?.members.length ?? 1
+    const share = Math.max(1, Math.floor(capacity / members))
+    if ((this.running.get(id) ?? 0) >= share) return false
+    const report = await this.readReport(id)
+    if (!report?.resident.includes(adapter)) return false
+    const seal = await this.getSeal(ownership)
+    return seal !== undefined && !seal.avoid.has(adapter)
+  }
+
+  private issue(request: RouteRequest, ownership: Ownership): Grant | undefined {
+    const { endpoint, owner, epoch } = ownership
+    const id = `${this.self}-ownerless-${++this.counter}`
+    const { adapter } = request
+    const grant: Grant = { id, request: request.id, endpoint, adapter, owner, epoch }
+    if (this.handleMember({ kind: "grant-arrived", grant }).kind !== "accepted") return undefined
+    this.issued.add(id)
+    this.running.set(endpoint, (this.running.get(endpoint) ?? 0) + 1)
+    this.recorder.record({
+      kind: "request-granted",
+      request: request.id,
+      endpoint,
+      adapter,
+      note: "without an owner",
+    })
+    return grant
+  }
+
+  private async readReport(endpoint: EndpointId): Promise<EngineReport | undefined> {
+    const now = this.clock.now()
+    const seen = this.reports.get(endpoint)
+    if (seen && now - seen.at < REPORT_VALID_MS) return seen.report
+    try {
+      const report = await this.engines.get(endpoint)?.report()
+      if (report) this.reports.set(endpoint, { report, at: now })
+      return report
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Asks the witnesses in turn. One that answers is enough, since an eviction needs the acknowledgement of each. */
+  private async getSeal(ownership: Ownership): Promise<Seal | undefined> {
+    const { endpoint, epoch, witnesses } = ownership
+    const known = this.seals.get(endpoint)
+    const now = this.clock.now()
+    if (known?.epoch === epoch && now - known.at < SEAL_VALID_MS) return known
+    for (const witness of witnesses) {
+      const reply = await this.askSeal(witness, endpoint, epoch)
+      if (reply?.kind !== "sealed") continue
+      const seal = {
+        epoch,
+        avoid: new Set(reply.announced.map((eviction) => eviction.adapter)),
+        at: now,
+      }
+      this.seals.set(endpoint, seal)
+      return seal
+    }
+    return undefined
+  }
+
+  private async askSeal(
+    witness: Incarnation,
+    endpoint: EndpointId,
+    epoch: number,
+  ): Promise<MemberReply | undefined> {
+    if (witness === this.self) return this.handleMember({ kind: "seal-asked", endpoint, epoch })
+    const address = this.documents.findMember(witness)?.peerAddress
+    if (address === undefined) return undefined
+    try {
+      return await this.caller.sealEpoch(address, endpoint, epoch)
+    } catch {
+      return undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/router/returns.ts
@@ -0,0 +1,85 @@
+import type { Incarnation } from "@galenaway/core"
+import type { GrantReturn } from "../peer/codec.js"
+import type { PeerCaller } from "../peer/client.js"
+import type { OwnershipDocuments } from "../ownership/documents.js"
+
+const FLUSH_INTERVAL_MS = 10
+const RETRY_INTERVAL_MS = 200
+/** Returned grants that wait at most; the oldest is dropped beyond, and stays pinned until this instance has gone. */
+const LIMIT = 10_000
+
+/** Whom a return was for, and from which epoch on an owner's acknowledgement counts. */
+interface Pending {
+  readonly returned: GrantReturn
+  readonly minimumEpoch: () => number
+}
+
+/** Gives grants back to the present owners of their endpoints, together and until acknowledged. */
+export class ReturnQueue {
+  private pending: Pending[] = []
+  private timer: NodeJS.Timeout | undefined
+
+  constructor(
+    private readonly self: Incarnation,
+    private readonly documents: OwnershipDocuments,
+    private readonly caller: PeerCaller,
+    private readonly takeOwn: (returns: readonly GrantReturn[]) => void,
+  ) {}
+
+  /**
+   * Queues a return. A successor that has asked for holdings counts the grant
+   * as held, so only an owner of at least the epoch that `minimumEpoch` tells
+   * may take it.
+   */
+  add(returned: GrantReturn, minimumEpoch: () => number): void {
+    if (this.pending.length >= LIMIT) this.pending.shift()
+    this.pending.push({ returned, minimumEpoch })
+    this.schedule(FLUSH_INTERVAL_MS)
+  }
+
+  /** Sends what is pending at once. */
+  async flush(): Promise<void> {
+    clearTimeout(this.timer)
+    this.timer = undefined
+    const batch = this.pending
+    this.pending = []
+    await Promise.all(
+      [...this.groupByOwner(batch)].map(([owner, group]) => this.send(owner, group)),
+    )
+    if (this.pending.length > 0) this.schedule(RETRY_INTERVAL_MS)
+  }
+
+  private schedule(ms: number): void {
+    this.timer ??= setTimeout(() => void this.flush(), ms)
+  }
+
+  private groupByOwner(batch: readonly Pending[]): ReadonlyMap<Incarnation, Pending[]> {
+    const groups = new Map<Incarnation, Pending[]>()
+    for (const pending of batch) {
+      const owner = this.findOwner(pending)
+      if (owner === undefined) this.pending.push(pending)
+      else groups.set(owner, [...(groups.get(owner) ?? []), pending])
+    }
+    return groups
+  }
+
+  private findOwner({ returned, minimumEpoch }: Pending): Incarnation | undefined {
+    const ownership = this.documents.findOwnership(returned.endpoint)
+    return ownership && ownership.epoch >= minimumEpoch() ? ownership.owner : undefined
+  }
+
+  private async send(owner: Incarnation, group: readonly Pending[]): Promise<void> {
+    const returns = group.map(({ returned }) => returned)
+    if (owner === this.self) {
+      this.takeOwn(returns)
+      return
+    }
+    const address = this.documents.findMember(owner)?.peerAddress
+    try {
+      if (address === undefined) throw new Error("the owner has no address")
+      await this.caller.returnGrants(address, returns)
+    } catch {
+      this.pending.push(...group)
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/wait.ts
@@ -0,0 +1,13 @@
+/** Waits for a time in milliseconds, or until the signal aborts. It never fails. */
+export function waitFor(ms: number, signal?: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const settle = () => {
+      clearTimeout(timer)
+      signal?.removeEventListener("abort", settle)
+      resolve()
+    }
+    const timer = setTimeout(settle, ms)
+    if (signal?.aborted === true) settle()
+    else signal?.addEventListener("abort", settle, { once: true })
+  })
+}
--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -142,7 +142,7 @@
         GALENAWAY_ENDPOINTS: endpoints
           .map((each) => formatEndpoint(each, options.slots ?? DEFAULT_SLOTS))
           .join(";"),
-        GALENAWAY_ROUTER: options.router ?? "naive",
+        GALENAWAY_ROUTER: options.router ?? "coordinated",
         GALENAWAY_OPERATOR_KEY: OPERATOR_KEY,
         GALENAWAY_PEER_KEY: PEER_KEY,
         ...options.env,
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -16,7 +16,7 @@
   .option("--once", "send a small sample, print what it got, and stop", false)
   .option("--port <port>", "the balancer's port; 0 picks a free one", DEFAULT_PORT)
   .option("--verbose", "print the logs of all processes", false)
-  .option("--router <name>", "naive or coordinated", "naive")
+  .option("--router <name>", "naive or coordinated", "coordinated")
   .parse()
 const { once, verbose, router, port } = command.opts<DemoOptions>()
 
--- a/packages/policy/src/share.ts
+++ b/packages/policy/src/share.ts
@@ -10,7 +10,6 @@
 export const SHARE_VIEW_LIFETIME_MS = 1500
 /** What is left of a share that a successor may be using too. */
 const CONTESTED_SHARE = 0.5
-const FIRST_EPOCH = 1
 
 /** One owner's part of the weight store's budget. */
 export interface LoadShare {
@@ -34,6 +33,14 @@
   readonly endpoint: EndpointId
   readonly owner: Incarnation
   readonly epoch: number
+  /** Earlier owners that may still act. Without one nobody else uses the part, so that it counts at once. */
+  readonly predecessors: readonly EarlierOwner[]
+}
+
+/** Who owned an endpoint before, and since which epoch. */
+export interface EarlierOwner {
+  readonly owner: Incarnation
+  readonly epoch: number
 }
 
 /** What an instance has seen of the ownership documents, as far as its share depends on it. */
@@ -42,6 +49,8 @@
   /** Endpoints that the settings name, whose documents may not have been seen yet. */
   readonly endpointCount: number
   readonly documents: Map<DataCentre, SeenDocument>
+  /** Endpoints that a successor has asked for, with its epoch. */
+  readonly losses: Map<EndpointId, number>
   /** Number of endpoints in all documents, with the time at which the number was last seen. */
   readonly totals: Map<number, Millis>
 }
@@ -62,7 +71,7 @@
 
 /** Creates the tables of an instance that has seen nothing yet. */
 export function createShareTables(self: Incarnation, endpointCount: number): ShareTables {
-  return { self, endpointCount, documents: new Map(), totals: new Map() }
+  return { self, endpointCount, documents: new Map(), losses: new Map(), totals: new Map() }
 }
 
 /** Takes in a document that was read at this time. It is called for each read or watch, also when nothing changed. */
@@ -70,17 +79,34 @@
   const before = tables.documents.get(view.dataCentre)
   const hasSuspect = view.members.some((member) => member.phase === "suspect")
   const gains = new Map<EndpointId, Gain>()
-  for (const { endpoint, owner, epoch } of view.ownerships) {
-    if (owner !== tables.self) continue
+  for (const ownership of view.ownerships) {
+    const { endpoint, owner, epoch } = ownership
+    if (owner !== tables.self || epoch < (tables.losses.get(endpoint) ?? 0)) continue
     const gain = before?.gains.get(endpoint)
-    const isKept = gain?.epoch === epoch
-    const isContested = hasSuspect && (!isKept || gain.isContested)
-    gains.set(endpoint, { epoch, at: isKept ? gain.at : now, isContested })
+    const next = gain?.epoch === epoch ? gain : createGain(tables, ownership, gain, now)
+    gains.set(endpoint, { ...next, isContested: next.isContested && hasSuspect })
   }
   tables.documents.set(view.dataCentre, { view, confirmedAt: now, gains })
   markSeen(tables.totals, countEndpoints(tables), now)
 }
 
+/** Gives an endpoint's part up at once, since a successor with this epoch has asked. It is called before the answer leaves. */
+export function applyLoss(tables: ShareTables, endpoint: EndpointId, epoch: number): void {
+  tables.losses.set(endpoint, Math.max(epoch, tables.losses.get(endpoint) ?? 0))
+  for (const { gains } of tables.documents.values()) {
+    const gain = gains.get(endpoint)
+    if (gain && gain.epoch < epoch) gains.delete(endpoint)
+  }
+}
+
+/** Counts a gained endpoint from now on: every earlier owner has given its part up, or has ended. */
+export function confirmGain(tables: ShareTables, endpoint: EndpointId, epoch: number): void {
+  for (const { gains } of tables.documents.values()) {
+    const gain = gains.get(endpoint)
+    if (gain?.epoch === epoch) gains.set(endpoint, { epoch, at: -Infinity, isContested: false })
+  }
+}
+
 /**
  * Computes an instance's part of the weight store's budget from what it owns.
  * The rates of all instances never add up to more than the whole while changes
@@ -100,6 +126,19 @@
   }
 }
 
+/** A new epoch of the same owner goes on as before; others who owned the endpoint since then may still use its part. */
+function createGain(
+  tables: ShareTables,
+  { epoch, predecessors }: OwnedEndpoint,
+  previous: Gain | undefined,
+  now: Millis,
+): Gain {
+  const since = previous?.epoch ?? 0
+  const rivals = predecessors.filter((each) => each.owner !== tables.self && each.epoch > since)
+  if (rivals.length > 0) return { epoch, at: now, isContested: true }
+  return { epoch, at: previous?.at ?? -Infinity, isContested: previous?.isContested ?? false }
+}
+
 function countOwned({ confirmedAt, gains }: SeenDocument, now: Millis): number {
   const isStale = now - confirmedAt > SHARE_VIEW_LIFETIME_MS
   let owned = 0
@@ -110,9 +149,8 @@
   return owned
 }
 
-/** An ownership of the document's first epoch has no predecessor. */
 function isSettled(gain: Gain, now: Millis): boolean {
-  return gain.epoch === FIRST_EPOCH || now - gain.at >= SHARE_HOLD_BACK_MS
+  return now - gain.at >= SHARE_HOLD_BACK_MS
 }
 
 function countEndpoints(tables: ShareTables): number {
--- a/packages/policy/test/share.test.ts
+++ b/packages/policy/test/share.test.ts
@@ -5,6 +5,7 @@
   computeLoadShare,
   createShareTables,
   DEFAULT_POLICY,
+  type OwnedEndpoint,
   type OwnershipView,
   SHARE_VIEW_LIFETIME_MS,
   type ShareTables,
@@ -38,15 +39,22 @@
 })
 
 function buildHistory(list: readonly Change[]): { readonly at: number; view: OwnershipView }[] {
-  const ownerships = ENDPOINTS.map((endpoint) => ({ endpoint, owner: "i1", epoch: 1 }))
+  const ownerships: OwnedEndpoint[] = ENDPOINTS.map((endpoint) => ({
+    endpoint,
+    owner: "i1",
+    epoch: 1,
+    predecessors: [],
+  }))
   const first = { dataCentre: "x", epoch: 1, members: [], ownerships: [...ownerships] }
   const history: { readonly at: number; view: OwnershipView }[] = [{ at: 0, view: first }]
   let at = 0
   list.forEach(({ afterMs, endpoint, owner }, index) => {
     at += afterMs
     const epoch = index + 2
+    const before = ownerships[endpoint]
+    const predecessors = before ? [...before.predecessors, before] : []
     const row = { endpoint: ENDPOINTS[endpoint] ?? "", owner: OWNERS[owner] ?? "", epoch }
-    ownerships[endpoint] = row
+    ownerships[endpoint] = { ...row, predecessors }
     history.push({ at, view: { ...first, epoch, ownerships: [...ownerships] } })
   })
   return history
@@ -111,7 +119,9 @@
 it("halves the load share while a predecessor may be paused", () => {
   const tables = createShareTables("i1", 1)
   const members = [{ phase: "suspect" as const }]
-  const ownerships = [{ endpoint: "e1", owner: "i1", epoch: 2 }]
+  const ownerships = [
+    { endpoint: "e1", owner: "i1", epoch: 2, predecessors: [{ owner: "i2", epoch: 1 }] },
+  ]
   const view = { dataCentre: "x", epoch: 2, members, ownerships }
   for (let now = 0; now <= 4000; now += READ_EVERY_MS) applyOwnership(tables, view, now)
   expect(computeRate(tables, 4000)).to.equal(loads.ratePerSecond / 2)
