Policy: copies of waiting adapters, headroom for urgent work, floors for loads

Cause: in a flood of urgent work hot adapters stayed on one endpoint while others were idle (batch fill 38%); under bulk work urgent requests waited for long answers to end; loads went to the most urgent rank only.

Change: an adapter that waits for longer than a load gets a copy where there is room; lower ranks leave the places free that urgent work used of late; ranks below their floor are first for loads; the margin for a first token is 100 ms.

--- a/bench/src/policy/engine.ts
+++ b/bench/src/policy/engine.ts
@@ -115,6 +115,12 @@
     })
   }
 
+  /** Puts an adapter on the engine before the run begins. */
+  place(adapter: AdapterKey): void {
+    this.resident.set(adapter, { loadedAt: 0, uses: 1 })
+    this.latest = this.createReport()
+  }
+
   /** Returns the latest report, or undefined while the engine is down. */
   report(): EngineReport | undefined {
     return this.isDown ? undefined : this.latest
--- a/bench/src/policy/figures.ts
+++ b/bench/src/policy/figures.ts
@@ -30,6 +30,7 @@
 /** Computes the figures of a finished run. */
 export function computeFigures(world: World): Figures {
   const records = [...world.records.values()]
+  for (const record of records) closeRecord(record, world.simulation.now)
   const stalled = records.filter(({ stalledMs }) => stalledMs !== undefined)
   const urgentStalled = stalled.filter(({ request }) => request.rank === "urgent")
   const counts = [...world.engines.values()].map((engine) => engine.counts)
@@ -57,6 +58,12 @@
   }
 }
 
+/** What was never sent waited for an adapter until it was refused, or to the end. */
+function closeRecord(record: RequestRecord, end: number): void {
+  if (record.sentAt === undefined)
+    record.stalledMs ??= (record.refusedAt ?? end) - record.request.arrivedAt
+}
+
 function mapRanks(compute: (rank: Rank) => number): ByRank<number> {
   return { urgent: compute("urgent"), standard: compute("standard"), bulk: compute("bulk") }
 }
--- a/bench/src/policy/runner.ts
+++ b/bench/src/policy/runner.ts
@@ -12,8 +12,9 @@
   DRAIN_MS,
   DURING_MS,
   END_MS,
+  formatIndex,
 } from "./workload.js"
-import { createWorld, deliverRequest, type Strategy, type World } from "./world.js"
+import { createWorld, deliverRequest, SLOTS, type Strategy, type World } from "./world.js"
 
 const COLD_START_MS = 3000
 const RESTART_EVERY_MS = 4000
@@ -30,8 +31,14 @@
 
 /** Runs one case with one strategy and one seed. The same arguments give the same figures. */
 export function runCase(name: CaseName, strategyName: StrategyName, seed: number): Figures {
+  return computeFigures(runWorld(name, strategyName, seed))
+}
+
+/** Runs one case and returns the world as it is at the end. */
+export function runWorld(name: CaseName, strategyName: StrategyName, seed: number): World {
   const simulation = new Simulation()
   const world = createWorld(simulation, createRandom(seed + 1_000_000))
+  placePopular(world)
   const strategy = createStrategy(world, strategyName)
   for (const request of buildWorkload(name, seed))
     simulation.after(request.arrivedAt, () => {
@@ -48,7 +55,14 @@
     })
   scheduleFaults(world, strategy, name)
   simulation.runUntil(END_MS + DRAIN_MS)
-  return computeFigures(world)
+  return world
+}
+
+/** Fills every slot with the most popular adapters, so that a run begins warm. */
+function placePopular(world: World): void {
+  const engines = [...world.engines.values()]
+  for (let index = 0; index < engines.length * SLOTS; index++)
+    engines[index % engines.length]?.place(formatIndex(index))
 }
 
 function createStrategy(world: World, name: StrategyName): Strategy {
--- a/bench/src/policy/world.ts
+++ b/bench/src/policy/world.ts
@@ -3,7 +3,8 @@
 import type { Simulation } from "./simulation.js"
 
 const ENGINES = 13
-const SLOTS = 8
+/** Adapters that an engine holds at once. */
+export const SLOTS = 8
 const DATA_CENTRES = ["x", "y", "z"] as const
 const INSTANCE_PLACES: readonly DataCentre[] = ["x", "y", "z", "x"]
 const LOCAL_MS = 0.3
--- a/packages/policy/src/events.ts
+++ b/packages/policy/src/events.ts
@@ -8,6 +8,7 @@
   RequestId,
 } from "@galenaway/core"
 import { updateLimit } from "./capacity.js"
+import { updateDemand } from "./headroom.js"
 import { addPopularity } from "./popularity.js"
 import { addQueued, removeQueued } from "./queue.js"
 import type { SchedulerEvent } from "./scheduler.js"
@@ -120,6 +121,7 @@
     suspects: new Set(),
     running: new Map(),
     runningByRank: { urgent: 0, standard: 0, bulk: 0 },
+    urgentDemand: { mean: 0, at: now },
     limit: info.capacity,
   }
   tables.endpoints.set(info.id, row)
@@ -165,6 +167,7 @@
   updateEndpoint(tables, endpoint, (row) => {
     const run = row.running.get(request)
     if (!run) return
+    updateDemand(row, now)
     row.running.delete(request)
     row.runningByRank[run.rank]--
     if (result === "adapter-missing") row.residents.delete(run.adapter)
--- /dev/null
+++ b/packages/policy/src/evict.ts
@@ -0,0 +1,57 @@
+import type { AdapterKey, Millis } from "@galenaway/core"
+import { getPopularity } from "./popularity.js"
+import type { SchedulerOrder } from "./scheduler.js"
+import { type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
+
+/**
+ * Orders the eviction of the adapter that is worth least, on an endpoint that
+ * doesn't hold the wanted one. It never takes an adapter that is granted,
+ * waited for, suspect or on its way. Returns whether there was one.
+ */
+export function orderEviction(
+  tables: SchedulerTables,
+  wanted: AdapterKey,
+  now: Millis,
+  orders: SchedulerOrder[],
+): boolean {
+  const copies = countCopies(tables)
+  let place: EndpointRow | undefined
+  let victim: AdapterKey | undefined
+  let lowest = Infinity
+  for (const row of tables.endpoints.values()) {
+    if (!isOpen(row) || row.residents.has(wanted) || row.suspects.has(wanted)) continue
+    for (const adapter of row.residents.keys()) {
+      if (!canEvict(tables, row, adapter, now)) continue
+      const worth = getPopularity(tables, adapter, now) / (copies.get(adapter) ?? 1)
+      if (worth >= lowest) continue
+      lowest = worth
+      place = row
+      victim = adapter
+    }
+  }
+  if (!place || victim === undefined) return false
+  place.evicting.add(victim)
+  orders.push({ kind: "evict", endpoint: place.info.id, adapter: victim })
+  return true
+}
+
+/** The copies of an adapter share its requests, so each is worth a part of them. */
+function countCopies(tables: SchedulerTables): ReadonlyMap<AdapterKey, number> {
+  const copies = new Map<AdapterKey, number>()
+  for (const row of tables.endpoints.values())
+    for (const adapter of row.residents.keys()) copies.set(adapter, (copies.get(adapter) ?? 0) + 1)
+  return copies
+}
+
+function canEvict(
+  tables: SchedulerTables,
+  row: EndpointRow,
+  adapter: AdapterKey,
+  now: Millis,
+): boolean {
+  const resident = row.residents.get(adapter)
+  if (!resident || resident.running > 0) return false
+  if (row.evicting.has(adapter) || row.suspects.has(adapter)) return false
+  if ((row.blockedUntil.get(adapter) ?? 0) > now) return false
+  return !tables.queue.byAdapter.has(adapter)
+}
--- a/packages/policy/src/grant.ts
+++ b/packages/policy/src/grant.ts
@@ -1,7 +1,8 @@
 import { type AdapterKey, type Millis, type Rank, RANKS, type RouteRequest } from "@galenaway/core"
+import { hasRoomFor, updateDemand } from "./headroom.js"
 import { type AdapterQueue, removeQueued } from "./queue.js"
 import type { SchedulerOrder } from "./scheduler.js"
-import { canGrant, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
+import { canGrant, type EndpointRow, hasRoom, isOpen, type SchedulerTables } from "./tables.js"
 
 /** A waiting adapter and the endpoints that could run it now. */
 interface Candidate {
@@ -23,7 +24,10 @@
     const isBelowFloor = (row: EndpointRow) => row.runningByRank[rank] + 1 <= floor * row.limit
     grantRank(tables, candidates, rank, isBelowFloor, now, orders)
   }
-  for (const rank of RANKS) grantRank(tables, candidates, rank, () => true, now, orders)
+  for (const rank of RANKS) {
+    const hasHeadroom = (row: EndpointRow) => hasRoomFor(row, rank, tables.settings)
+    grantRank(tables, candidates, rank, hasHeadroom, now, orders)
+  }
 }
 
 function listCandidates(tables: SchedulerTables): Candidate[] {
@@ -77,10 +81,6 @@
   return best
 }
 
-function hasRoom(row: EndpointRow): boolean {
-  return row.running.size + 1 <= row.limit
-}
-
 function grantRequest(
   tables: SchedulerTables,
   request: RouteRequest,
@@ -90,6 +90,7 @@
 ): void {
   const { id, adapter, rank, maxTokens } = request
   removeQueued(tables.queue, id)
+  updateDemand(row, now)
   row.running.set(id, { adapter, rank, grantedAt: now, maxTokens })
   row.runningByRank[rank]++
   tables.placed.set(id, row.info.id)
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -1,29 +1,46 @@
-import { type AdapterKey, type Millis, RANKS } from "@galenaway/core"
-import { getPopularity } from "./popularity.js"
+import { type AdapterKey, type Millis, type Rank, RANKS } from "@galenaway/core"
+import { orderEviction } from "./evict.js"
+import { hasRoomFor } from "./headroom.js"
 import type { AdapterQueue } from "./queue.js"
 import type { SchedulerOrder } from "./scheduler.js"
 import { countSlots, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
 
 const MS_PER_SECOND = 1000
+/** Loads are counted for the ranks' floors over about this many. */
+const LOAD_MEMORY = 16
+const SHORTEST_SLACK_MS = 50
 
-/** Orders loads for waiting requests, and the evictions that make room, within this owner's share of the budget. */
+/** A waiting adapter that a load would help. */
+interface Wanted {
+  readonly group: AdapterQueue
+  /** The most urgent rank that waits for it. */
+  readonly rank: Rank
+  /** Requests that the load would bring in on time, over the time that is left for them. */
+  readonly score: number
+}
+
+/**
+ * Orders loads for waiting requests, and the evictions that make room, within
+ * this owner's share of the budget. All requests of an adapter wait for one load.
+ */
 export function runLoads(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
   refillBudget(tables, now)
-  const evicting = countAll(tables, (row) => row.evicting.size)
-  let budget = Math.min(
-    Math.floor(tables.loadBudget.tokens),
-    tables.share.inTransit - countAll(tables, (row) => row.loading.size),
-  )
+  const loading = countAll(tables, (row) => row.loading.size)
+  let budget = Math.min(Math.floor(tables.loadBudget.tokens), tables.share.inTransit - loading)
   if (budget <= 0 || tables.queue.byId.size === 0) return
-  let spare = budget - evicting
-  for (const group of listCold(tables, now)) {
-    if (budget <= 0) return
-    const row = findFreeRow(tables)
+  let spare = budget - countAll(tables, (row) => row.evicting.size)
+  const wanted = listWanted(tables, now)
+  while (budget > 0) {
+    const next = chooseNext(tables, wanted)
+    if (!next) return
+    wanted.delete(next)
+    const { adapter } = next.group
+    const row = findFreeRow(tables, adapter)
     if (row) {
-      orderLoad(tables, row, group.adapter, now, orders)
+      orderLoad(tables, row, next, now, orders)
       budget--
       spare--
-    } else if (spare > 0 && orderEviction(tables, now, orders)) spare--
+    } else if (spare > 0 && orderEviction(tables, adapter, now, orders)) spare--
     else return
   }
 }
@@ -41,34 +58,69 @@
   return sum
 }
 
-/** Lists waiting adapters that are neither resident nor loading, the most urgent and earliest first. */
-function listCold(tables: SchedulerTables, now: Millis): AdapterQueue[] {
-  const cold = [...tables.queue.byAdapter.values()].filter((group) => isWanted(tables, group, now))
-  return cold.sort(compareGroups)
+function listWanted(tables: SchedulerTables, now: Millis): Set<Wanted> {
+  const wanted = new Set<Wanted>()
+  for (const group of tables.queue.byAdapter.values()) {
+    const rank = RANKS.find((one) => group.byRank[one].length > 0)
+    if (rank !== undefined && isWanted(tables, group, rank, now))
+      wanted.add({ group, rank, score: computeScore(group, rank, now) })
+  }
+  return wanted
 }
 
-function isWanted(tables: SchedulerTables, { adapter }: AdapterQueue, now: Millis): boolean {
+/** A cold adapter is wanted, and a copy of one that waits for longer than a load while other endpoints have room. */
+function isWanted(
+  tables: SchedulerTables,
+  { adapter, byRank }: AdapterQueue,
+  rank: Rank,
+  now: Millis,
+): boolean {
   const backoff = tables.backoffs.get(adapter)
   if (backoff && backoff.retryAt > now) return false
-  for (const row of tables.endpoints.values())
-    if (isOpen(row) && (row.residents.has(adapter) || row.loading.has(adapter))) return false
-  return true
+  let isResident = false
+  let isRoomElsewhere = false
+  for (const row of tables.endpoints.values()) {
+    if (!isOpen(row)) continue
+    if (row.loading.has(adapter)) return false
+    if (row.residents.has(adapter)) isResident = true
+    else if (hasRoomFor(row, rank, tables.settings)) isRoomElsewhere = true
+  }
+  if (!isResident) return true
+  const waitedMs = now - (byRank[rank][0]?.arrivedAt ?? now)
+  return isRoomElsewhere && waitedMs > tables.settings.loads.loadMs
 }
 
-function compareGroups(a: AdapterQueue, b: AdapterQueue): number {
-  for (const rank of RANKS) {
-    const [first, second] = [a.byRank[rank][0], b.byRank[rank][0]]
-    if (first && second) return first.deadline - second.deadline
-    if (first) return -1
-    if (second) return 1
-  }
-  return 0
+function computeScore(group: AdapterQueue, rank: Rank, now: Millis): number {
+  const list = group.byRank[rank]
+  const slack = (list[0]?.deadline ?? now) - now
+  return list.length / Math.max(SHORTEST_SLACK_MS, slack)
+}
+
+/** Ranks whose loads are below their floor come first, then the most urgent; in a rank the highest score. */
+function chooseNext(tables: SchedulerTables, wanted: ReadonlySet<Wanted>): Wanted | undefined {
+  let best: Wanted | undefined
+  for (const next of wanted) if (!best || isBefore(tables, next, best)) best = next
+  return best
+}
+
+function isBefore(tables: SchedulerTables, a: Wanted, b: Wanted): boolean {
+  if (a.rank === b.rank) return a.score > b.score
+  const [isFirstBelow, isSecondBelow] = [isBelowFloor(tables, a.rank), isBelowFloor(tables, b.rank)]
+  if (isFirstBelow !== isSecondBelow) return isFirstBelow
+  return RANKS.indexOf(a.rank) < RANKS.indexOf(b.rank)
+}
+
+function isBelowFloor({ loadsByRank, settings }: SchedulerTables, rank: Rank): boolean {
+  const all = loadsByRank.urgent + loadsByRank.standard + loadsByRank.bulk
+  return loadsByRank[rank] < settings.floors[rank] * all
 }
 
-function findFreeRow(tables: SchedulerTables): EndpointRow | undefined {
+/** Finds the least loaded endpoint with a free slot that doesn't hold the adapter. */
+function findFreeRow(tables: SchedulerTables, adapter: AdapterKey): EndpointRow | undefined {
   let best: EndpointRow | undefined
   for (const row of tables.endpoints.values()) {
-    if (!isOpen(row) || countSlots(row) >= row.info.slots) continue
+    if (!isOpen(row) || row.residents.has(adapter) || countSlots(row) >= row.info.slots) continue
+    if (row.suspects.has(adapter)) continue
     if (!best || row.running.size / row.limit < best.running.size / best.limit) best = row
   }
   return best
@@ -77,45 +129,13 @@
 function orderLoad(
   tables: SchedulerTables,
   row: EndpointRow,
-  adapter: AdapterKey,
+  { group, rank }: Wanted,
   now: Millis,
   orders: SchedulerOrder[],
 ): void {
-  row.loading.set(adapter, now)
+  row.loading.set(group.adapter, now)
   tables.loadBudget.tokens--
-  orders.push({ kind: "load", endpoint: row.info.id, adapter })
-}
-
-function orderEviction(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): boolean {
-  let place: EndpointRow | undefined
-  let victim: AdapterKey | undefined
-  let lowest = Infinity
-  for (const row of tables.endpoints.values()) {
-    if (!isOpen(row)) continue
-    for (const adapter of row.residents.keys()) {
-      if (!canEvict(tables, row, adapter, now)) continue
-      const worth = getPopularity(tables, adapter, now)
-      if (worth >= lowest) continue
-      lowest = worth
-      place = row
-      victim = adapter
-    }
-  }
-  if (!place || victim === undefined) return false
-  place.evicting.add(victim)
-  orders.push({ kind: "evict", endpoint: place.info.id, adapter: victim })
-  return true
-}
-
-function canEvict(
-  tables: SchedulerTables,
-  row: EndpointRow,
-  adapter: AdapterKey,
-  now: Millis,
-): boolean {
-  const resident = row.residents.get(adapter)
-  if (!resident || resident.running > 0) return false
-  if (row.evicting.has(adapter) || row.suspects.has(adapter)) return false
-  if ((row.blockedUntil.get(adapter) ?? 0) > now) return false
-  return !tables.queue.byAdapter.has(adapter)
+  for (const one of RANKS) tables.loadsByRank[one] *= 1 - 1 / LOAD_MEMORY
+  tables.loadsByRank[rank]++
+  orders.push({ kind: "load", endpoint: row.info.id, adapter: group.adapter })
 }
--- a/packages/policy/src/refuse.ts
+++ b/packages/policy/src/refuse.ts
@@ -5,7 +5,7 @@
 
 const QUEUE_LIMIT_BYTES = 8 * 1024 * 1024
 /** The shortest time from a grant to the first token. */
-const FIRST_TOKEN_MS = 60
+const FIRST_TOKEN_MS = 100
 
 /** Refuses what can't be on time any more, and what the bounded queues can't hold. */
 export function runRefusals(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -24,6 +24,8 @@
   readonly popularity: Map<AdapterKey, Popularity>
   readonly backoffs: Map<AdapterKey, Backoff>
   readonly loadBudget: LoadBudget
+  /** Decayed counts of the loads ordered for each rank. */
+  readonly loadsByRank: Record<Rank, number>
 }
 
 /** An endpoint that this instance owns. */
@@ -45,10 +47,17 @@
   suspects: ReadonlySet<AdapterKey>
   readonly running: Map<RequestId, RunningRow>
   readonly runningByRank: Record<Rank, number>
+  readonly urgentDemand: Demand
   /** How many requests may run at once, learned from reports and returned grants. */
   limit: number
 }
 
+/** The decayed mean of the urgent requests that run on an endpoint. */
+export interface Demand {
+  mean: number
+  at: Millis
+}
+
 /** An adapter on an engine. */
 export interface ResidentRow {
   readonly loadedAt: Millis
@@ -104,6 +113,7 @@
     popularity: new Map(),
     backoffs: new Map(),
     loadBudget: { tokens: 0, at: undefined },
+    loadsByRank: { urgent: 0, standard: 0, bulk: 0 },
   }
 }
 
@@ -164,3 +174,8 @@
 export function countSlots(row: EndpointRow): number {
   return row.residents.size + row.loading.size
 }
+
+/** Tells whether an endpoint may run one request more. */
+export function hasRoom(row: EndpointRow): boolean {
+  return row.running.size + 1 <= row.limit
+}
