Policy: loads and evictions weighed by the requests they serve

Cause: loads were ordered by count over time left, so single requests of rare adapters about to be late went before popular ones; evictions never touched an adapter with waiting bulk work, and could take a popular one for a rare one.

--- a/bench/src/policy/coordinated.ts
+++ b/bench/src/policy/coordinated.ts
@@ -253,7 +253,7 @@
   private listHeld(lost: Owner, id: string): Asked[] {
     const asked = lost.asked.get(id)
     const record = this.world.records.get(id)
-    return asked?.from.site.isUp && record?.doneAt === undefined && asked ? [asked] : []
+    return asked?.from.site.isUp && record?.doneAt === undefined ? [asked] : []
   }
 
   private releaseGrants(owner: Owner, lost: Owner): void {
--- a/packages/policy/src/events.ts
+++ b/packages/policy/src/events.ts
@@ -29,7 +29,7 @@
   switch (event.kind) {
     case "submitted":
       if (tables.placed.has(event.request.id)) return
-      addPopularity(tables, event.request.adapter, now)
+      addPopularity(tables, event.request.adapter, event.request.rank, now)
       addQueued(tables.queue, event.request)
       return
     case "canceled":
--- a/packages/policy/src/evict.ts
+++ b/packages/policy/src/evict.ts
@@ -1,28 +1,31 @@
-import type { AdapterKey, Millis } from "@galenaway/core"
-import { getPopularity } from "./popularity.js"
+import { type AdapterKey, getRankOrder, type Millis, type Rank, RANKS } from "@galenaway/core"
+import type { Wanted } from "./load.js"
+import { estimateArrivals } from "./popularity.js"
 import type { SchedulerOrder } from "./scheduler.js"
 import { type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
 
 /**
- * Orders the eviction of the adapter that is worth least, on an endpoint that
- * doesn't hold the wanted one. It never takes an adapter that is granted,
- * waited for, suspect or on its way. Returns whether there was one.
+ * Orders the eviction of the adapter that is worth least, and less than the
+ * wanted one, on an endpoint that doesn't hold that. It never takes an adapter
+ * that is granted, suspect, on its way, or waited for by as urgent a rank.
+ * Returns whether there was one.
  */
 export function orderEviction(
   tables: SchedulerTables,
-  wanted: AdapterKey,
+  wanted: Wanted,
   now: Millis,
   orders: SchedulerOrder[],
 ): boolean {
+  const { adapter: key } = wanted.group
   const copies = countCopies(tables)
   let place: EndpointRow | undefined
   let victim: AdapterKey | undefined
-  let lowest = Infinity
+  let lowest = wanted.score
   for (const row of tables.endpoints.values()) {
-    if (!isOpen(row) || row.residents.has(wanted) || row.suspects.has(wanted)) continue
+    if (!isOpen(row) || row.residents.has(key) || row.suspects.has(key)) continue
     for (const adapter of row.residents.keys()) {
-      if (!canEvict(tables, row, adapter, now)) continue
-      const worth = getPopularity(tables, adapter, now) / (copies.get(adapter) ?? 1)
+      if (!canEvict(tables, row, adapter, wanted.rank, now)) continue
+      const worth = estimateArrivals(tables, adapter, now) / (copies.get(adapter) ?? 1)
       if (worth >= lowest) continue
       lowest = worth
       place = row
@@ -47,11 +50,15 @@
   tables: SchedulerTables,
   row: EndpointRow,
   adapter: AdapterKey,
+  rank: Rank,
   now: Millis,
 ): boolean {
   const resident = row.residents.get(adapter)
   if (!resident || resident.running > 0) return false
   if (row.evicting.has(adapter) || row.suspects.has(adapter)) return false
   if ((row.blockedUntil.get(adapter) ?? 0) > now) return false
-  return !tables.queue.byAdapter.has(adapter)
+  const waiting = tables.queue.byAdapter.get(adapter)
+  return (
+    !waiting || !RANKS.slice(0, getRankOrder(rank) + 1).some((one) => waiting.byRank[one].length)
+  )
 }
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -1,6 +1,7 @@
 import { type AdapterKey, type Millis, type Rank, RANKS } from "@galenaway/core"
 import { orderEviction } from "./evict.js"
 import { hasRoomFor } from "./headroom.js"
+import { estimateArrivals } from "./popularity.js"
 import type { AdapterQueue } from "./queue.js"
 import type { SchedulerOrder } from "./scheduler.js"
 import { countSlots, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
@@ -8,14 +9,13 @@
 const MS_PER_SECOND = 1000
 /** Loads are counted for the ranks' floors over about this many. */
 const LOAD_MEMORY = 16
-const SHORTEST_SLACK_MS = 50
 
 /** A waiting adapter that a load would help. */
-interface Wanted {
+export interface Wanted {
   readonly group: AdapterQueue
   /** The most urgent rank that waits for it. */
   readonly rank: Rank
-  /** Requests that the load would bring in on time, over the time that is left for them. */
+  /** Requests that the load would serve: those that wait, and those to be expected soon. */
   readonly score: number
 }
 
@@ -40,7 +40,7 @@
       orderLoad(tables, row, next, now, orders)
       budget--
       spare--
-    } else if (spare > 0 && orderEviction(tables, adapter, now, orders)) spare--
+    } else if (spare > 0 && orderEviction(tables, next, now, orders)) spare--
     else return
   }
 }
@@ -63,7 +63,7 @@
   for (const group of tables.queue.byAdapter.values()) {
     const rank = RANKS.find((one) => group.byRank[one].length > 0)
     if (rank !== undefined && isWanted(tables, group, rank, now))
-      wanted.add({ group, rank, score: computeScore(group, rank, now) })
+      wanted.add({ group, rank, score: computeScore(tables, group, rank, now) })
   }
   return wanted
 }
@@ -90,10 +90,13 @@
   return isRoomElsewhere && waitedMs > tables.settings.loads.loadMs
 }
 
-function computeScore(group: AdapterQueue, rank: Rank, now: Millis): number {
-  const list = group.byRank[rank]
-  const slack = (list[0]?.deadline ?? now) - now
-  return list.length / Math.max(SHORTEST_SLACK_MS, slack)
+function computeScore(
+  tables: SchedulerTables,
+  { adapter, byRank }: AdapterQueue,
+  rank: Rank,
+  now: Millis,
+): number {
+  return byRank[rank].length + estimateArrivals(tables, adapter, now)
 }
 
 /** Ranks whose loads are below their floor come first, then the most urgent; in a rank the highest score. */
--- a/packages/policy/src/popularity.ts
+++ b/packages/policy/src/popularity.ts
@@ -1,26 +1,40 @@
-import type { AdapterKey, Millis } from "@galenaway/core"
+import type { AdapterKey, ByRank, Millis, Rank } from "@galenaway/core"
 import type { Popularity, SchedulerTables } from "./tables.js"
 
 const HALF_LIFE_MS = 60_000
+/** How far ahead a place on an engine is judged. */
+const HORIZON_MS = 10_000
+/** Bulk requests can wait for each other, so several need one load. */
+const WEIGHTS: ByRank<number> = { urgent: 1, standard: 1, bulk: 0.25 }
 const FORGET_BELOW = 0.05
 const TABLE_LIMIT = 4096
 
 /** Counts one request for an adapter. */
-export function addPopularity(tables: SchedulerTables, adapter: AdapterKey, now: Millis): void {
+export function addPopularity(
+  tables: SchedulerTables,
+  adapter: AdapterKey,
+  rank: Rank,
+  now: Millis,
+): void {
+  const weight = WEIGHTS[rank]
   const entry = tables.popularity.get(adapter)
   if (entry) {
-    entry.count = computeDecayed(entry, now) + 1
+    entry.count = computeDecayed(entry, now) + weight
     entry.at = now
     return
   }
   if (tables.popularity.size >= TABLE_LIMIT) removeForgotten(tables, now)
-  tables.popularity.set(adapter, { count: 1, at: now })
+  tables.popularity.set(adapter, { count: weight, at: now })
 }
 
-/** Returns the decayed count of an adapter's requests. */
-export function getPopularity(tables: SchedulerTables, adapter: AdapterKey, now: Millis): number {
+/** Estimates how many requests for an adapter arrive within the time for which a place on an engine is judged. */
+export function estimateArrivals(
+  tables: SchedulerTables,
+  adapter: AdapterKey,
+  now: Millis,
+): number {
   const entry = tables.popularity.get(adapter)
-  return entry ? computeDecayed(entry, now) : 0
+  return entry ? (computeDecayed(entry, now) * Math.LN2 * HORIZON_MS) / HALF_LIFE_MS : 0
 }
 
 function computeDecayed(entry: Popularity, now: Millis): number {
