Answers: resume on a fresh connection, and repeat only while no byte went out

Cause: a stream whose connection failed or went silent was cut, and the caller could take the cut for the end. Resumes went over pooled connections, which may be the silent ones.

Change: an answer is read under a watchdog (one timer for many parts, bound relative to the token interval, and before the first token to the time left for it). A failed or silent connection is followed by a fresh one that goes on after the last part; run, request, adapter and sequence are checked on each part, repeated ones dropped, gaps refused. Before a byte went to the caller a failed run is repeated under a new grant and a new id, out of a retry budget and within the deadline; after it the stream ends with an error event and without [DONE]. A grant is released once, after the engine has answered the cancel. A server's own failure (5xx) no longer counts as not run.

Ruled out: racing each part with a promise of silence, as the promise keeps a reaction for each part; a probe over the pool, which may be silent itself.

--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,1 +1,2 @@
 export * from "./record.js"
+export * from "./timer.js"
--- /dev/null
+++ b/packages/daemon/src/caller/budget.ts
@@ -0,0 +1,19 @@
+const EARNED_BY_REQUEST = 0.1
+const MAX_TOKENS = 10
+
+/** Limits retries to a tenth of the requests, and to a few at once. */
+export class RetryBudget {
+  private tokens = MAX_TOKENS
+
+  /** Counts a new request. */
+  onRequest(): void {
+    this.tokens = Math.min(MAX_TOKENS, this.tokens + EARNED_BY_REQUEST)
+  }
+
+  /** Takes one retry out of the budget. Returns false when it is spent. */
+  take(): boolean {
+    if (this.tokens < 1) return false
+    this.tokens--
+    return true
+  }
+}
--- a/packages/daemon/src/caller/completions.ts
+++ b/packages/daemon/src/caller/completions.ts
@@ -1,30 +1,45 @@
-import { randomUUID } from "node:crypto"
 import type { Request, Response } from "@tinyhttp/app"
-import getRawBody from "raw-body"
 import {
-  type Clock,
   type EndpointId,
   type EnginePort,
+  GalenawayError,
   type Grant,
   type GrantResult,
   RefusedError,
   type Router,
-  type StreamPart,
+  type RouteRequest,
 } from "@galenaway/core"
-import { streamAnswer } from "./answer.js"
+import { type AnswerTarget, streamAnswer } from "./answer.js"
+import { RetryBudget } from "./budget.js"
 import { sendError, wrapError } from "./errors.js"
-import { type ParsedCompletion, parseCompletion, refuseInput } from "./parse.js"
+import { type ParsedCompletion, parseCompletion } from "./parse.js"
+import { readLimitedBody, readRequestIds } from "./request.js"
+import type { Timing } from "./silence.js"
+import { type Observers, RequestTracker } from "./tracker.js"
+import { type AnswerWriter, StreamWriter, WholeWriter } from "./writer.js"
 
-/** The largest accepted body of a request, in bytes. */
-export const BODY_LIMIT_BYTES = 1024 * 1024
+const MAX_ATTEMPTS = 3
+const CANCEL_TRIES = 5
+const CANCEL_RETRY_MS = 200
+
+/** What the handler works with. */
+export interface CompletionParts extends Timing, Observers {
+  readonly router: Router
+  readonly engines: ReadonlyMap<EndpointId, EnginePort>
+}
+
+interface Exchange {
+  readonly parsed: ParsedCompletion
+  readonly writer: AnswerWriter
+  readonly tracker: RequestTracker
+  readonly signal: AbortSignal
+}
 
 /** Serves `POST /v1/chat/completions`. */
 export class CompletionHandler {
-  constructor(
-    private readonly router: Router,
-    private readonly engines: ReadonlyMap<EndpointId, EnginePort>,
-    private readonly clock: Clock,
-  ) {}
+  private readonly budget = new RetryBudget()
+
+  constructor(private readonly parts: CompletionParts) {}
 
   /** Answers one request. It never throws; errors go to the caller. */
   async handle(request: Request, response: Response): Promise<void> {
@@ -33,98 +48,132 @@
       abort.abort()
     })
     try {
-      const id = randomUUID()
+      const ids = readRequestIds(request.headers)
+      response.setHeader("x-request-id", ids.caller)
       const body = await readLimitedBody(request)
-      const parsed = parseCompletion(id, body, request.headers, this.clock.now())
-      await this.run(parsed, response, abort.signal)
+      const now = this.parts.clock.now()
+      const parsed = parseCompletion(ids.own, body, request.headers, now)
+      const writer = parsed.isStreamed
+        ? new StreamWriter(response, this.parts)
+        : new WholeWriter(response)
+      const tracker = new RequestTracker(parsed.route, this.parts.clock, this.parts)
+      await this.answer({ parsed, writer, tracker, signal: abort.signal })
     } catch (error) {
       sendError(response, error)
     }
   }
 
-  private async run(parsed: ParsedCompletion, response: Response, signal: AbortSignal) {
-    const grant = await this.router.acquire(parsed.route, signal)
-    let result: GrantResult = "failed"
+  private async answer(exchange: Exchange): Promise<void> {
+    const { writer, tracker, signal } = exchange
+    this.budget.onRequest()
+    try {
+      await this.runAttempts(exchange)
+      tracker.onDone()
+    } catch (thrown) {
+      const error = wrapError(thrown)
+      if (signal.aborted || error.code === "canceled") tracker.onCanceled()
+      else tracker.onFailed(error)
+      writer.fail(error)
+    }
+  }
+
+  private async runAttempts(exchange: Exchange): Promise<void> {
+    const { route } = exchange.parsed
+    for (let attempt = 1; ; attempt++) {
+      const next = attempt === 1 ? route : { ...route, id: `${route.id}.${attempt}` }
+      const grant = await this.parts.router.acquire(next, exchange.signal)
+      try {
+        await this.runGranted(grant, next, exchange)
+        return
+      } catch (error) {
+        if (attempt === MAX_ATTEMPTS || !this.mayRepeat(error, exchange))
+          throw describeLast(error, grant)
+      }
+    }
+  }
+
+  /** Runs under one grant, which is released exactly once, after the run has ended or was canceled. */
+  private async runGranted(grant: Grant, route: RouteRequest, exchange: Exchange): Promise<void> {
+    const { router } = this.parts
+    const engine = this.parts.engines.get(grant.endpoint)
+    if (!engine) {
+      router.release(grant, "failed")
+      throw new RefusedError("no-endpoint", "send", grant.endpoint, "not in the settings")
+    }
     try {
-      const parts = this.callEngine(grant, parsed, signal)
-      if (parsed.isStreamed) await writeStream(parts, response)
-      else await writeWhole(parts, parsed.route.id, response)
-      result = "done"
+      await this.passParts({ engine, endpoint: grant.endpoint }, route, exchange)
+      router.release(grant, "done")
     } catch (error) {
-      if (signal.aborted) {
-        result = "canceled"
-        await this.engines.get(grant.endpoint)?.cancel(grant.request)
-      } else if (wrapError(error).code === "not-found") result = "adapter-missing"
+      const result = exchange.signal.aborted ? "canceled" : judgeGrant(error)
+      if (mayStillRun(error)) void this.cancelRun(engine, grant, result)
+      else router.release(grant, result)
       throw error
-    } finally {
-      this.router.release(grant, result)
     }
   }
 
-  private callEngine(grant: Grant, parsed: ParsedCompletion, signal: AbortSignal) {
-    const engine = this.engines.get(grant.endpoint)
-    if (!engine)
-      throw new RefusedError(
-        "no-endpoint",
-        "send",
-        grant.endpoint,
-        "not in this instance's settings",
-      )
-    const { id, adapter, rank, maxTokens } = parsed.route
+  private async passParts(target: AnswerTarget, route: RouteRequest, exchange: Exchange) {
+    const { parsed, writer, tracker, signal } = exchange
+    const { id, adapter, rank, maxTokens } = route
     const call = { request: id, adapter, rank, maxTokens, messages: parsed.messages }
-    return streamAnswer(engine, grant.endpoint, call, signal)
+    const { clock, wait } = this.parts
+    tracker.onSent(target.endpoint, id)
+    const onResume = tracker.onResumed.bind(tracker)
+    const options = { clock, wait, firstTokenBy: route.deadline, onResume }
+    for await (const part of streamAnswer(target, call, signal, options)) {
+      if (part.kind === "token") tracker.onToken()
+      await writer.write(part)
+    }
+  }
+
+  /** Cancels a run and then releases its grant. The run uses its adapter until the engine has answered. */
+  private async cancelRun(engine: EnginePort, grant: Grant, result: GrantResult): Promise<void> {
+    const { router, wait } = this.parts
+    for (let tries = 0; tries < CANCEL_TRIES; tries++) {
+      if (tries > 0) await wait(CANCEL_RETRY_MS * 2 ** tries)
+      if (await hasCanceled(engine, grant)) break
+    }
+    router.release(grant, result)
+  }
+
+  private mayRepeat(error: unknown, { parsed, writer, signal }: Exchange): boolean {
+    if (signal.aborted || writer.hasStarted) return false
+    if (this.parts.clock.now() >= parsed.route.deadline) return false
+    return isEngineFailure(error) && this.budget.take()
   }
 }
 
-/** Reads a body up to the limit. Throws a RefusedError beyond it. */
-export async function readLimitedBody(request: Request): Promise<string> {
+async function hasCanceled(engine: EnginePort, grant: Grant): Promise<boolean> {
   try {
-    return await getRawBody(request, { limit: BODY_LIMIT_BYTES, encoding: "utf8" })
+    await engine.cancel(grant.request)
+    return true
   } catch {
-    throw refuseInput(`body: at most ${BODY_LIMIT_BYTES} bytes`)
+    return false
   }
 }
 
-async function writeStream(parts: AsyncIterable<StreamPart>, response: Response): Promise<void> {
-  for await (const part of parts) {
-    if (!response.headersSent) response.writeHead(200, { "content-type": "text/event-stream" })
-    const isFlushed = response.write(formatChunk(part))
-    if (!isFlushed) await new Promise((resolve) => response.once("drain", resolve))
-  }
-  response.end("data: [DONE]\n\n")
+function isEngineFailure(error: unknown): boolean {
+  if (!(error instanceof GalenawayError)) return false
+  const { code } = error
+  return code === "endpoint-failed" || code === "not-found" || code === "wrong-answer"
 }
 
-async function writeWhole(
-  parts: AsyncIterable<StreamPart>,
-  id: string,
-  response: Response,
-): Promise<void> {
-  let content = ""
-  for await (const part of parts) {
-    if (part.kind === "token") content += part.text
-    else response.json(formatCompletion(part, id, content))
-  }
+function isAdapterMissing(error: unknown): boolean {
+  return error instanceof RefusedError && error.code === "not-found"
 }
 
-function formatChunk(part: StreamPart): string {
-  const delta = part.kind === "token" ? { content: part.text } : {}
-  const finish_reason = part.kind === "done" ? part.finishReason : null
-  const chunk = {
-    id: part.source.request,
-    object: "chat.completion.chunk",
-    model: part.source.adapter,
-    choices: [{ index: 0, delta, finish_reason }],
-  }
-  return `id: ${part.sequence}\ndata: ${JSON.stringify(chunk)}\n\n`
+function mayStillRun(error: unknown): boolean {
+  if (!(error instanceof GalenawayError)) return true
+  return error.outcome === "unknown" && error.code !== "not-found"
 }
 
-function formatCompletion(part: StreamPart, id: string, content: string) {
-  const finish_reason = part.kind === "done" ? part.finishReason : "length"
-  return {
-    id,
-    object: "chat.completion",
-    model: part.source.adapter,
-    choices: [{ index: 0, message: { role: "assistant", content }, finish_reason }],
-    usage: { completion_tokens: part.sequence - 1 },
-  }
+function judgeGrant(error: unknown): GrantResult {
+  if (isAdapterMissing(error)) return "adapter-missing"
+  return error instanceof RefusedError ? "endpoint-down" : "failed"
+}
+
+/** A missing adapter is the engine's word; callers hear that it couldn't be loaded. */
+function describeLast(error: unknown, grant: Grant): unknown {
+  if (!isAdapterMissing(error)) return error
+  const message = `${grant.adapter} is not resident there`
+  return new RefusedError("load-failed", "send", grant.endpoint, message, { cause: error })
 }
--- a/packages/daemon/src/caller/errors.ts
+++ b/packages/daemon/src/caller/errors.ts
@@ -22,6 +22,8 @@
   internal: 500,
 }
 
+const RETRY_AFTER_SECONDS = "1"
+
 /** The JSON form of an error towards callers and operators. */
 export interface ErrorBody {
   readonly error: {
@@ -51,12 +53,14 @@
   return { error: { code, step, peer, outcome, message } }
 }
 
-/** Sends an error as JSON, or cuts the connection when the answer has begun. */
+/** Sends an error as JSON, or cuts the connection when an answer has begun. A refusal says when to try again. */
 export function sendError(response: Response, thrown: unknown): void {
   const error = wrapError(thrown)
   if (response.headersSent) {
     response.destroy()
     return
   }
-  response.status(getStatus(error)).json(formatErrorBody(error))
+  const status = getStatus(error)
+  if (status === 429 || status === 503) response.setHeader("retry-after", RETRY_AFTER_SECONDS)
+  response.status(status).json(formatErrorBody(error))
 }
--- a/packages/daemon/src/caller/server.ts
+++ b/packages/daemon/src/caller/server.ts
@@ -1,4 +1,4 @@
-import type { Server } from "node:http"
+import { createServer, type Server } from "node:http"
 import { App } from "@tinyhttp/app"
 import type { CompletionHandler } from "./completions.js"
 import type { ServiceHandler } from "./services.js"
@@ -6,6 +6,7 @@
 
 const HEADERS_TIMEOUT_MS = 10_000
 const REQUEST_TIMEOUT_MS = 30_000
+const MAX_HEADER_BYTES = 16 * 1024
 const POLL_MS = 20
 const MICROS_PER_MS = 1000
 
@@ -45,17 +46,17 @@
 }
 
 function listen(app: App, address: Address): Promise<Server> {
+  const options = {
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+  }
+  const server = createServer(options).on("request", app.attach)
   return new Promise((resolve, reject) => {
-    const server = app.listen(
-      address.port,
-      () => {
-        resolve(server)
-      },
-      address.host,
-    )
-    server.headersTimeout = HEADERS_TIMEOUT_MS
-    server.requestTimeout = REQUEST_TIMEOUT_MS
     server.once("error", reject)
+    server.listen(address.port, address.host, () => {
+      resolve(server)
+    })
   })
 }
 
--- a/packages/daemon/src/caller/services.ts
+++ b/packages/daemon/src/caller/services.ts
@@ -9,9 +9,9 @@
   UnknownOutcomeError,
   describeError,
 } from "@galenaway/core"
-import { readLimitedBody } from "./completions.js"
 import { sendError } from "./errors.js"
 import { refuseInput } from "./parse.js"
+import { readLimitedBody } from "./request.js"
 
 const OPERATION = /^[a-z][a-z0-9-]{0,62}$/
 const MAX_KEY_CHARACTERS = 255
--- /dev/null
+++ b/packages/daemon/src/caller/timer.ts
@@ -0,0 +1,17 @@
+import type { Wait } from "@galenaway/claims"
+
+/** Waits on the process's own timers. */
+export const waitMs: Wait = (ms, signal) =>
+  new Promise((resolve) => {
+    if (signal?.aborted) {
+      resolve()
+      return
+    }
+    const finish = () => {
+      clearTimeout(timer)
+      signal?.removeEventListener("abort", finish)
+      resolve()
+    }
+    const timer = setTimeout(finish, ms)
+    signal?.addEventListener("abort", finish, { once: true })
+  })
--- /dev/null
+++ b/packages/daemon/src/caller/writer.ts
@@ -0,0 +1,105 @@
+import type { Response } from "@tinyhttp/app"
+import { GalenawayError, type StreamPart } from "@galenaway/core"
+import { formatErrorBody, sendError } from "./errors.js"
+import type { Timing } from "./silence.js"
+
+/** The longest time that a caller may take nothing while parts wait for it, in milliseconds. */
+export const STALL_LIMIT_MS = 30_000
+
+/** Gives an answer to its caller. */
+export interface AnswerWriter {
+  /** Whether a byte of the answer may have gone to the caller. */
+  readonly hasStarted: boolean
+  /** Takes the next part. Throws when the caller doesn't read for too long. */
+  write(part: StreamPart): Promise<void>
+  /** Ends with an error that can't be taken for the end of a whole answer. */
+  fail(error: GalenawayError): void
+}
+
+/** Writes parts as server-sent events. It buffers no more than the connection's own write buffer. */
+export class StreamWriter implements AnswerWriter {
+  hasStarted = false
+
+  constructor(
+    private readonly response: Response,
+    private readonly timing: Timing,
+  ) {}
+
+  async write(part: StreamPart): Promise<void> {
+    if (!this.hasStarted) {
+      this.hasStarted = true
+      const headers = { "content-type": "text/event-stream", "cache-control": "no-store" }
+      this.response.writeHead(200, headers)
+    }
+    const isFlushed = this.response.write(formatChunk(part))
+    if (part.kind === "done") this.response.end("data: [DONE]\n\n")
+    else if (!isFlushed) await this.waitForDrain()
+  }
+
+  fail(error: GalenawayError): void {
+    if (!this.hasStarted) {
+      sendError(this.response, error)
+      return
+    }
+    this.response.end(`event: error\ndata: ${JSON.stringify(formatErrorBody(error))}\n\n`)
+  }
+
+  private async waitForDrain(): Promise<void> {
+    const wait = new AbortController()
+    const wake = () => {
+      wait.abort()
+    }
+    this.response.once("drain", wake).once("close", wake)
+    await this.timing.wait(STALL_LIMIT_MS, wait.signal)
+    this.response.off("drain", wake).off("close", wake)
+    if (wait.signal.aborted) return
+    this.response.destroy()
+    const message = `the caller took nothing for ${STALL_LIMIT_MS} ms`
+    throw new GalenawayError("canceled", "stream", "caller", "unknown", message)
+  }
+}
+
+/** Collects the parts and writes the answer when it is whole. */
+export class WholeWriter implements AnswerWriter {
+  hasStarted = false
+  private content = ""
+
+  constructor(private readonly response: Response) {}
+
+  write(part: StreamPart): Promise<void> {
+    if (part.sequence === 1) this.content = ""
+    if (part.kind === "token") this.content += part.text
+    else {
+      this.hasStarted = true
+      this.response.json(formatCompletion(part, this.content))
+    }
+    return Promise.resolve()
+  }
+
+  fail(error: GalenawayError): void {
+    sendError(this.response, error)
+  }
+}
+
+function formatChunk(part: StreamPart): string {
+  const delta = part.kind === "token" ? { content: part.text } : {}
+  const finish_reason = part.kind === "done" ? part.finishReason : null
+  const chunk = {
+    id: part.source.request,
+    object: "chat.completion.chunk",
+    model: part.source.adapter,
+    choices: [{ index: 0, delta, finish_reason }],
+  }
+  return `id: ${part.sequence}\ndata: ${JSON.stringify(chunk)}\n\n`
+}
+
+function formatCompletion(part: Extract<StreamPart, { kind: "done" }>, content: string) {
+  const message = { role: "assistant", content }
+  return {
+    id: part.source.request,
+    object: "chat.completion",
+    model: part.source.adapter,
+    choices: [{ index: 0, message, finish_reason: part.finishReason }],
+    usage: { completion_tokens: part.sequence - 1 },
+  }
+}
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -13,6 +13,7 @@
 } from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
 import { CompletionHandler } from "./caller/completions.js"
+import { createTiming } from "./caller/request.js"
 import { ServiceHandler } from "./caller/services.js"
 import { systemClock } from "./clock.js"
 import { type ConfigurationKeeper, defaultKeeper } from "./configuration/keeper.js"
@@ -79,7 +80,15 @@
   registerCached(
     parts,
     CompletionHandler,
-    (c) => new CompletionHandler(c.resolve(TOKENS.router), c.resolve(TOKENS.engines), systemClock),
+    (c) =>
+      new CompletionHandler({
+        router: c.resolve(TOKENS.router),
+        engines: c.resolve(TOKENS.engines),
+        recorder: c.resolve(TOKENS.recorder),
+        metrics: c.resolve(TOKENS.metrics),
+        log: c.resolve(TOKENS.log),
+        ...createTiming(systemClock),
+      }),
   )
   registerCached(
     parts,
--- a/packages/daemon/src/endpoint/engine.ts
+++ b/packages/daemon/src/endpoint/engine.ts
@@ -1,5 +1,5 @@
 import { createParser } from "eventsource-parser"
-import { type Agent, type Dispatcher, request as sendRequest } from "undici"
+import { type Agent, Client, type Dispatcher, request as sendRequest } from "undici"
 import {
   type AdapterKey,
   type AdapterOrder,
@@ -13,13 +13,19 @@
   RefusedError,
   type RequestId,
   type RunSource,
+  type Step,
   type StreamPart,
   UnknownOutcomeError,
 } from "@galenaway/core"
+import { isConnectFailure } from "./connect.js"
 
 const ORDER_TIMEOUT_MS = 30_000
 const REPORT_TIMEOUT_MS = 1000
-const HEADERS_TIMEOUT_MS = 30_000
+const CANCEL_TIMEOUT_MS = 2000
+const HEADERS_TIMEOUT_MS = 300_000
+const CONNECT_TIMEOUT_MS = 1000
+const OK = 200
+const NOT_FOUND = 404
 
 /** An engine behind the HTTP interface of the common model servers. */
 export class HttpEngine implements EnginePort {
@@ -51,14 +57,30 @@
   ): AsyncGenerator<StreamPart> {
     const path = `/v1/chat/completions/${encodeURIComponent(request)}/events`
     const headers = { "last-event-id": String(afterSequence) }
-    const response = await this.send(path, { method: "GET", headers, signal })
-    yield* this.readStream(response)
+    const connection = this.openConnection()
+    try {
+      const options = { method: "GET", headers, signal, dispatcher: connection } as const
+      const response = await this.request("resume", path, options)
+      if (response.statusCode !== OK) throw await this.refuseResume(response)
+      yield* this.readStream(response)
+    } finally {
+      connection.destroy(null, () => undefined)
+    }
   }
 
   async cancel(request: RequestId): Promise<void> {
     const path = `/v1/chat/completions/${encodeURIComponent(request)}`
-    const response = await this.send(path, { method: "DELETE" })
-    await response.body.dump()
+    const signal = AbortSignal.timeout(CANCEL_TIMEOUT_MS)
+    const connection = this.openConnection()
+    try {
+      const options = { method: "DELETE", signal, dispatcher: connection } as const
+      const { statusCode, body } = await this.request("send", path, options)
+      await body.dump()
+      if (statusCode !== OK && statusCode !== NOT_FOUND)
+        throw this.fail("send", `status ${statusCode}`)
+    } finally {
+      connection.destroy(null, () => undefined)
+    }
   }
 
   load(order: AdapterOrder): Promise<OrderResult> {
@@ -75,6 +97,19 @@
     return (await response.body.json()) as EngineReport
   }
 
+  /** A pooled connection may have gone silent; what settles a doubt goes over one of its own. */
+  private openConnection(): Client {
+    return new Client(this.info.url, { connect: { timeout: CONNECT_TIMEOUT_MS } })
+  }
+
+  private async refuseResume(response: Dispatcher.ResponseData): Promise<UnknownOutcomeError> {
+    await response.body.dump()
+    if (response.statusCode !== NOT_FOUND)
+      return this.fail("resume", `status ${response.statusCode}`)
+    const message = "the endpoint has no such run"
+    return new UnknownOutcomeError("not-found", "resume", this.info.id, message)
+  }
+
   private async order(path: string, order: AdapterOrder): Promise<OrderResult> {
     try {
       const { statusCode, body } = await sendRequest(`${this.info.url}${path}`, {
@@ -95,33 +130,34 @@
     }
   }
 
-  private async send(
+  private async send(path: string, options: SendOptions): Promise<Dispatcher.ResponseData> {
+    const response = await this.request("send", path, options)
+    const { statusCode } = response
+    if (statusCode === OK) return response
+    const message = `status ${statusCode}: ${await response.body.text()}`
+    // A server's own failure may come after it has begun to run.
+    if (statusCode >= 500) throw this.fail("send", message)
+    const code = statusCode === NOT_FOUND ? "not-found" : "endpoint-failed"
+    throw new RefusedError(code, "send", this.info.id, message)
+  }
+
+  private async request(
+    step: Step,
     path: string,
-    options: {
-      method: Dispatcher.HttpMethod
-      headers?: Record<string, string>
-      body?: string
-      signal?: AbortSignal
-    },
+    options: SendOptions,
   ): Promise<Dispatcher.ResponseData> {
-    const peer = this.info.id
-    let response: Dispatcher.ResponseData
     try {
-      response = await sendRequest(`${this.info.url}${path}`, {
-        ...options,
+      return await sendRequest(`${this.info.url}${path}`, {
         dispatcher: this.agent,
+        ...options,
         headersTimeout: HEADERS_TIMEOUT_MS,
         bodyTimeout: 0,
       })
     } catch (error) {
-      if (isConnectFailure(error))
-        throw new RefusedError("endpoint-failed", "send", peer, describeError(error))
-      throw new UnknownOutcomeError("endpoint-failed", "send", peer, describeError(error))
+      const message = describeError(error)
+      if (!isConnectFailure(error)) throw this.fail(step, message)
+      throw new RefusedError("endpoint-failed", step, this.info.id, message)
     }
-    if (response.statusCode === 200) return response
-    const text = await response.body.text()
-    const code = response.statusCode === 404 ? "not-found" : "endpoint-failed"
-    throw new RefusedError(code, "send", peer, `status ${response.statusCode}: ${text}`)
   }
 
   private async *readStream(response: Dispatcher.ResponseData): AsyncGenerator<StreamPart> {
@@ -142,16 +178,24 @@
         }
       }
     } catch (error) {
-      throw this.failStream(describeError(error))
+      throw this.fail("stream", describeError(error))
     }
-    throw this.failStream("the stream ended early")
+    throw this.fail("stream", "the stream ended early")
   }
 
-  private failStream(message: string): UnknownOutcomeError {
-    return new UnknownOutcomeError("endpoint-failed", "stream", this.info.id, message)
+  private fail(step: Step, message: string): UnknownOutcomeError {
+    return new UnknownOutcomeError("endpoint-failed", step, this.info.id, message)
   }
 }
 
+interface SendOptions {
+  readonly method: Dispatcher.HttpMethod
+  readonly headers?: Record<string, string>
+  readonly body?: string
+  readonly signal?: AbortSignal
+  readonly dispatcher?: Dispatcher
+}
+
 interface Chunk {
   readonly id: string
   readonly model: string
@@ -177,8 +221,3 @@
     return { kind: "done", sequence, finishReason: choice.finish_reason, source }
   return { kind: "token", sequence, text: choice.delta.content ?? "", source }
 }
-
-function isConnectFailure(error: unknown): boolean {
-  const code = (error as { code?: string }).code ?? ""
-  return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" || code === "EHOSTUNREACH"
-}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./caller/answer.js"
+export * from "./caller/completions.js"
 export * from "./caller/parse.js"
 export * from "./container.js"
 export * from "./daemon.js"
--- a/packages/fakes/src/index.ts
+++ b/packages/fakes/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./balancer.js"
+export * from "./clock.js"
 export * from "./batch.js"
 export * from "./booking.js"
 export * from "./engine.js"
