--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./caller/answer.js"
 export * from "./caller/completions.js"
 export * from "./caller/parse.js"
+export * from "./caller/writer.js"
 export * from "./container.js"
 export * from "./daemon.js"
 export * from "./endpoint/engine.js"
