Claims: at most once under an idempotency key, written in groups

Cause: one value a key, two writes a call, no read-back after a lost reply, no scope, no fingerprint, no release, no bound on what is kept.

Change: a pure package. Claims of a shard stand in one document; each instance has one write of it under way and gathers what comes meanwhile. Every write is based on a fresh read, so a lost reply is settled by finding the claim's own id there, and a claim that was given up is followed by a write that a late one can't survive. A call whose sending certainly failed is released; one that may have left is kept as unknown. Settlements stay in memory, bounded, until the platform has them.

Ruled out: forgetting by wall clocks alone (a slow clock claims again; a test shows it), taking a read without the claim as proof that its write failed (it may arrive later), one value a key (two writes for each call).

Shown: on 400 random histories of lost, late and doubled writes, deaths, outages, skewed clocks and retries no key runs twice and no refusal was sent; without claims, with a release after the send, and without the memory of forgotten keys the same histories give double runs.

--- /dev/null
+++ b/packages/claims/src/document.ts
@@ -0,0 +1,221 @@
+import type { ClaimKey } from "./key.js"
+import type { ClaimLimits } from "./limits.js"
+import type { ClaimRecord, Settlement, ShardDocument } from "./record.js"
+
+const PAST_CHARACTERS = 11
+const RECORD_BYTES = 256
+
+/** A change of one claim. Applying one twice changes nothing more. */
+export type ClaimOperation =
+  | {
+      readonly kind: "claim"
+      readonly key: ClaimKey
+      readonly id: string
+      readonly author: string
+    }
+  | {
+      readonly kind: "settle"
+      readonly key: ClaimKey
+      readonly id: string
+      readonly settlement: Settlement
+    }
+  /** Takes a claim back whose call certainly hasn't run, or one whose write may still take effect. */
+  | { readonly kind: "release"; readonly key: ClaimKey; readonly id: string }
+
+/** What became of an operation. Only a claim can be anything but applied. */
+export type OperationResult =
+  | { readonly kind: "applied" }
+  /** Another claim has the key. */
+  | { readonly kind: "held"; readonly record: ClaimRecord }
+  /** The key is older than what is remembered; it may have run. */
+  | { readonly kind: "expired" }
+  /** The shard takes no more claims of this kind. */
+  | { readonly kind: "full" }
+
+/** The next document and what became of each operation, in order. */
+export interface DocumentTransaction {
+  readonly document: ShardDocument
+  readonly results: readonly OperationResult[]
+  /** Whether the document has to be written for the results to hold. */
+  readonly isChanged: boolean
+}
+
+/** The document of a shard that was never written. */
+export const EMPTY_DOCUMENT: ShardDocument = { claims: new Map(), past: "", horizon: 0 }
+
+/** Applies operations in order, and forgets what is past its retention when something else changes. */
+export function applyOperations(
+  document: ShardDocument,
+  operations: readonly ClaimOperation[],
+  wallNow: number,
+  limits: ClaimLimits,
+): DocumentTransaction {
+  const claims = new Map(document.claims)
+  const results: OperationResult[] = []
+  let isChanged = false
+  for (const operation of operations) {
+    const { digest } = operation.key
+    const held = claims.get(digest)
+    const [result, next] = applyOperation({ ...document, claims }, operation, wallNow, limits)
+    results.push(result)
+    // A release is written also when there is nothing to take back: a write of the claim
+    // that is still under way can't take effect after it.
+    if (next !== held || operation.kind === "release") isChanged = true
+    if (next) claims.set(digest, next)
+    else claims.delete(digest)
+  }
+  if (!isChanged) return { document, results, isChanged }
+  return { document: compactDocument({ ...document, claims }, wallNow, limits), results, isChanged }
+}
+
+/** Tells what a document says of a key. */
+export function findRecord(document: ShardDocument, key: ClaimKey): OperationResult | undefined {
+  const record = document.claims.get(key.digest)
+  if (record) return { kind: "held", record }
+  const isForgotten = key.issuedAt !== undefined && key.issuedAt <= document.horizon
+  if (isForgotten || hasPast(document.past, key.digest)) return { kind: "expired" }
+  return undefined
+}
+
+/** Parses a shard's value. Throws when it isn't one. */
+export function parseDocument(value: string | undefined): ShardDocument {
+  if (value === undefined) return EMPTY_DOCUMENT
+  const { claims, past, horizon } = JSON.parse(value) as {
+    claims: Record<string, ClaimRecord>
+    past: string
+    horizon: number
+  }
+  return { claims: new Map(Object.entries(claims)), past, horizon }
+}
+
+/** Formats a shard's value. */
+export function formatDocument({ claims, past, horizon }: ShardDocument): string {
+  return JSON.stringify({ claims: Object.fromEntries(claims), past, horizon })
+}
+
+type Applied = readonly [OperationResult, ClaimRecord | undefined]
+
+function applyOperation(
+  document: ShardDocument,
+  operation: ClaimOperation,
+  wallNow: number,
+  limits: ClaimLimits,
+): Applied {
+  const held = document.claims.get(operation.key.digest)
+  const isOwn = held?.id === operation.id
+  switch (operation.kind) {
+    case "claim":
+      return isOwn ? [{ kind: "applied" }, held] : addClaim(document, operation, wallNow, limits)
+    case "settle":
+      return [{ kind: "applied" }, isOwn ? settleClaim(held, operation.settlement) : held]
+    case "release":
+      return [{ kind: "applied" }, isOwn ? undefined : held]
+  }
+}
+
+function addClaim(
+  document: ShardDocument,
+  { key, id, author }: Extract<ClaimOperation, { kind: "claim" }>,
+  wallNow: number,
+  limits: ClaimLimits,
+): Applied {
+  const found = findRecord(document, key)
+  if (found) return [found, document.claims.get(key.digest)]
+  const { fingerprint, issuedAt } = key
+  if (issuedAt !== undefined && issuedAt < wallNow - limits.retentionMs)
+    return [{ kind: "expired" }, undefined]
+  if (isFull(document, issuedAt === undefined, limits)) return [{ kind: "full" }, undefined]
+  const base = {
+    id,
+    fingerprint,
+    claimedAt: wallNow,
+    ...(issuedAt === undefined ? {} : { issuedAt }),
+  }
+  return [{ kind: "applied" }, { state: "claimed", author, ...base }]
+}
+
+function settleClaim(held: ClaimRecord, settlement: Settlement): ClaimRecord {
+  if (held.state !== "claimed") return held
+  const { id, fingerprint, claimedAt, issuedAt } = held
+  const base = { id, fingerprint, claimedAt, ...(issuedAt === undefined ? {} : { issuedAt }) }
+  return { ...base, ...settlement }
+}
+
+function isFull(document: ShardDocument, isOpaque: boolean, limits: ClaimLimits): boolean {
+  const { past, claims } = document
+  // Each open opaque key will need its place among the past ones.
+  if (isOpaque && past.length + claims.size * PAST_CHARACTERS >= limits.pastBytes) return true
+  return past.length + claims.size * RECORD_BYTES >= limits.documentBytes
+}
+
+/** Drops bodies and forgets keys that are past their retention. No key that was forgotten can be claimed again. */
+export function compactDocument(
+  document: ShardDocument,
+  wallNow: number,
+  limits: ClaimLimits,
+): ShardDocument {
+  const claims = new Map<string, ClaimRecord>()
+  const forgotten: string[] = []
+  let { horizon } = document
+  for (const [digest, record] of document.claims) {
+    const isOld = (record.issuedAt ?? record.claimedAt) < wallNow - limits.retentionMs
+    if (!isOld) claims.set(digest, dropOldBody(record, wallNow - limits.bodyRetentionMs))
+    else if (record.issuedAt === undefined) forgotten.push(digest)
+    else horizon = Math.max(horizon, record.issuedAt)
+  }
+  const past = forgotten.length === 0 ? document.past : addPast(document.past, forgotten)
+  return fitDocument({ claims, past, horizon }, limits.documentBytes)
+}
+
+function fitDocument(document: ShardDocument, limitBytes: number): ShardDocument {
+  let bytes = 0
+  const claims = new Map<string, ClaimRecord>()
+  // The newest bodies are kept: a Map iterates in the order of its claims.
+  for (const [digest, record] of [...document.claims].reverse()) {
+    const bodyBytes = record.state === "done" ? countBodyBytes(record.body) : 0
+    bytes += RECORD_BYTES + bodyBytes
+    claims.set(digest, bytes > limitBytes ? dropOldBody(record, Infinity) : record)
+    if (bytes > limitBytes) bytes -= bodyBytes
+  }
+  return { ...document, claims: new Map([...claims].reverse()) }
+}
+
+function countBodyBytes(body: string | undefined): number {
+  return body === undefined ? 0 : Buffer.byteLength(JSON.stringify(body))
+}
+
+function dropOldBody(record: ClaimRecord, before: number): ClaimRecord {
+  if (record.state !== "done" || record.body === undefined || record.claimedAt >= before)
+    return record
+  const { id, fingerprint, claimedAt, issuedAt, state, status } = record
+  const base = { id, fingerprint, claimedAt, ...(issuedAt === undefined ? {} : { issuedAt }) }
+  return { ...base, state, status }
+}
+
+function addPast(past: string, digests: readonly string[]): string {
+  const known = past.match(new RegExp(`.{${PAST_CHARACTERS}}`, "gs")) ?? []
+  return [...known, ...digests.map(shortenDigest)].sort(compareText).join("")
+}
+
+function hasPast(past: string, digest: string): boolean {
+  const wanted = shortenDigest(digest)
+  let low = 0
+  let high = past.length / PAST_CHARACTERS
+  while (low < high) {
+    const middle = (low + high) >>> 1
+    const at = past.slice(middle * PAST_CHARACTERS, (middle + 1) * PAST_CHARACTERS)
+    if (at === wanted) return true
+    if (at < wanted) low = middle + 1
+    else high = middle
+  }
+  return false
+}
+
+function shortenDigest(digest: string): string {
+  return digest.slice(0, PAST_CHARACTERS)
+}
+
+function compareText(a: string, b: string): number {
+  if (a === b) return 0
+  return a < b ? -1 : 1
+}
--- a/packages/claims/src/index.ts
+++ b/packages/claims/src/index.ts
@@ -1,2 +1,7 @@
+export * from "./document.js"
+export * from "./keeper.js"
+export * from "./key.js"
+export * from "./limits.js"
 export * from "./record.js"
+export * from "./shard.js"
 export * from "./timer.js"
--- /dev/null
+++ b/packages/claims/test/claims.test.ts
@@ -0,0 +1,182 @@
+import { expect } from "chai"
+import type { GalenawayError } from "@galenaway/core"
+import { RefusedError, UnknownOutcomeError } from "@galenaway/core"
+import {
+  ClaimKeeper,
+  type ClaimLimits,
+  type KeyedCall,
+  type RecordedAnswer,
+} from "@galenaway/claims"
+import { type CallFate, createManualClock, createMemoryStore } from "@galenaway/fakes"
+
+const call: KeyedCall = { operation: "bookings", key: "k1", body: "{}" }
+const answer: RecordedAnswer = { status: 200, body: "booked" }
+
+function createScene(limits: Partial<ClaimLimits> = {}) {
+  const clock = createManualClock()
+  const fates: CallFate[] = []
+  const store = createMemoryStore({
+    wait: clock.wait,
+    getFate: () => fates.shift() ?? { kind: "answered" },
+    getDelayMs: () => 1,
+  })
+  const runs: string[] = []
+  const dead = new Set<string>()
+  const createKeeper = (author: string) =>
+    new ClaimKeeper({
+      platform: store,
+      author,
+      clock,
+      wait: clock.wait,
+      isAlive: (other) => !dead.has(other),
+      limits: { shards: 1, ...limits },
+    })
+  const send = (author: string) => () => {
+    runs.push(author)
+    return Promise.resolve(answer)
+  }
+  /** Moves the clock until a call has ended, and describes how it did. */
+  const finish = async (result: Promise<{ body: string | undefined; isReplayed: boolean }>) => {
+    const described = result.then(
+      ({ body, isReplayed }) => `${body ?? "no body"}${isReplayed ? " again" : ""}`,
+      (error: unknown) => `${(error as GalenawayError).code} ${(error as GalenawayError).outcome}`,
+    )
+    await clock.advance(4000)
+    return described
+  }
+  return { clock, store, fates, runs, dead, createKeeper, send, finish }
+}
+
+it("gives a retry through another instance the recorded answer", async () => {
+  const { createKeeper, send, finish, runs } = createScene()
+  const [a, b] = [createKeeper("a"), createKeeper("b")]
+  expect(await finish(a.runOnce(call, send("a")))).to.equal("booked")
+  expect(await finish(b.runOnce(call, send("b")))).to.equal("booked again")
+  expect(runs).to.deep.equal(["a"])
+})
+
+it("lets a retry wait for the first call", async () => {
+  const { createKeeper, send, finish, runs, clock } = createScene()
+  const [a, b] = [createKeeper("a"), createKeeper("b")]
+  const first = a.runOnce(call, async () => {
+    await clock.wait(1000)
+    return send("a")()
+  })
+  await clock.advance(10)
+  const retries = [a.runOnce(call, send("a again")), b.runOnce(call, send("b"))]
+  const results = await Promise.all([first, ...retries].map(finish))
+  expect(results).to.deep.equal(["booked", "booked again", "booked again"])
+  expect(runs).to.deep.equal(["a"])
+})
+
+it("answers unknown for a dead author, at once", async () => {
+  const { createKeeper, send, finish, clock, dead } = createScene()
+  void createKeeper("a").runOnce(call, () => new Promise(() => undefined))
+  await clock.advance(10)
+  dead.add("a")
+  const retry = createKeeper("b").runOnce(call, send("b"))
+  const early = retry.catch((error: unknown) => error)
+  await clock.advance(10)
+  expect(await early).to.be.instanceOf(UnknownOutcomeError)
+  expect(await finish(retry)).to.equal("in-progress unknown")
+})
+
+it("scopes keys by operation and refuses another body", async () => {
+  const { createKeeper, send, finish } = createScene()
+  const keeper = createKeeper("a")
+  await finish(keeper.runOnce(call, send("a")))
+  const other = keeper.runOnce({ ...call, body: "{1}" }, send("b"))
+  expect(await finish(other)).to.equal("conflict not-run")
+  const scoped = keeper.runOnce({ ...call, operation: "redemptions" }, send("c"))
+  expect(await finish(scoped)).to.equal("booked")
+})
+
+it("settles a lost reply under the claim's own id", async () => {
+  const { createKeeper, send, finish, runs, fates } = createScene()
+  fates.push({ kind: "answered" }, { kind: "reply-lost" })
+  expect(await finish(createKeeper("a").runOnce(call, send("a")))).to.equal("booked")
+  expect(runs).to.deep.equal(["a"])
+})
+
+it("lets a retry run after a certain not-run", async () => {
+  const { createKeeper, send, finish, runs } = createScene()
+  const refuse = () => Promise.reject(new RefusedError("endpoint-failed", "send", "s1", "refused"))
+  const [a, b] = [createKeeper("a"), createKeeper("b")]
+  expect(await finish(a.runOnce(call, refuse))).to.equal("endpoint-failed not-run")
+  expect(await finish(b.runOnce(call, send("b")))).to.equal("booked")
+  expect(runs).to.deep.equal(["b"])
+})
+
+it("keeps a failure after the send as unknown", async () => {
+  const { createKeeper, send, finish, runs } = createScene()
+  const hang = () => Promise.reject(new UnknownOutcomeError("endpoint-failed", "send", "s1", "cut"))
+  const [a, b] = [createKeeper("a"), createKeeper("b")]
+  expect(await finish(a.runOnce(call, hang))).to.equal("endpoint-failed unknown")
+  expect(await finish(b.runOnce(call, send("b")))).to.equal("in-progress unknown")
+  expect(runs).to.deep.equal([])
+})
+
+it("refuses as not run while the platform is down, and runs afterwards", async () => {
+  const { createKeeper, send, finish, runs, store } = createScene()
+  const keeper = createKeeper("a")
+  store.isDown = true
+  expect(await finish(keeper.runOnce(call, send("a")))).to.equal("platform-down not-run")
+  expect(keeper.openCount).to.equal(0)
+  store.isDown = false
+  expect(await finish(keeper.runOnce(call, send("a")))).to.equal("booked")
+  expect(runs).to.deep.equal(["a"])
+})
+
+it("takes a claim back that arrives after it was given up", async () => {
+  const { createKeeper, send, finish, store, fates, clock } = createScene()
+  const [a, b] = [createKeeper("a"), createKeeper("b")]
+  fates.push({ kind: "answered" }, { kind: "late", afterMs: 1800 })
+  const late = a.runOnce(call, send("a"))
+  await clock.advance(5)
+  store.isDown = true
+  expect(await finish(late)).to.equal("platform-down not-run")
+  expect(store.entries.get("galenaway/claims/0")?.value).to.contain("claimed")
+  store.isDown = false
+  expect(await finish(b.runOnce(call, send("b")))).to.equal("booked")
+})
+
+it("answers while the platform is down, and settles later", async () => {
+  const { createKeeper, finish, store, clock, send } = createScene()
+  const [a, b] = [createKeeper("a"), createKeeper("b")]
+  const first = a.runOnce(call, async () => {
+    store.isDown = true
+    return Promise.resolve(answer)
+  })
+  expect(await finish(first)).to.equal("booked")
+  expect(await finish(a.runOnce(call, send("a")))).to.equal("booked again")
+  expect(a.openCount).to.equal(2)
+  store.isDown = false
+  await clock.advance(1000)
+  expect(a.openCount).to.equal(0)
+  expect(await finish(b.runOnce(call, send("b")))).to.equal("booked again")
+})
+
+it("gives a recorded answer while the platform is down", async () => {
+  const { createKeeper, send, finish, store } = createScene()
+  const keeper = createKeeper("a")
+  await finish(keeper.runOnce(call, send("a")))
+  store.isDown = true
+  expect(await finish(keeper.runOnce(call, send("a")))).to.equal("booked again")
+})
+
+it("bounds the calls that are open", async () => {
+  const { createKeeper, finish, send, clock } = createScene({ maxOpen: 1 })
+  const keeper = createKeeper("a")
+  void keeper.runOnce(call, () => new Promise(() => undefined))
+  await clock.advance(10)
+  const second = keeper.runOnce({ ...call, key: "k2" }, send("a"))
+  expect(await finish(second)).to.equal("overloaded not-run")
+})
+
+it("writes the claims of several callers together", async () => {
+  const { createKeeper, send, finish, store } = createScene()
+  const keeper = createKeeper("a")
+  const calls = Array.from({ length: 50 }, (_, index) => ({ ...call, key: `k${index}` }))
+  await Promise.all(calls.map((each) => finish(keeper.runOnce(each, send("a")))))
+  expect(store.counters.writes).to.be.at.most(4)
+})
--- /dev/null
+++ b/packages/claims/test/document.test.ts
@@ -0,0 +1,93 @@
+import { expect } from "chai"
+import {
+  applyOperations,
+  type ClaimOperation,
+  createClaimKey,
+  DEFAULT_CLAIM_LIMITS,
+  EMPTY_DOCUMENT,
+  formatDocument,
+  parseDocument,
+  type ShardDocument,
+} from "@galenaway/claims"
+
+const limits = { ...DEFAULT_CLAIM_LIMITS, pastBytes: 44, documentBytes: 2000 }
+const START = 1_700_000_000_000
+
+function makeKey(name: string, issuedAt?: number) {
+  return { ...createClaimKey({ operation: "o", key: name, body: "" }, START), issuedAt }
+}
+
+function makeClaim(name: string, issuedAt?: number): ClaimOperation {
+  return { kind: "claim", key: makeKey(name, issuedAt), id: `id-${name}`, author: "a" }
+}
+
+function makeSettlement(name: string, body: string): ClaimOperation {
+  const settlement = { state: "done", status: 200, body } as const
+  return { kind: "settle", key: makeKey(name), id: `id-${name}`, settlement }
+}
+
+function apply(document: ShardDocument, operations: readonly ClaimOperation[], ageMs = 0) {
+  return applyOperations(document, operations, START + ageMs, limits)
+}
+
+function claimAgain(document: ShardDocument, name: string, issuedAt?: number): string {
+  const key = makeKey(name, issuedAt)
+  const again: ClaimOperation = { kind: "claim", key, id: "other", author: "b" }
+  return apply(document, [again], 2 * limits.retentionMs).results[0]?.kind ?? "none"
+}
+
+/** Applies a change long after the claims of a document, so that they are forgotten. */
+function forget(document: ShardDocument): ShardDocument {
+  const late = 2 * limits.retentionMs
+  return apply(document, [makeClaim("late", START + late)], late).document
+}
+
+it("survives its written form", () => {
+  const { document } = apply(EMPTY_DOCUMENT, [makeClaim("k1"), makeSettlement("k1", "é\n")])
+  expect(parseDocument(formatDocument(document))).to.deep.equal(document)
+})
+
+it("never claims a forgotten opaque key again", () => {
+  const document = forget(apply(EMPTY_DOCUMENT, [makeClaim("k1"), makeClaim("k2")]).document)
+  expect([...document.claims.keys()]).to.deep.equal([makeKey("late").digest])
+  expect(claimAgain({ ...document, past: "" }, "k1")).to.equal("applied")
+  expect(claimAgain(document, "k1")).to.equal("expired")
+  expect(claimAgain(document, "k2")).to.equal("expired")
+})
+
+it("never claims a forgotten key with a time again, even under a slow clock", () => {
+  const document = forget(apply(EMPTY_DOCUMENT, [makeClaim("k1", START)]).document)
+  const key = makeKey("k1", START)
+  const again: ClaimOperation = { kind: "claim", key, id: "other", author: "b" }
+  expect(apply({ ...document, horizon: 0 }, [again]).results).to.deep.equal([{ kind: "applied" }])
+  expect(apply(document, [again]).results).to.deep.equal([{ kind: "expired" }])
+  expect(document.past).to.equal("")
+})
+
+it("takes no more opaque keys than it can remember", () => {
+  const names = ["k1", "k2", "k3", "k4", "k5"].map((name) => makeClaim(name))
+  const kinds = apply(EMPTY_DOCUMENT, names).results.map(({ kind }) => kind)
+  expect(kinds).to.deep.equal(["applied", "applied", "applied", "applied", "full"])
+})
+
+it("drops the oldest bodies when the document grows", () => {
+  const operations = ["k1", "k2"].flatMap((name) => [
+    makeClaim(name),
+    makeSettlement(name, "x".repeat(1200)),
+  ])
+  const { document } = apply(EMPTY_DOCUMENT, operations)
+  const records = [...document.claims.values()]
+  expect(records.map((record) => record.state)).to.deep.equal(["done", "done"])
+  expect(records.map((record) => "body" in record)).to.deep.equal([false, true])
+})
+
+it("writes a release also when there is nothing to take back", () => {
+  const release: ClaimOperation = { kind: "release", key: makeKey("k1"), id: "id-k1" }
+  expect(apply(EMPTY_DOCUMENT, [release]).isChanged).to.equal(true)
+})
+
+it("reads the time of a key from a UUID of version 7", () => {
+  const call = { operation: "o", key: "018bcfe5-6800-7000-8000-000000000000", body: "" }
+  expect(createClaimKey(call, START).issuedAt).to.equal(START)
+  expect(createClaimKey(call, START - 600_000).issuedAt).to.equal(undefined)
+})
--- /dev/null
+++ b/packages/claims/test/property.test.ts
@@ -0,0 +1,235 @@
+import { expect } from "chai"
+import fc from "fast-check"
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus"
+import { uniformInt } from "pure-rand/distribution/uniformInt"
+import { ClaimKeeper, type ClaimStore, type KeyedCall } from "@galenaway/claims"
+import { type GalenawayError, RefusedError, UnknownOutcomeError } from "@galenaway/core"
+import { type CallFate, createManualClock, createMemoryStore } from "@galenaway/fakes"
+
+const SEED = 20_261_204
+const RETENTION_MS = 20_000
+const INSTANCES = 3
+const RUNS = 400
+const TIMED_KEY = "018bcfe5-6800-7000-8000-000000000000"
+const KEYS = ["k1", "k2", "k3", "k4", TIMED_KEY]
+
+/** One step of a history: what happens, after how long. */
+type Step = { readonly afterMs: number } & (
+  | { readonly kind: "call"; readonly instance: number; readonly key: string }
+  | { readonly kind: "death"; readonly instance: number }
+  | { readonly kind: "outage"; readonly isDown: boolean }
+)
+
+type RunOnce = ClaimKeeper["runOnce"]
+type CreateInstance = (parts: ConstructorParameters<typeof ClaimKeeper>[0]) => { runOnce: RunOnce }
+
+interface Tally {
+  readonly runs: Map<string, number>
+  /** Sends by attempt, for each attempt that was answered as not run. */
+  readonly falseRefusals: string[]
+  readonly answers: Map<string, Set<string>>
+}
+
+const afterMs = fc.oneof(
+  { weight: 8, arbitrary: fc.integer({ min: 0, max: 40 }) },
+  { weight: 2, arbitrary: fc.integer({ min: 500, max: 3 * RETENTION_MS }) },
+)
+const instance = fc.integer({ min: 0, max: INSTANCES - 1 })
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant("call"),
+      afterMs,
+      instance,
+      key: fc.constantFrom(...KEYS),
+    }),
+  },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant("death"), afterMs, instance }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("outage"), afterMs, isDown: fc.boolean() }),
+  },
+)
+const history = fc.record({
+  steps: fc.array(step, { minLength: 4, maxLength: 32 }),
+  seed: fc.integer(),
+})
+
+/** Plays a history over instances that a variant creates, and counts what the endpoint ran. */
+async function playHistory(
+  { steps, seed }: { steps: readonly Step[]; seed: number },
+  createInstance: CreateInstance,
+): Promise<Tally> {
+  const random = xoroshiro128plus(seed)
+  const draw = (max: number) => uniformInt(random, 0, max)
+  const clock = createManualClock()
+  const { wait } = clock
+  const store = createMemoryStore({
+    wait,
+    getFate: () => drawFate(draw),
+    getDelayMs: () => draw(9),
+  })
+  const tally: Tally = { runs: new Map(), falseRefusals: [], answers: new Map() }
+  let started = 0
+  const start = () => {
+    const life = { isDead: false, author: `author-${++started}` }
+    const platform = mortalise(store, life)
+    // Wall clocks differ from instance to instance.
+    const skewMs = draw(2000) - 1000
+    const own = { ...clock, wallNow: () => clock.wallNow() + skewMs }
+    const limits = { shards: 1, retentionMs: RETENTION_MS }
+    const runner = createInstance({ platform, author: life.author, clock: own, wait, limits })
+    return { life, runner }
+  }
+  const instances = Array.from({ length: INSTANCES }, start)
+  const send = async (life: { isDead: boolean }, call: KeyedCall, attempt: { sends: number }) => {
+    if (life.isDead) await new Promise(() => undefined)
+    await wait(draw(5))
+    if (life.isDead) await new Promise(() => undefined)
+    const luck = draw(9)
+    if (luck === 0) throw new RefusedError("endpoint-failed", "send", "s", "refused")
+    attempt.sends++
+    if (luck === 1) throw new UnknownOutcomeError("endpoint-failed", "send", "s", "lost")
+    const run = (tally.runs.get(call.key) ?? 0) + 1
+    tally.runs.set(call.key, run)
+    await wait(draw(30))
+    if (luck === 2) throw new UnknownOutcomeError("endpoint-failed", "send", "s", "reply lost")
+    return { status: 200, body: `run ${run}` }
+  }
+  const startCall = async (index: number, key: string) => {
+    const chosen = instances[index]
+    if (!chosen) return
+    const call = { operation: "o", key, body: "" }
+    const attempt = { sends: 0 }
+    try {
+      const answer = await chosen.runner.runOnce(call, () => send(chosen.life, call, attempt))
+      const known = tally.answers.get(key) ?? new Set()
+      tally.answers.set(key, known.add(answer.body ?? "no body"))
+    } catch (error) {
+      const isRefused = (error as GalenawayError).outcome === "not-run"
+      if (isRefused && attempt.sends > 0) tally.falseRefusals.push(key)
+    }
+  }
+  for (const each of steps) {
+    await clock.advance(each.afterMs)
+    switch (each.kind) {
+      case "call":
+        void startCall(each.instance, each.key)
+        break
+      case "death": {
+        const dying = instances[each.instance]
+        if (dying) dying.life.isDead = true
+        instances[each.instance] = start()
+        break
+      }
+      case "outage":
+        store.isDown = each.isDown
+        break
+    }
+  }
+  store.isDown = false
+  await clock.advance(10_000)
+  return tally
+}
+
+function drawFate(draw: (max: number) => number): CallFate {
+  const luck = draw(11)
+  if (luck === 0) return { kind: "reply-lost" }
+  if (luck === 1) return { kind: "request-lost" }
+  if (luck === 2) return { kind: "late", afterMs: draw(400) }
+  return { kind: "answered" }
+}
+
+/** A dead instance hears nothing and sends nothing more; what it sent before may still arrive. */
+function mortalise(store: ClaimStore, life: { isDead: boolean }): ClaimStore {
+  const never = () => new Promise<never>(() => undefined)
+  const hear = async <T>(reply: Promise<T>): Promise<T> => {
+    try {
+      return await reply
+    } finally {
+      if (life.isDead) await never()
+    }
+  }
+  return {
+    read: (key) => (life.isDead ? never() : hear(store.read(key))),
+    compareAndSwap: (key, revision, value) =>
+      life.isDead ? never() : hear(store.compareAndSwap(key, revision, value)),
+  }
+}
+
+/** Sends at once, and leaves it to the caller not to ask twice. */
+const createNaive: CreateInstance = () => ({
+  runOnce: async (_call, send) => ({ ...(await send()), isReplayed: false }),
+})
+
+/** Remembers no key beyond its retention. */
+const createForgetful: CreateInstance = (parts) => {
+  const { platform } = parts
+  const read: ClaimStore["read"] = async (key) => {
+    const current = await platform.read(key)
+    if (!current) return undefined
+    const document = JSON.parse(current.value) as object
+    return { ...current, value: JSON.stringify({ ...document, past: "", horizon: 0 }) }
+  }
+  const limits = { ...parts.limits, pastBytes: Infinity }
+  return new ClaimKeeper({ ...parts, platform: { ...platform, read }, limits })
+}
+
+/** Gives a claim back whenever its call fails, also after the send. */
+const createHasty: CreateInstance = (parts) => {
+  const keeper = new ClaimKeeper(parts)
+  return {
+    runOnce: (call, send) =>
+      keeper.runOnce(call, async () => {
+        try {
+          return await send()
+        } catch (error) {
+          throw new RefusedError("endpoint-failed", "send", "s", String(error))
+        }
+      }),
+  }
+}
+
+function findWrong({ runs, falseRefusals, answers }: Tally): string[] {
+  const doubled = [...runs].filter(([, count]) => count > 1).map(([key]) => `${key} ran twice`)
+  const split = [...answers]
+    .filter(([, bodies]) => bodies.size > 1)
+    .map(([key]) => `${key} differs`)
+  return [...doubled, ...split, ...falseRefusals.map((key) => `${key} was refused, but sent`)]
+}
+
+async function check(createInstance: CreateInstance, numRuns: number) {
+  return fc.check(
+    fc.asyncProperty(history, async (each) => {
+      expect(findWrong(await playHistory(each, createInstance))).to.deep.equal([])
+    }),
+    { seed: SEED, numRuns, endOnFailure: true },
+  )
+}
+
+it("runs at most once on random histories", async () => {
+  let runs = 0
+  const createCounting: CreateInstance = (parts) => {
+    const keeper = new ClaimKeeper(parts)
+    return {
+      runOnce: (call, send) => {
+        const count = async () => {
+          runs++
+          return send()
+        }
+        return keeper.runOnce(call, count)
+      },
+    }
+  }
+  const { failed, counterexample, errorInstance } = await check(createCounting, RUNS)
+  expect(failed, `${JSON.stringify(counterexample)} ${String(errorInstance)}`).to.equal(false)
+  expect(runs).to.be.above(RUNS)
+})
+
+it("finds double runs without claims, with early releases, and with forgotten keys", async () => {
+  const variants = [createNaive, createHasty, createForgetful]
+  const found = []
+  for (const variant of variants) found.push((await check(variant, RUNS)).failed)
+  expect(found).to.deep.equal([true, true, true])
+})
--- a/packages/daemon/src/caller/parse.ts
+++ b/packages/daemon/src/caller/parse.ts
@@ -45,7 +45,7 @@
   const adapter = parseAdapterKey(model)
   if (adapter === undefined) throw refuseInput("model: expected base/adapter@version")
   const rank = parseRank(headers["x-galenaway-rank"])
-  const deadlineMs = parseDeadline(headers["x-galenaway-deadline-ms"], rank)
+  const deadlineMs = parseDeadline(headers["x-galenaway-deadline-ms"], DEFAULT_DEADLINE_MS[rank])
   const route: RouteRequest = {
     id,
     adapter,
@@ -84,8 +84,9 @@
   throw refuseInput("x-galenaway-rank: expected urgent, standard or bulk")
 }
 
-function parseDeadline(header: string | string[] | undefined, rank: Rank): number {
-  if (header === undefined) return DEFAULT_DEADLINE_MS[rank]
+/** Parses a deadline in milliseconds from now. Throws a RefusedError for a malformed one. */
+export function parseDeadline(header: string | string[] | undefined, defaultMs: number): number {
+  if (header === undefined) return defaultMs
   const ms = Number(header)
   if (ms > 0 && ms <= MAX_DEADLINE_MS) return ms
   throw refuseInput(`x-galenaway-deadline-ms: expected 1 to ${MAX_DEADLINE_MS}`)
--- a/packages/daemon/src/caller/server.ts
+++ b/packages/daemon/src/caller/server.ts
@@ -13,7 +13,7 @@
 /** The callers' interface of a running daemon. */
 export interface CallerServer {
   readonly address: Address
-  /** Takes no new connection, waits until the running requests have their answers, at most the given time. */
+  /** Takes no new connection, waits until the running requests have their answers and the claims are settled, at most the given time. */
   drain(limitMs: number): Promise<void>
 }
 
@@ -41,7 +41,11 @@
   const server = await listen(app, address)
   return {
     address,
-    drain: (limitMs) => drainServer(server, state, limitMs),
+    drain: async (limitMs) => {
+      const end = performance.now() + limitMs
+      await drainServer(server, state, limitMs)
+      await services.drain(Math.max(0, end - performance.now()))
+    },
   }
 }
 
--- a/packages/daemon/src/caller/services.ts
+++ b/packages/daemon/src/caller/services.ts
@@ -1,94 +1,153 @@
-import { createHash, randomUUID } from "node:crypto"
 import type { Request, Response } from "@tinyhttp/app"
-import { type Agent, request as sendRequest } from "undici"
-import type { ClaimRecord, RecordedAnswer } from "@galenaway/claims"
-import {
-  type EndpointInfo,
-  type PlatformPort,
-  RefusedError,
-  UnknownOutcomeError,
-  describeError,
+import type { Agent } from "undici"
+import { type ClaimedAnswer, ClaimKeeper, type ClaimStore } from "@galenaway/claims"
+import type {
+  DataCentre,
+  EndpointId,
+  EndpointInfo,
+  GalenawayError,
+  Incarnation,
 } from "@galenaway/core"
-import { sendError } from "./errors.js"
-import { refuseInput } from "./parse.js"
-import { readLimitedBody } from "./request.js"
+import { sendError, wrapError } from "./errors.js"
+import { parseDeadline, refuseInput } from "./parse.js"
+import { ServicePool } from "./pool.js"
+import { readLimitedBody, readRequestIds } from "./request.js"
+import { type ServiceCall, ServiceSender } from "./sender.js"
+import type { Timing } from "./silence.js"
+import type { Observers } from "./tracker.js"
 
 const OPERATION = /^[a-z][a-z0-9-]{0,62}$/
 const MAX_KEY_CHARACTERS = 255
-const SERVICE_TIMEOUT_MS = 10_000
+const DEFAULT_DEADLINE_MS = 10_000
 
-/** Serves `POST /v1/services/:operation`: plain calls that run at most once under their idempotency key. */
+/** What the handler works with. */
+export interface ServiceParts extends Timing, Observers {
+  readonly endpoints: readonly EndpointInfo[]
+  readonly dataCentre: DataCentre
+  readonly platform: ClaimStore
+  readonly incarnation: Incarnation
+  readonly agent: Agent
+  /** Tells whether an endpoint may get new calls; a leaving one may not. */
+  readonly isUsable?: (endpoint: EndpointId) => boolean
+  /** Tells whether another incarnation may still settle its claims. */
+  readonly isAlive?: (author: Incarnation) => boolean
+}
+
+interface ParsedCall {
+  readonly call: ServiceCall
+  readonly key: string | undefined
+  readonly isIdempotent: boolean
+}
+
+/**
+ * Serves `POST /v1/services/:operation`. A call with an idempotency key runs
+ * at most once under it. One without is sent at most once, unless its caller
+ * says that it is idempotent.
+ */
 export class ServiceHandler {
-  private turn = 0
+  private readonly claims: ClaimKeeper
+  private readonly sender: ServiceSender
 
-  constructor(
-    private readonly services: readonly EndpointInfo[],
-    private readonly platform: PlatformPort,
-    private readonly incarnation: string,
-    private readonly agent: Agent,
-  ) {}
+  constructor(private readonly parts: ServiceParts) {
+    const { platform, incarnation: author, clock, wait, recorder, metrics, isAlive } = parts
+    this.claims = new ClaimKeeper({
+      platform,
+      author,
+      clock,
+      wait,
+      ...(isAlive ? { isAlive } : {}),
+      onEvent: (kind, key) => {
+        if (kind === "claim-written") metrics.count("claims")
+        recorder.record({ kind, note: key })
+      },
+    })
+    this.sender = new ServiceSender(new ServicePool(parts), parts.agent, parts)
+  }
 
   /** Answers one call. It never throws; errors go to the caller. */
   async handle(request: Request, response: Response): Promise<void> {
+    const start = this.parts.clock.now()
+    const operation = request.params.operation ?? ""
     try {
-      const operation = request.params.operation ?? ""
-      if (!OPERATION.test(operation)) throw refuseInput("operation: expected a lower-case name")
-      const key = request.headers["idempotency-key"]
-      if (typeof key !== "string" || key === "" || key.length > MAX_KEY_CHARACTERS)
-        throw refuseInput(`idempotency-key: expected 1 to ${MAX_KEY_CHARACTERS} characters`)
-      const answer = await this.runOnce(operation, key, await readLimitedBody(request))
-      response.status(answer.status)
-      response.setHeader("content-type", "application/json")
-      response.end(answer.body)
+      const ids = readRequestIds(request.headers)
+      response.setHeader("x-request-id", ids.caller)
+      const parsed = parseCall(ids.own, operation, request, await readLimitedBody(request))
+      await this.answer(parsed, response, start)
     } catch (error) {
       sendError(response, error)
     }
   }
 
-  private async runOnce(operation: string, key: string, body: string): Promise<RecordedAnswer> {
-    const path = `galenaway/claims/${createHash("sha256").update(key).digest("hex")}`
-    const id = randomUUID()
-    const claim: ClaimRecord = { state: "claimed", id, author: this.incarnation }
-    const isOurs = await this.writeClaim(path, claim)
-    if (!isOurs) return this.readRecorded(path)
-    const answer = await this.send(operation, key, body)
-    const done: ClaimRecord = { state: "done", id, answer }
-    const current = await this.platform.read(path)
-    await this.platform.compareAndSwap(path, current?.revision ?? 0, JSON.stringify(done))
-    return answer
+  /** Waits until every claim is settled, at most the given time. Returns how many aren't. */
+  drain(limitMs: number): Promise<number> {
+    return this.claims.drain(limitMs)
   }
 
-  private async writeClaim(path: string, claim: ClaimRecord): Promise<boolean> {
+  private async answer(parsed: ParsedCall, response: Response, start: number): Promise<void> {
+    const { recorder, log, clock } = this.parts
+    const { id: request, operation } = parsed.call
+    recorder.record({ kind: "request-received", request, note: operation })
     try {
-      return await this.platform.compareAndSwap(path, 0, JSON.stringify(claim))
-    } catch (error) {
-      throw new RefusedError("platform-down", "claim", "platform", describeError(error))
+      const answer = await this.run(parsed)
+      sendAnswer(response, answer)
+      recorder.record({ kind: "request-done", request })
+      const { status, isReplayed } = answer
+      const totalMs = Math.round(clock.now() - start)
+      log.info({ request, operation, status, isReplayed, totalMs }, "call done")
+    } catch (thrown) {
+      const error = wrapError(thrown)
+      sendError(response, error)
+      this.onFailed(parsed.call, error, start)
     }
   }
 
-  private async readRecorded(path: string): Promise<RecordedAnswer> {
-    const current = await this.platform.read(path)
-    const record = current && (JSON.parse(current.value) as ClaimRecord)
-    if (record?.state === "done") return record.answer
-    const message = "claimed earlier, its outcome is not known"
-    throw new UnknownOutcomeError("in-progress", "claim", "platform", message)
+  private async run({ call, key, isIdempotent }: ParsedCall): Promise<ClaimedAnswer> {
+    if (key !== undefined) {
+      const place = await this.sender.acquire()
+      try {
+        const { operation, body } = call
+        const send = () => place.send(call)
+        return await this.claims.runOnce({ operation, key, body }, send)
+      } finally {
+        place.release()
+      }
+    }
+    const answer = isIdempotent
+      ? await this.sender.sendIdempotent(call)
+      : await this.sender.sendOnce(call)
+    return { ...answer, isReplayed: false }
   }
 
-  private async send(operation: string, key: string, body: string): Promise<RecordedAnswer> {
-    const endpoint = this.services[this.turn++ % this.services.length]
-    if (!endpoint) throw new RefusedError("no-endpoint", "route", "none", "no service endpoint")
-    try {
-      const response = await sendRequest(`${endpoint.url}/${operation}`, {
-        method: "POST",
-        dispatcher: this.agent,
-        headers: { "content-type": "application/json", "idempotency-key": key },
-        body,
-        headersTimeout: SERVICE_TIMEOUT_MS,
-        bodyTimeout: SERVICE_TIMEOUT_MS,
-      })
-      return { status: response.statusCode, body: await response.body.text() }
-    } catch (error) {
-      throw new UnknownOutcomeError("endpoint-failed", "send", endpoint.id, describeError(error))
-    }
+  private onFailed({ id: request, operation }: ServiceCall, error: GalenawayError, start: number) {
+    const { recorder, log, clock } = this.parts
+    const { code, step, peer, outcome, message: reason } = error
+    const kind = outcome === "not-run" ? "request-refused" : "request-failed"
+    recorder.record({ kind, request, peer, step, note: code })
+    const totalMs = Math.round(clock.now() - start)
+    const text = outcome === "not-run" ? "call refused" : "call failed"
+    log.info({ request, operation, code, step, peer, outcome, reason, totalMs }, text)
   }
 }
+
+function parseCall(id: string, operation: string, request: Request, body: string): ParsedCall {
+  if (!OPERATION.test(operation)) throw refuseInput("operation: expected a lower-case name")
+  const { headers } = request
+  const key = headers["idempotency-key"]
+  const isKey = typeof key === "string" && key !== "" && key.length <= MAX_KEY_CHARACTERS
+  if (key !== undefined && !isKey)
+    throw refuseInput(`idempotency-key: expected 1 to ${MAX_KEY_CHARACTERS} characters`)
+  const idempotent = headers["x-galenaway-idempotent"]
+  if (idempotent !== undefined && idempotent !== "true" && idempotent !== "false")
+    throw refuseInput("x-galenaway-idempotent: expected true or false")
+  const timeoutMs = parseDeadline(headers["x-galenaway-deadline-ms"], DEFAULT_DEADLINE_MS)
+  const call = { id, operation, body, timeoutMs, ...(isKey ? { key } : {}) }
+  return { call, key: isKey ? key : undefined, isIdempotent: idempotent === "true" }
+}
+
+function sendAnswer(response: Response, { status, body, isReplayed }: ClaimedAnswer): void {
+  response.status(status)
+  response.setHeader("content-type", "application/json")
+  if (isReplayed) response.setHeader("x-galenaway-replayed", "true")
+  if (body === undefined) response.setHeader("x-galenaway-body", "not-kept")
+  response.end(body ?? "")
+}
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -94,12 +94,17 @@
     parts,
     ServiceHandler,
     (c) =>
-      new ServiceHandler(
-        settings.endpoints.filter((endpoint) => endpoint.kind === "service"),
-        c.resolve(TOKENS.platform),
-        c.resolve(TOKENS.incarnation),
-        c.resolve(TOKENS.agent),
-      ),
+      new ServiceHandler({
+        endpoints: settings.endpoints.filter((endpoint) => endpoint.kind === "service"),
+        dataCentre: settings.dataCentre,
+        platform: c.resolve(TOKENS.platform),
+        incarnation: c.resolve(TOKENS.incarnation),
+        agent: c.resolve(TOKENS.agent),
+        recorder: c.resolve(TOKENS.recorder),
+        metrics: c.resolve(TOKENS.metrics),
+        log: c.resolve(TOKENS.log),
+        ...createTiming(systemClock),
+      }),
   )
   return parts
 }
