--- a/packages/daemon/src/caller/pool.ts
+++ b/packages/daemon/src/caller/pool.ts
@@ -8,7 +8,7 @@
 } from "@galenaway/core"
 import type { Timing } from "./silence.js"
 
-/** How long an endpoint that refused a connection is passed over, in milliseconds. */
+/** How long an endpoint that failed is passed over, in milliseconds. */
 const AVOID_MS = 1000
 const DEFAULT_MAX_QUEUED = 256
 const DEFAULT_QUEUE_WAIT_MS = 2000
@@ -66,7 +66,7 @@
     this.queue.shift()?.()
   }
 
-  /** Passes an endpoint over for a while, because it refused a connection. */
+  /** Passes an endpoint over for a while, because a call to it failed. */
   avoid(endpoint: EndpointId): void {
     const row = this.rows.find(({ info }) => info.id === endpoint)
     if (row) row.avoidedUntil = this.options.clock.now() + AVOID_MS
--- a/packages/daemon/src/caller/sender.ts
+++ b/packages/daemon/src/caller/sender.ts
@@ -61,8 +61,8 @@
         try {
           return await this.call(endpoint, call)
         } catch (error) {
-          if (!(error instanceof RefusedError)) throw error
           this.pool.avoid(endpoint.id)
+          if (!(error instanceof RefusedError)) throw error
           tried.add(endpoint.id)
           release()
         }
