--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -13,6 +13,7 @@
 } from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
 import { CompletionHandler } from "./caller/completions.js"
+import { createTiming } from "./caller/request.js"
 import { ServiceHandler } from "./caller/services.js"
 import { systemClock } from "./clock.js"
 import { type ConfigurationKeeper, defaultKeeper } from "./configuration/keeper.js"
@@ -74,18 +75,31 @@
   registerCached(
     parts,
     CompletionHandler,
-    (c) => new CompletionHandler(c.resolve(TOKENS.router), c.resolve(TOKENS.engines), systemClock),
+    (c) =>
+      new CompletionHandler({
+        router: c.resolve(TOKENS.router),
+        engines: c.resolve(TOKENS.engines),
+        recorder: c.resolve(TOKENS.recorder),
+        metrics: c.resolve(TOKENS.metrics),
+        log: c.resolve(TOKENS.log),
+        ...createTiming(systemClock),
+      }),
   )
   registerCached(
     parts,
     ServiceHandler,
     (c) =>
-      new ServiceHandler(
-        settings.endpoints.filter((endpoint) => endpoint.kind === "service"),
-        c.resolve(TOKENS.platform),
-        c.resolve(TOKENS.incarnation),
-        c.resolve(TOKENS.agent),
-      ),
+      new ServiceHandler({
+        endpoints: settings.endpoints.filter((endpoint) => endpoint.kind === "service"),
+        dataCentre: settings.dataCentre,
+        platform: c.resolve(TOKENS.platform),
+        incarnation: c.resolve(TOKENS.incarnation),
+        agent: c.resolve(TOKENS.agent),
+        recorder: c.resolve(TOKENS.recorder),
+        metrics: c.resolve(TOKENS.metrics),
+        log: c.resolve(TOKENS.log),
+        ...createTiming(systemClock),
+      }),
   )
   return parts
 }
