Config: documented schema, contradictions, resolution and planned changes

Cause: the configuration had no schema, so wrong units and contradictions could not be refused. Weighed: refusing any two overlapping exceptions that differ (too strict for a rank and a data centre at once); a total order of match fields was taken instead, so that only equal matches contradict.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from "./check.js"
+export * from "./diff.js"
+export * from "./errors.js"
+export * from "./parse.js"
+export * from "./resolve.js"
+export * from "./schema.js"
+export * from "./stored.js"
--- /dev/null
+++ b/packages/config/src/parse.ts
@@ -0,0 +1,88 @@
+import { z } from "zod"
+import { findContradictions, type Inventory } from "./check.js"
+import { ConfigurationError, type ConfigurationIssue, createIssue } from "./errors.js"
+import { mergeSettings } from "./resolve.js"
+import { type Configuration, CONFIGURATION_SCHEMA, DEFAULT_CONFIGURATION } from "./schema.js"
+
+/** The largest accepted text of a configuration, in bytes. */
+export const CONFIGURATION_LIMIT_BYTES = 256 * 1024
+
+/** A configuration as an operator edited it. */
+export interface EditedConfiguration {
+  readonly configuration: Configuration
+  /** The revision that the operator edited, if the text says so. */
+  readonly baseRevision: number | undefined
+}
+
+/** Parses the text of an edited configuration. Throws a ConfigurationError that names each fault. */
+export function parseConfiguration(text: string, inventory?: Inventory): EditedConfiguration {
+  if (Buffer.byteLength(text) > CONFIGURATION_LIMIT_BYTES)
+    throw refuseDocument(`${text.length} characters`, `at most ${CONFIGURATION_LIMIT_BYTES} bytes`)
+  return checkConfiguration(parseJson(text), inventory)
+}
+
+/** Checks a configuration that was read from JSON and fills in what it leaves out. Throws a ConfigurationError. */
+export function checkConfiguration(value: unknown, inventory?: Inventory): EditedConfiguration {
+  const result = CONFIGURATION_SCHEMA.safeParse(value)
+  if (!result.success)
+    throw new ConfigurationError(result.error.issues.flatMap((issue) => listIssues(issue, value)))
+  const { revision, defaults, exceptions, drains } = result.data
+  const configuration: Configuration = {
+    defaults: mergeSettings(DEFAULT_CONFIGURATION.defaults, defaults),
+    exceptions,
+    drains,
+  }
+  const contradictions = findContradictions(configuration, inventory)
+  if (contradictions.length > 0) throw new ConfigurationError(contradictions)
+  return { configuration, baseRevision: revision }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw refuseDocument(text, `JSON (${(error as Error).message})`)
+  }
+}
+
+function refuseDocument(value: string, allowed: string): ConfigurationError {
+  return new ConfigurationError([createIssue("", value, allowed)])
+}
+
+function listIssues(issue: z.core.$ZodIssue, document: unknown): ConfigurationIssue[] {
+  const path = issue.path.map(String)
+  const value = readPath(document, path)
+  if (issue.code !== "unrecognized_keys")
+    return [createIssue(path.join("."), value, describeAllowed(issue))]
+  const allowed = `one of ${listKeys(path).join(", ")}`
+  return issue.keys.map((key) =>
+    createIssue([...path, key].join("."), readPath(value, [key]), `no such key; ${allowed}`),
+  )
+}
+
+function describeAllowed(issue: z.core.$ZodIssue): string {
+  if (issue.code !== "invalid_type") return issue.message
+  return issue.expected === "object" || issue.expected === "array"
+    ? `an ${issue.expected}`
+    : issue.message
+}
+
+function readPath(value: unknown, path: readonly string[]): unknown {
+  let current = value
+  for (const part of path) {
+    if (typeof current !== "object" || current === null) return undefined
+    current = (current as Record<string, unknown>)[part]
+  }
+  return current
+}
+
+/** Lists the keys that an object of the schema may have. */
+function listKeys(path: readonly string[]): string[] {
+  let schema: z.core.JSONSchema.BaseSchema = z.toJSONSchema(CONFIGURATION_SCHEMA, { io: "input" })
+  for (const part of path) {
+    const next = schema.properties?.[part] ?? schema.items
+    if (typeof next !== "object" || Array.isArray(next)) return []
+    schema = next
+  }
+  return Object.keys(schema.properties ?? {})
+}
--- /dev/null
+++ b/packages/config/src/schema.ts
@@ -0,0 +1,153 @@
+import { z } from "zod"
+import { type ByRank, RANKS } from "@galenaway/core"
+
+const NAME_TEXT = "a name of 1 to 63 letters, digits, . _ - that starts with a letter or digit"
+const REASON_LIMIT_CHARACTERS = 500
+const DAY_MS = 86_400_000
+/** The most exceptions that a configuration may have. */
+export const EXCEPTION_LIMIT = 100
+/** The most drains that a configuration may have. */
+export const DRAIN_LIMIT = 1000
+
+const NAME = z.string({ error: NAME_TEXT }).regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, NAME_TEXT)
+const SHARE = buildNumber("a share from 0 to 1, not a percentage", 0, 1)
+const DURATION_MS = buildInteger(
+  "whole milliseconds from 10 to 86400000, without a unit",
+  10,
+  DAY_MS,
+)
+const COUNT = buildInteger("a whole number from 1 to 1000000", 1, 1_000_000)
+const RATE = buildNumber("a number a second from 0.01 to 10000", 0.01, 10_000)
+
+const LOADS = z
+  .strictObject({
+    ratePerSecond: RATE.meta({
+      description: "Loads that start in a second, over the whole fleet.",
+    }),
+    burst: COUNT.meta({ description: "Loads that run at once at full speed." }),
+    inTransit: COUNT.meta({ description: "Loads in transit before each takes longer." }),
+    loadMs: DURATION_MS.meta({ description: "Expected time of a load, in milliseconds." }),
+  })
+  .partial()
+
+const SETTINGS = z.strictObject({
+  floors: byRank(SHARE, "The share of capacity that a rank keeps under a flood of any other."),
+  targetMs: byRank(DURATION_MS, "Time to the first token that is aimed at, in milliseconds."),
+  deadlineMs: byRank(
+    DURATION_MS,
+    "Time until the first token is due, in milliseconds, for a request that names no deadline.",
+  ),
+  queueLimit: byRank(COUNT, "Requests of a rank that wait at one owner at most."),
+  loads: LOADS.optional(),
+  retryShare: SHARE.optional().meta({ description: "Share of requests that may be retried." }),
+})
+
+const MATCH = z.strictObject({
+  rank: z.enum(RANKS, `one of ${RANKS.join(", ")}`).optional(),
+  dataCentre: NAME.optional(),
+  base: NAME.optional().meta({ description: "Base model." }),
+  adapter: NAME.optional().meta({ description: "Adapter without its base and version." }),
+  endpoint: NAME.optional(),
+})
+
+const REASON_TEXT = `a reason of 1 to ${REASON_LIMIT_CHARACTERS} characters`
+const ORIGIN = {
+  reason: z
+    .string({ error: REASON_TEXT })
+    .trim()
+    .min(1, REASON_TEXT)
+    .max(REASON_LIMIT_CHARACTERS, REASON_TEXT)
+    .meta({ description: "Why it is there." }),
+  author: NAME.meta({ description: "Who added it." }),
+  date: z.iso.date("a date as 2026-01-31").meta({ description: "When it was added." }),
+}
+
+const EXCEPTION = z.strictObject({
+  match: MATCH.meta({ description: "Whom it is for: all fields that are given must be equal." }),
+  set: SETTINGS.meta({ description: "The settings that differ from the defaults." }),
+  ...ORIGIN,
+})
+
+const DRAIN = z.strictObject({
+  kind: z.enum(["endpoint", "instance"], "one of endpoint, instance"),
+  id: NAME.meta({ description: "The endpoint or instance that takes no new work." }),
+  ...ORIGIN,
+})
+
+/** The schema of the configuration as an operator writes it. Every part may be left out. */
+export const CONFIGURATION_SCHEMA = z.strictObject({
+  revision: z
+    .int("a whole number from 0")
+    .min(0, "a whole number from 0")
+    .optional()
+    .meta({ description: "The revision that was edited; a change on another one is refused." }),
+  defaults: SETTINGS.default({}).meta({ description: "Settings of the whole fleet." }),
+  exceptions: z
+    .array(EXCEPTION)
+    .max(EXCEPTION_LIMIT, `at most ${EXCEPTION_LIMIT} exceptions`)
+    .default([])
+    .meta({ description: "Settings that differ for some work or some endpoints." }),
+  drains: z
+    .array(DRAIN)
+    .max(DRAIN_LIMIT, `at most ${DRAIN_LIMIT} drains`)
+    .default([])
+    .meta({ description: "Endpoints and instances that take no new work." }),
+})
+
+/** Some of the settings. */
+export type SettingsPatch = z.infer<typeof SETTINGS>
+/** Whom an exception is for. */
+export type Match = z.infer<typeof MATCH>
+/** Settings that differ for some work, and why. */
+export type ConfigurationException = z.infer<typeof EXCEPTION>
+/** An endpoint or instance that takes no new work, and why. */
+export type Drain = z.infer<typeof DRAIN>
+
+/** All settings that a configuration gives for one subject. */
+export interface FleetSettings {
+  readonly floors: ByRank<number>
+  readonly targetMs: ByRank<number>
+  readonly deadlineMs: ByRank<number>
+  readonly queueLimit: ByRank<number>
+  readonly loads: {
+    readonly ratePerSecond: number
+    readonly burst: number
+    readonly inTransit: number
+    readonly loadMs: number
+  }
+  readonly retryShare: number
+}
+
+/** The configuration that is in force: whole defaults, exceptions and drains. */
+export interface Configuration {
+  readonly defaults: FleetSettings
+  readonly exceptions: readonly ConfigurationException[]
+  readonly drains: readonly Drain[]
+}
+
+/** What holds before the first change. */
+export const DEFAULT_CONFIGURATION: Configuration = {
+  defaults: {
+    floors: { urgent: 0.4, standard: 0.2, bulk: 0.1 },
+    targetMs: { urgent: 1400, standard: 10_000, bulk: 300_000 },
+    deadlineMs: { urgent: 1400, standard: 10_000, bulk: 300_000 },
+    queueLimit: { urgent: 512, standard: 1024, bulk: 4096 },
+    loads: { ratePerSecond: 7, burst: 3, inTransit: 24, loadMs: 250 },
+    retryShare: 0.1,
+  },
+  exceptions: [],
+  drains: [],
+}
+
+function byRank<T extends z.ZodType>(value: T, description: string) {
+  const shape = { urgent: value, standard: value, bulk: value }
+  return z.strictObject(shape).partial().optional().meta({ description })
+}
+
+function buildNumber(allowed: string, low: number, high: number) {
+  return z.number({ error: allowed }).min(low, allowed).max(high, allowed)
+}
+
+function buildInteger(allowed: string, low: number, high: number) {
+  return z.int({ error: allowed }).min(low, allowed).max(high, allowed)
+}
