Daemon: keep the stored configuration in force, by watch and from peers

Cause: the daemon knew only the built-in defaults. Change: a keeper that never applies a lower revision and keeps the last good document; a watch with backoff and jitter that asks the peers at the start and fetches on a higher revision in a heartbeat; a writer that changes the value by compare-and-swap and settles a lost reply under the change's id. A starting daemon waits up to 5 s for the platform's answer or a peer's document. Ruled out: asking only some peers at the start, as the one with the highest revision could be left out. A keeper that applies the last arrival is found going back on the same histories by a test of its own.

--- a/packages/daemon/src/configuration/keeper.ts
+++ b/packages/daemon/src/configuration/keeper.ts
@@ -1,3 +1,4 @@
+import type { Subject } from "@galenaway/config"
 import { DEFAULT_POLICY, type PolicySettings } from "@galenaway/policy"
 
 /** Holds the configuration that is in force on this instance. Its revision never goes back. */
@@ -8,8 +9,8 @@
   readonly document: string
   /** Puts a document in force if its revision is higher and it is valid. Returns whether it did. */
   offer(revision: number, document: string): boolean
-  /** The part that decides how work is scheduled. */
-  getPolicy(): PolicySettings
+  /** The part that decides how work is scheduled, for a request or an endpoint; without one, the defaults. */
+  getPolicy(subject?: Subject): PolicySettings
 }
 
 /** A keeper that knows only the defaults. */
--- /dev/null
+++ b/packages/daemon/src/configuration/stored.ts
@@ -0,0 +1,73 @@
+import {
+  EMPTY_CONFIGURATION,
+  parseStored,
+  resolveSettings,
+  type StoredConfiguration,
+  type Subject,
+} from "@galenaway/config"
+import { describeError } from "@galenaway/core"
+import type { Log, Recorder } from "@galenaway/observe"
+import { DEFAULT_POLICY, type PolicySettings } from "@galenaway/policy"
+import type { ConfigurationKeeper } from "./keeper.js"
+
+/** Keeps the stored configuration in force. It is offered documents by the watch, by peers and by the operators' interface. */
+export class StoredConfigurationKeeper implements ConfigurationKeeper {
+  /** The value in force, with its history. */
+  stored: StoredConfiguration = EMPTY_CONFIGURATION
+  document = ""
+  private refusedRevision = 0
+  private readonly policies = new Map<string, PolicySettings>()
+
+  constructor(
+    private readonly log: Pick<Log, "info" | "warn">,
+    private readonly recorder: Recorder,
+  ) {}
+
+  get revision(): number {
+    return this.stored.revision
+  }
+
+  offer(revision: number, document: string): boolean {
+    if (revision <= this.revision) return false
+    const stored = this.parse(revision, document)
+    if (!stored) return false
+    this.stored = stored
+    this.document = document
+    this.policies.clear()
+    this.log.info({ revision, author: stored.history[0]?.author }, "configuration in force")
+    this.recorder.record({ kind: "configuration-applied", note: `revision ${revision}` })
+    return true
+  }
+
+  getPolicy(subject: Subject = {}): PolicySettings {
+    const key = JSON.stringify(subject)
+    const known = this.policies.get(key)
+    if (known) return known
+    const { settings } = resolveSettings(this.stored.configuration, subject)
+    const policy = { ...DEFAULT_POLICY, ...settings }
+    if (this.policies.size >= CACHED_POLICIES) this.policies.clear()
+    this.policies.set(key, policy)
+    return policy
+  }
+
+  private parse(revision: number, document: string): StoredConfiguration | undefined {
+    try {
+      const stored = parseStored(document)
+      if (stored.revision === revision) return stored
+      this.refuse(revision, `the document says revision ${stored.revision}`)
+    } catch (error) {
+      this.refuse(revision, describeError(error))
+    }
+    return undefined
+  }
+
+  /** Logs a refused revision once, as every peer may offer it again and again. */
+  private refuse(revision: number, reason: string): void {
+    if (revision === this.refusedRevision) return
+    this.refusedRevision = revision
+    const fields = { step: "config", revision, inForce: this.revision, reason }
+    this.log.warn(fields, "configuration refused, the last good one stays in force")
+  }
+}
+
+const CACHED_POLICIES = 1024
--- /dev/null
+++ b/packages/daemon/src/configuration/writer.ts
@@ -0,0 +1,157 @@
+import {
+  type ChangeOrigin,
+  type ChangeRecord,
+  type Configuration,
+  CONFIGURATION_KEY,
+  type EditedConfiguration,
+  EMPTY_CONFIGURATION,
+  formatStored,
+  parseStored,
+  planChange,
+  type StoredConfiguration,
+} from "@galenaway/config"
+import {
+  describeError,
+  PlatformError,
+  type PlatformPort,
+  RefusedError,
+  UnknownOutcomeError,
+  type Versioned,
+} from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+import { computeBackoffMs, type Timing } from "./backoff.js"
+import type { StoredConfigurationKeeper } from "./stored.js"
+
+/** Tries of one change while the platform's service fails. */
+const TRIES = 4
+/** Tries of an edit that others overtake. */
+const EDIT_TRIES = 8
+
+/** What became of a change. */
+export type ChangeResult =
+  | { readonly kind: "accepted"; readonly record: ChangeRecord }
+  | { readonly kind: "unchanged"; readonly revision: number }
+  | {
+      readonly kind: "conflict"
+      readonly revision: number
+      readonly winners: readonly ChangeRecord[]
+    }
+
+/** What the writer needs. */
+export interface WriterParts {
+  readonly platform: Pick<PlatformPort, "read" | "compareAndSwap">
+  readonly keeper: StoredConfigurationKeeper
+  readonly timing: Timing
+  readonly log: Pick<Log, "info">
+}
+
+type Attempt = ChangeResult | { readonly kind: "overtaken" }
+
+/** Writes changes of the configuration by compare-and-swap. */
+export class ConfigurationWriter {
+  constructor(private readonly parts: WriterParts) {}
+
+  /**
+   * Makes a change. The same change under the same id may be tried again, also
+   * through another instance: it takes effect at most once. Throws an
+   * UnknownOutcomeError when a write may have left and can't be read back.
+   */
+  async change(edited: EditedConfiguration, origin: ChangeOrigin): Promise<ChangeResult> {
+    const state = { mayHaveWritten: false }
+    let failure: unknown
+    for (let turn = 1; turn <= TRIES; turn++) {
+      try {
+        const result = await this.attempt(edited, origin, state)
+        if (result.kind !== "overtaken") return this.logResult(result, origin)
+      } catch (error) {
+        if (!(error instanceof PlatformError)) throw error
+        failure = error
+        const ms = computeBackoffMs(turn, this.parts.timing.random())
+        await this.parts.timing.pause(ms, new AbortController().signal)
+      }
+    }
+    throw createFailure(state.mayHaveWritten, origin.id, failure)
+  }
+
+  /** Makes a change on whatever configuration is current, again when another change came first. */
+  async edit(
+    makeNext: (current: Configuration) => Configuration,
+    origin: ChangeOrigin,
+  ): Promise<ChangeResult> {
+    let result: ChangeResult | undefined
+    for (let turn = 0; turn < EDIT_TRIES; turn++) {
+      const { configuration, revision } = await this.readCurrent()
+      const edited = { configuration: makeNext(configuration), baseRevision: revision }
+      result = await this.change(edited, origin)
+      if (result.kind !== "conflict") return result
+    }
+    if (result) return result
+    throw new RefusedError("conflict", "config", "platform", "overtaken by other changes")
+  }
+
+  /** Reads the current value. Throws a PlatformError when the platform's service doesn't answer. */
+  async readCurrent(): Promise<StoredConfiguration> {
+    return this.getNewer(await this.parts.platform.read(CONFIGURATION_KEY))
+  }
+
+  private async attempt(
+    edited: EditedConfiguration,
+    origin: ChangeOrigin,
+    state: { mayHaveWritten: boolean },
+  ): Promise<Attempt> {
+    const { platform, keeper } = this.parts
+    const found = await platform.read(CONFIGURATION_KEY)
+    const current = this.getNewer(found)
+    const plan = planChange(current, edited, origin)
+    switch (plan.kind) {
+      case "done":
+        return { kind: "accepted", record: plan.record }
+      case "unchanged":
+        return { kind: "unchanged", revision: current.revision }
+      case "conflict":
+        return { kind: "conflict", revision: current.revision, winners: plan.winners }
+      case "write": {
+        const [record] = plan.next.history
+        const value = formatStored(plan.next)
+        state.mayHaveWritten = true
+        const isWritten = await platform.compareAndSwap(
+          CONFIGURATION_KEY,
+          found?.revision ?? 0,
+          value,
+        )
+        if (!isWritten || !record) return { kind: "overtaken" }
+        keeper.offer(plan.next.revision, value)
+        return { kind: "accepted", record }
+      }
+    }
+  }
+
+  /** What is in force here replaces a stored value that was lost, damaged or set back from outside. */
+  private getNewer(found: Versioned | undefined): StoredConfiguration {
+    const { stored } = this.parts.keeper
+    const read = found ? parseReadable(found.value) : EMPTY_CONFIGURATION
+    if (!read && stored.revision === 0)
+      throw new RefusedError("conflict", "config", "platform", "the stored value is not readable")
+    return read && read.revision >= stored.revision ? read : stored
+  }
+
+  private logResult(result: ChangeResult, { id, author }: ChangeOrigin): ChangeResult {
+    this.parts.log.info({ step: "config", change: id, author, result: result.kind }, "change")
+    return result
+  }
+}
+
+function parseReadable(value: string): StoredConfiguration | undefined {
+  try {
+    return parseStored(value)
+  } catch {
+    return undefined
+  }
+}
+
+function createFailure(mayHaveWritten: boolean, id: string, failure: unknown) {
+  const reason = describeError(failure)
+  if (!mayHaveWritten) return new RefusedError("platform-down", "config", "platform", reason)
+  const message = `change ${id} may have taken effect, ask again under its id: ${reason}`
+  return new UnknownOutcomeError("platform-down", "config", "platform", message)
+}
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -15,7 +15,9 @@
 import { CompletionHandler } from "./caller/completions.js"
 import { ServiceHandler } from "./caller/services.js"
 import { systemClock } from "./clock.js"
-import { type ConfigurationKeeper, defaultKeeper } from "./configuration/keeper.js"
+import type { ConfigurationKeeper } from "./configuration/keeper.js"
+import { registerConfiguration } from "./configuration/parts.js"
+import { StoredConfigurationKeeper } from "./configuration/stored.js"
 import { HttpEngine } from "./endpoint/engine.js"
 import { ConsulPlatform } from "./platform/consul.js"
 import { NaiveRouter } from "./router/naive.js"
@@ -55,7 +57,8 @@
   parts.registerInstance<Log>(TOKENS.log, createLog(settings.logLevel, { instance, dataCentre }))
   parts.registerInstance<Recorder>(TOKENS.recorder, silentRecorder)
   parts.registerInstance<Metrics>(TOKENS.metrics, silentMetrics)
-  parts.registerInstance<ConfigurationKeeper>(TOKENS.keeper, defaultKeeper)
+  registerConfiguration(parts)
+  parts.register<ConfigurationKeeper>(TOKENS.keeper, { useToken: StoredConfigurationKeeper })
   registerCached<PlatformPort>(
     parts,
     TOKENS.platform,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,11 +2,14 @@
 import { CompletionHandler } from "./caller/completions.js"
 import { type CallerServer, startCallerServer } from "./caller/server.js"
 import { ServiceHandler } from "./caller/services.js"
+import { ConfigurationWatch } from "./configuration/watch.js"
 import { createContainer, type EngineMap, type RowMap, TOKENS } from "./container.js"
 import { refreshReports } from "./router/reports.js"
 import type { Settings } from "./settings.js"
 
 const REPORT_INTERVAL_MS = 200
+/** How long a starting daemon waits for a configuration before it serves under the built-in defaults. */
+const CONFIGURATION_WAIT_MS = 5000
 
 /** A running daemon. */
 export interface Daemon {
@@ -20,7 +23,9 @@
   const log = parts.resolve<Log>(TOKENS.log)
   const rows = parts.resolve<RowMap>(TOKENS.rows)
   const engines = parts.resolve<EngineMap>(TOKENS.engines)
-  await refreshReports(rows, engines)
+  const watch = parts.resolve(ConfigurationWatch)
+  watch.start()
+  await Promise.all([refreshReports(rows, engines), watch.waitForFirst(CONFIGURATION_WAIT_MS)])
   const timer = setInterval(() => void refreshReports(rows, engines), REPORT_INTERVAL_MS)
   const callers = await startCallerServer(
     settings.listen,
@@ -28,11 +33,12 @@
     parts.resolve(ServiceHandler),
   )
   log.info({ listen: `${settings.listen.host}:${settings.listen.port}` }, "started")
-  return { stop: () => stopDaemon(callers, timer, settings, log) }
+  return { stop: () => stopDaemon(callers, watch, timer, settings, log) }
 }
 
 async function stopDaemon(
   callers: CallerServer,
+  watch: ConfigurationWatch,
   timer: NodeJS.Timeout,
   settings: Settings,
   log: Log,
@@ -40,5 +46,6 @@
   log.info("draining")
   await callers.drain(settings.drainSeconds * 1000)
   clearInterval(timer)
+  await watch.stop()
   log.info("stopped")
 }
--- /dev/null
+++ b/packages/daemon/test/configuration-keeper.test.ts
@@ -0,0 +1,136 @@
+import { expect } from "chai"
+import fc from "fast-check"
+import { checkConfiguration, EMPTY_CONFIGURATION, formatStored } from "@galenaway/config"
+import { type ConfigurationKeeper, ConfigurationWatch, defaultKeeper } from "@galenaway/daemon"
+import { silentRecorder } from "@galenaway/observe"
+import {
+  buildDocuments,
+  createKeeper,
+  createMemoryLog,
+  createTiming,
+} from "./configuration-support.js"
+
+const SEED = 23
+const RUNS = 300
+const INSTANCES = 3
+const DOCUMENTS = buildDocuments(30)
+
+it("refuses a damaged document, once in the log, and keeps the last good one", () => {
+  const { lines, log } = createMemoryLog()
+  const keeper = createKeeper(log)
+  keeper.offer(1, DOCUMENTS[0] ?? "")
+  const taken = [keeper.offer(2, "{}"), keeper.offer(2, "{}")]
+  const refusals = lines.filter((line) => line.includes("configuration refused"))
+  expect([taken, keeper.revision, refusals.length]).to.deep.equal([[false, false], 1, 1])
+})
+
+it("refuses a document under a revision that is not its own", () => {
+  expect(createKeeper().offer(9, DOCUMENTS[0] ?? "")).to.equal(false)
+})
+
+it("gives the policy of an exception's subject", () => {
+  const origin = { reason: "season", author: "maria", date: "2026-01-31" }
+  const exception = { match: { endpoint: "engine-1" }, set: { retryShare: 0.5 }, ...origin }
+  const { configuration } = checkConfiguration({ exceptions: [exception] })
+  const keeper = createKeeper()
+  keeper.offer(1, formatStored({ ...EMPTY_CONFIGURATION, revision: 1, configuration }))
+  const shares = [keeper.getPolicy({ endpoint: "engine-1" }), keeper.getPolicy()]
+  expect(shares.map((each) => each.retryShare)).to.deep.equal([0.5, 0.1])
+})
+
+/** What happens to a fleet: the platform takes a change, a watch returns late, a heartbeat arrives, an instance restarts during an outage. */
+type FleetStep =
+  | { readonly kind: "write" }
+  | { readonly kind: "watch"; readonly to: number; readonly lag: number }
+  | { readonly kind: "heartbeat"; readonly from: number; readonly to: number }
+  | { readonly kind: "restart"; readonly to: number }
+
+const INSTANCE = fc.nat(INSTANCES - 1)
+const STEP: fc.Arbitrary<FleetStep> = fc.oneof(
+  fc.record({ kind: fc.constant("write" as const) }),
+  fc.record({ kind: fc.constant("watch" as const), to: INSTANCE, lag: fc.nat(4) }),
+  fc.record({ kind: fc.constant("heartbeat" as const), from: INSTANCE, to: INSTANCE }),
+  fc.record({ kind: fc.constant("restart" as const), to: INSTANCE }),
+)
+const HISTORY = fc.array(STEP, { maxLength: 30 })
+
+/** Runs a history; returns false when a revision goes back, a restarted instance knows less than its peers, or one never reaches the highest. */
+async function runHistory(steps: readonly FleetStep[], create: () => ConfigurationKeeper) {
+  const keepers = Array.from({ length: INSTANCES }, create)
+  const watches = keepers.map((_, index) => createWatch(keepers, index))
+  let written = 0
+  for (const step of steps) {
+    const before = keepers.map((each) => each.revision)
+    if (step.kind === "write") written = Math.min(written + 1, DOCUMENTS.length)
+    else if (step.kind === "watch") {
+      const revision = Math.max(0, written - step.lag)
+      keepers[step.to]?.offer(revision, DOCUMENTS[revision - 1] ?? "")
+    } else if (step.kind === "heartbeat") {
+      await watches[step.to]?.noticeRevision(`${step.from}`, keepers[step.from]?.revision ?? 0)
+    } else {
+      keepers[step.to] = create()
+      watches[step.to] = createWatch(keepers, step.to)
+      await watches[step.to]?.askPeers()
+      before[step.to] = Math.max(...before.filter((_, index) => index !== step.to))
+    }
+    if (keepers.some((each, index) => each.revision < (before[index] ?? 0))) return false
+  }
+  keepers[0]?.offer(written, DOCUMENTS[written - 1] ?? "")
+  for (const watch of watches) await watch.askPeers()
+  return keepers.every((each) => each.revision === written)
+}
+
+function createWatch(keepers: readonly ConfigurationKeeper[], self: number) {
+  const peers = {
+    listPeers: () => keepers.map((_, index) => `${index}`).filter((id) => id !== `${self}`),
+    fetch: (peer: string, aboveRevision: number) => {
+      const { revision = 0, document = "" } = keepers[Number(peer)] ?? {}
+      const isHigher = revision > 0 && (revision > aboveRevision || aboveRevision === Infinity)
+      return Promise.resolve(isHigher ? { revision, document } : undefined)
+    },
+  }
+  const keeper: ConfigurationKeeper = {
+    ...defaultKeeper,
+    get revision() {
+      return keepers[self]?.revision ?? 0
+    },
+    offer: (revision, document) => keepers[self]?.offer(revision, document) ?? false,
+  }
+  const platform = {
+    read: () => Promise.resolve(undefined),
+    watch: () => Promise.resolve(undefined),
+  }
+  const { log } = createMemoryLog()
+  const timing = createTiming()
+  return new ConfigurationWatch({ platform, peers, keeper, timing, log, recorder: silentRecorder })
+}
+
+/** Applies whatever arrives last. */
+function createNaiveKeeper(): ConfigurationKeeper {
+  const state = { revision: 0, document: "" }
+  return {
+    ...defaultKeeper,
+    get revision() {
+      return state.revision
+    },
+    get document() {
+      return state.document
+    },
+    offer: (revision, document) => Boolean(Object.assign(state, { revision, document })),
+  }
+}
+
+function checkHistories(create: () => ConfigurationKeeper) {
+  const property = fc.asyncProperty(HISTORY, (steps) => runHistory(steps, create))
+  return fc.check(property, { seed: SEED, numRuns: RUNS })
+}
+
+it("never goes back to a lower revision, and every instance reaches the highest", async () => {
+  const { counterexample } = await checkHistories(createKeeper)
+  expect(counterexample).to.equal(null)
+})
+
+it("finds a keeper that applies the last arrival going back", async () => {
+  const { failed } = await checkHistories(createNaiveKeeper)
+  expect(failed).to.equal(true)
+})
--- /dev/null
+++ b/packages/daemon/test/configuration-support.ts
@@ -0,0 +1,91 @@
+import {
+  checkConfiguration,
+  CONFIGURATION_KEY,
+  EMPTY_CONFIGURATION,
+  formatStored,
+  planChange,
+  type StoredConfiguration,
+} from "@galenaway/config"
+import { PlatformError, type Versioned } from "@galenaway/core"
+import { StoredConfigurationKeeper, type Timing } from "@galenaway/daemon"
+import { createLog, silentRecorder } from "@galenaway/observe"
+
+const LONG_PAUSE_MS = 5000
+const BURSTS = 1000
+
+/** A log that keeps its lines. */
+export function createMemoryLog() {
+  const lines: string[] = []
+  const origin = { instance: "entry-1", dataCentre: "iloilo" }
+  const destination = { write: (line: string) => void lines.push(line) }
+  return { lines, log: createLog("info", origin, destination) }
+}
+
+export function createKeeper(log = createMemoryLog().log): StoredConfigurationKeeper {
+  return new StoredConfigurationKeeper(log, silentRecorder)
+}
+
+export function buildEdited(burst: number, baseRevision: number) {
+  const { configuration } = checkConfiguration({ defaults: { loads: { burst } } })
+  return { configuration, baseRevision }
+}
+
+export function buildOrigin(id: string) {
+  return { id, author: "maria", reason: "more loads", at: "2026-01-31T06:00:00.000Z" }
+}
+
+/** Lists stored documents of the revisions 1 to count. */
+export function buildDocuments(count: number): string[] {
+  let stored: StoredConfiguration = EMPTY_CONFIGURATION
+  return Array.from({ length: count }, (_, index) => {
+    const edited = buildEdited(1 + (index % BURSTS), index)
+    const plan = planChange(stored, edited, buildOrigin(`change-${index + 1}`))
+    if (plan.kind !== "write") throw new Error(plan.kind)
+    stored = plan.next
+    return formatStored(stored)
+  })
+}
+
+/** Pauses that end at once and are recorded; long ones never end. */
+export function createTiming(random = 0.5): Timing & { readonly pauses: number[] } {
+  const pauses: number[] = []
+  const pause = (ms: number) => {
+    if (ms >= LONG_PAUSE_MS) return new Promise<void>(() => undefined)
+    pauses.push(ms)
+    return Promise.resolve()
+  }
+  return { pauses, pause, random: () => random }
+}
+
+/** The configuration's key of a platform in memory, with switches for faults. */
+export class MemoryPlatform {
+  entry: Versioned | undefined
+  failingReads = 0
+  /** Writes that take effect and whose reply is lost. */
+  lostReplies = 0
+  /** What happens after each of the next reads, when its value is already on the way. */
+  afterReads: (() => void)[] = []
+
+  read(key: string): Promise<Versioned | undefined> {
+    if (key !== CONFIGURATION_KEY) throw new Error(key)
+    if (this.failingReads-- > 0) return Promise.reject(new PlatformError("platform", "down"))
+    const found = this.entry
+    this.afterReads.shift()?.()
+    return Promise.resolve(found)
+  }
+
+  compareAndSwap(_key: string, expectedRevision: number, value: string): Promise<boolean> {
+    if ((this.entry?.revision ?? 0) !== expectedRevision) return Promise.resolve(false)
+    this.set(value)
+    if (this.lostReplies-- > 0) return Promise.reject(new PlatformError("platform", "no reply"))
+    return Promise.resolve(true)
+  }
+
+  watch(): Promise<Versioned | undefined> {
+    return new Promise(() => undefined)
+  }
+
+  set(value: string): void {
+    this.entry = { value, revision: (this.entry?.revision ?? 0) + 1 }
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/configuration-writer.test.ts
@@ -0,0 +1,119 @@
+import { expect } from "chai"
+import { Agent } from "undici"
+import { CONFIGURATION_KEY, parseStored } from "@galenaway/config"
+import { RefusedError, UnknownOutcomeError } from "@galenaway/core"
+import { ConfigurationWriter, ConsulPlatform, type WriterParts } from "@galenaway/daemon"
+import { startPlatform } from "@galenaway/fakes"
+import {
+  buildDocuments,
+  buildEdited,
+  buildOrigin,
+  createKeeper,
+  createMemoryLog,
+  createTiming,
+  MemoryPlatform,
+} from "./configuration-support.js"
+
+const RACES = 20
+const ORIGIN = buildOrigin("change-a")
+
+function createWriter(platform: WriterParts["platform"], keeper = createKeeper()) {
+  const { log } = createMemoryLog()
+  return new ConfigurationWriter({ platform, keeper, timing: createTiming(), log })
+}
+
+async function readThrown(call: Promise<unknown>): Promise<unknown> {
+  return call.then(
+    () => undefined,
+    (error: unknown) => error,
+  )
+}
+
+it("settles a lost reply by reading back", async () => {
+  const platform = new MemoryPlatform()
+  platform.lostReplies = 1
+  const result = await createWriter(platform).change(buildEdited(4, 0), ORIGIN)
+  expect(result).to.deep.include({ kind: "accepted" })
+  expect(parseStored(platform.entry?.value ?? "").revision).to.equal(1)
+})
+
+it("says unknown when a write can't be read back", async () => {
+  const platform = new MemoryPlatform()
+  platform.lostReplies = 1
+  platform.afterReads = [() => (platform.failingReads = Infinity)]
+  const error = await readThrown(createWriter(platform).change(buildEdited(4, 0), ORIGIN))
+  expect(error).to.be.instanceOf(UnknownOutcomeError)
+})
+
+it("says not run when no write has left", async () => {
+  const platform = new MemoryPlatform()
+  platform.failingReads = Infinity
+  const error = await readThrown(createWriter(platform).change(buildEdited(4, 0), ORIGIN))
+  expect(error).to.be.instanceOf(RefusedError)
+})
+
+it("takes a change once when it is sent again through another instance", async () => {
+  const platform = new MemoryPlatform()
+  await createWriter(platform).change(buildEdited(4, 0), ORIGIN)
+  await createWriter(platform).change(buildEdited(5, 1), buildOrigin("change-b"))
+  const again = await createWriter(platform).change(buildEdited(4, 0), ORIGIN)
+  expect(again).to.have.nested.property("record.revision", 1)
+})
+
+it("makes an edit on top of a change that came first", async () => {
+  const platform = new MemoryPlatform()
+  const [first = ""] = buildDocuments(1)
+  const write = () => {
+    platform.set(first)
+  }
+  platform.afterReads = [() => undefined, write]
+  const addBurst = () => buildEdited(9, 0).configuration
+  const result = await createWriter(platform).edit(addBurst, ORIGIN)
+  expect(result).to.have.nested.property("record.revision", 2)
+})
+
+it("restores from memory what the platform has lost", async () => {
+  const platform = new MemoryPlatform()
+  const keeper = createKeeper()
+  keeper.offer(2, buildDocuments(2)[1] ?? "")
+  const result = await createWriter(platform, keeper).change(buildEdited(9, 2), ORIGIN)
+  expect(result).to.have.nested.property("record.revision", 3)
+})
+
+it("overwrites no unreadable value without a configuration of its own", async () => {
+  const platform = new MemoryPlatform()
+  platform.set("damaged")
+  const error = await readThrown(createWriter(platform).change(buildEdited(4, 0), ORIGIN))
+  expect(error).to.be.instanceOf(RefusedError)
+})
+
+it("lets one of two racing operators win each revision, though replies are lost", async () => {
+  const platform = await startPlatform()
+  const agent = new Agent()
+  const createRacer = () => createWriter(new ConsulPlatform(platform.url, agent))
+  const racers = [createRacer(), createRacer()]
+  const accepted: string[] = []
+  try {
+    for (let race = 0; race < RACES; race++) {
+      platform.faults.loseReplies = race % 2
+      const results = await Promise.all(
+        racers.map((racer, index) =>
+          racer.change(buildEdited(10 + 2 * race + index, race), buildOrigin(`${race}-${index}`)),
+        ),
+      )
+      const kinds = results.map((each) => each.kind).sort()
+      expect(kinds).to.deep.equal(["accepted", "conflict"])
+      for (const each of results) if (each.kind === "accepted") accepted.push(each.record.id)
+    }
+    const entry = await new ConsulPlatform(platform.url, agent).read(CONFIGURATION_KEY)
+    const history = [...parseStored(entry?.value ?? "").history].reverse()
+    expect(history.map((each) => each.id)).to.deep.equal(accepted)
+    const bursts = history.flatMap(({ differences: [burst] }) => [burst?.before, burst?.after])
+    expect(bursts.slice(1, -1)).to.deep.equal(
+      bursts.slice(1, -1).map((_, index, all) => all[index ^ 1]),
+    )
+  } finally {
+    await agent.close()
+    await platform.close()
+  }
+})
