Daemon: don't wait at the start for a configuration that doesn't exist

Cause: an answer without a value did not count as the platform's answer, so each daemon of a new fleet waited its 5 s. Change: any answer ends the wait. Conclusion: the wait is left for outages only.

--- a/packages/daemon/src/configuration/watch.ts
+++ b/packages/daemon/src/configuration/watch.ts
@@ -95,7 +95,10 @@
     try {
       const found = await this.callPlatform()
       this.noteAnswer()
-      if (!found) return ABSENT_POLL_MS
+      if (!found) {
+        this.resolveFirst()
+        return ABSENT_POLL_MS
+      }
       const isNew = found.revision !== this.seen
       this.seen = found.revision
       if (isNew) this.offer(found)
--- a/packages/daemon/test/configuration-support.ts
+++ b/packages/daemon/test/configuration-support.ts
@@ -11,6 +11,7 @@
 import { createLog, silentRecorder } from "@galenaway/observe"
 
 const LONG_PAUSE_MS = 5000
+const MAX_PAUSES = 10
 const BURSTS = 1000
 
 /** A log that keeps its lines. */
@@ -46,11 +47,12 @@
   })
 }
 
-/** Pauses that end at once and are recorded; long ones never end. */
+/** Pauses that end at once and are recorded; long ones, and those after the tenth, never end. */
 export function createTiming(random = 0.5): Timing & { readonly pauses: number[] } {
   const pauses: number[] = []
   const pause = (ms: number) => {
-    if (ms >= LONG_PAUSE_MS) return new Promise<void>(() => undefined)
+    if (ms >= LONG_PAUSE_MS || pauses.length >= MAX_PAUSES)
+      return new Promise<void>(() => undefined)
     pauses.push(ms)
     return Promise.resolve()
   }
--- a/packages/daemon/test/configuration-watch.test.ts
+++ b/packages/daemon/test/configuration-watch.test.ts
@@ -48,6 +48,13 @@
   expect(keeper.revision).to.equal(1)
 })
 
+it("waits no longer when the platform has no configuration yet", async () => {
+  const { watch, keeper } = createWatch(new MemoryPlatform())
+  watch.start()
+  await watch.waitForFirst(10_000)
+  expect(keeper.revision).to.equal(0)
+})
+
 it("calls the platform less often during an outage, up to a bound", async () => {
   expect(await waitThroughOutage(0)).to.deep.equal([100, 200, 400, 800, 1250, 1250])
 })
