Daemon: operators' interface, authenticated by the operators' key

Cause: operators had no way to read or change anything on a running daemon. Change: status, configuration, in force, explain, drain and undrain, events and metrics on the operators' address; a bearer key compared in constant time before the body is read; limits of body, headers, time and connections; a change is settled under its id and a conflict answers with the changes that won. Sources are small ports; the first implementation stands on the settings and the engines' reports. Peers that can't be asked count as unreachable, so a change is never reported in force on an instance that nobody asked.

--- a/packages/daemon/src/configuration/peers.ts
+++ b/packages/daemon/src/configuration/peers.ts
@@ -1,4 +1,4 @@
-import type { InstanceId } from "@galenaway/core"
+import { type InstanceId, RefusedError } from "@galenaway/core"
 
 /** A configuration document from a peer. */
 export interface FetchedConfiguration {
@@ -19,3 +19,12 @@
   listPeers: () => [],
   fetch: () => Promise.resolve(undefined),
 }
+
+/** Peers that are known by their addresses and can't be asked. */
+export function createUnreachablePeers(addresses: readonly InstanceId[]): ConfigurationPeers {
+  return {
+    listPeers: () => addresses,
+    fetch: (peer) =>
+      Promise.reject(new RefusedError("peer-down", "peer", peer, "no interface between instances")),
+  }
+}
--- a/packages/daemon/src/configuration/stored.ts
+++ b/packages/daemon/src/configuration/stored.ts
@@ -1,4 +1,5 @@
 import {
+  type Drain,
   EMPTY_CONFIGURATION,
   parseStored,
   resolveSettings,
@@ -50,6 +51,12 @@
     return policy
   }
 
+  /** Tells whether an endpoint or instance is to take no new work. */
+  isDrained(kind: Drain["kind"], id: string): boolean {
+    const { drains } = this.stored.configuration
+    return drains.some((drain) => drain.kind === kind && drain.id === id)
+  }
+
   private parse(revision: number, document: string): StoredConfiguration | undefined {
     try {
       const stored = parseStored(document)
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -19,6 +19,7 @@
 import { registerConfiguration } from "./configuration/parts.js"
 import { StoredConfigurationKeeper } from "./configuration/stored.js"
 import { HttpEngine } from "./endpoint/engine.js"
+import { registerOperator } from "./operator/parts.js"
 import { ConsulPlatform } from "./platform/consul.js"
 import { NaiveRouter } from "./router/naive.js"
 import type { Settings } from "./settings.js"
@@ -57,7 +58,8 @@
   parts.registerInstance<Log>(TOKENS.log, createLog(settings.logLevel, { instance, dataCentre }))
   parts.registerInstance<Recorder>(TOKENS.recorder, silentRecorder)
   parts.registerInstance<Metrics>(TOKENS.metrics, silentMetrics)
-  registerConfiguration(parts)
+  registerConfiguration(parts, settings)
+  registerOperator(parts, settings)
   parts.register<ConfigurationKeeper>(TOKENS.keeper, { useToken: StoredConfigurationKeeper })
   registerCached<PlatformPort>(
     parts,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,6 +4,8 @@
 import { ServiceHandler } from "./caller/services.js"
 import { ConfigurationWatch } from "./configuration/watch.js"
 import { createContainer, type EngineMap, type RowMap, TOKENS } from "./container.js"
+import { startOperator } from "./operator/parts.js"
+import type { OperatorServer } from "./operator/server.js"
 import { refreshReports } from "./router/reports.js"
 import type { Settings } from "./settings.js"
 
@@ -32,12 +34,14 @@
     parts.resolve(CompletionHandler),
     parts.resolve(ServiceHandler),
   )
+  const operators = await startOperator(parts, settings)
   log.info({ listen: `${settings.listen.host}:${settings.listen.port}` }, "started")
-  return { stop: () => stopDaemon(callers, watch, timer, settings, log) }
+  return { stop: () => stopDaemon(callers, operators, watch, timer, settings, log) }
 }
 
 async function stopDaemon(
   callers: CallerServer,
+  operators: OperatorServer,
   watch: ConfigurationWatch,
   timer: NodeJS.Timeout,
   settings: Settings,
@@ -46,6 +50,6 @@
   log.info("draining")
   await callers.drain(settings.drainSeconds * 1000)
   clearInterval(timer)
-  await watch.stop()
+  await Promise.all([watch.stop(), operators.close()])
   log.info("stopped")
 }
--- /dev/null
+++ b/packages/daemon/src/operator/handlers.ts
@@ -0,0 +1,198 @@
+import { z } from "zod"
+import {
+  type ChangeOrigin,
+  checkConfiguration,
+  type Configuration,
+  ConfigurationError,
+  createIssue,
+  type Drain,
+  type Inventory,
+  resolveSettings,
+} from "@galenaway/config"
+import { type Clock, type DataCentre, type InstanceId, isRank, parseAdapter } from "@galenaway/core"
+import type { StoredConfigurationKeeper } from "../configuration/stored.js"
+import type { ChangeResult, ConfigurationWriter } from "../configuration/writer.js"
+import type {
+  ConfigurationReply,
+  EventsReply,
+  ExplainReply,
+  InForceReply,
+  StatusReply,
+} from "./api.js"
+import type {
+  FleetRevisions,
+  MetricsSource,
+  RouteExplainer,
+  StatusSource,
+  TimelineSource,
+} from "./ports.js"
+
+/** What a call is answered with. */
+export type Reply =
+  | { readonly kind: "json"; readonly status: number; readonly body: unknown }
+  | { readonly kind: "text"; readonly text: string }
+
+/** What the operators' interface stands on. */
+export interface OperatorParts {
+  readonly instance: InstanceId
+  readonly dataCentre: DataCentre
+  readonly inventory: Inventory
+  readonly keeper: StoredConfigurationKeeper
+  readonly writer: Pick<ConfigurationWriter, "change" | "edit">
+  readonly clock: Pick<Clock, "wallNow">
+  readonly status: StatusSource
+  readonly explainer: RouteExplainer
+  readonly revisions: FleetRevisions
+  readonly timeline: TimelineSource
+  readonly metrics: MetricsSource
+}
+
+const NAME_TEXT = "a name of 1 to 63 letters, digits, . _ -"
+const NAME = z.string(NAME_TEXT).regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, NAME_TEXT)
+const REASON_TEXT = "a reason of 1 to 500 characters"
+const REASON = z.string(REASON_TEXT).trim().min(1, REASON_TEXT).max(500, REASON_TEXT)
+const ORIGIN = { id: NAME, author: NAME, reason: REASON }
+const CHANGE = z.strictObject({ ...ORIGIN, configuration: z.unknown() })
+const DRAIN = z.strictObject({
+  ...ORIGIN,
+  kind: z.enum(["endpoint", "instance"], "one of endpoint, instance"),
+  target: NAME,
+})
+
+/** Answers the calls of the operators' interface. */
+export class OperatorHandlers {
+  constructor(private readonly parts: OperatorParts) {}
+
+  getStatus(): Reply {
+    const { instance, keeper, status } = this.parts
+    return createJson({
+      instance,
+      revision: keeper.revision,
+      instances: status.listInstances(),
+      endpoints: status.listEndpoints(),
+      adapters: status.listAdapters(),
+      problems: status.listProblems(),
+    } satisfies StatusReply)
+  }
+
+  getConfiguration(): Reply {
+    const { instance, keeper } = this.parts
+    return createJson({ instance, ...keeper.stored } satisfies ConfigurationReply)
+  }
+
+  async handleChange(body: unknown): Promise<Reply> {
+    const { configuration, ...origin } = parseBody(CHANGE, body)
+    const edited = checkConfiguration(configuration, this.parts.inventory)
+    if (edited.baseRevision === undefined)
+      throw refuse("configuration.revision", undefined, "the revision that was edited")
+    return createChangeReply(await this.parts.writer.change(edited, this.stamp(origin)))
+  }
+
+  async handleDrain(body: unknown): Promise<Reply> {
+    const { kind, target, ...origin } = parseBody(DRAIN, body)
+    const known = this.parts.inventory.endpoints.map((each) => each.id)
+    if (kind === "endpoint" && !known.includes(target))
+      throw refuse("target", target, `an existing endpoint: ${known.join(", ")}`)
+    const { at, author, reason } = this.stamp(origin)
+    const drain: Drain = { kind, id: target, reason, author, date: at.slice(0, 10) }
+    return this.edit(origin, (current) => ({
+      ...current,
+      drains: [...current.drains.filter((each) => !isDrainOf(each, kind, target)), drain],
+    }))
+  }
+
+  async handleUndrain(body: unknown): Promise<Reply> {
+    const { kind, target, ...origin } = parseBody(DRAIN, body)
+    return this.edit(origin, (current) => ({
+      ...current,
+      drains: current.drains.filter((each) => !isDrainOf(each, kind, target)),
+    }))
+  }
+
+  async getInForce(text: string): Promise<Reply> {
+    const revision = text === "" ? this.parts.keeper.revision : Number(text)
+    if (!Number.isSafeInteger(revision) || revision < 0)
+      throw refuse("revision", text, "a whole number from 0")
+    const instances = await this.parts.revisions.askRevisions(revision)
+    return createJson({ revision, instances } satisfies InForceReply)
+  }
+
+  explain(model: string, rank: string): Reply {
+    const { dataCentre, keeper, explainer } = this.parts
+    const ref = parseAdapter(model)
+    if (!ref) throw refuse("model", model, "base/adapter@version")
+    if (!isRank(rank)) throw refuse("rank", rank, "one of urgent, standard, bulk")
+    const candidates = explainer.explain(ref, rank)
+    const preferred = candidates.find((each) => each.verdict === "preferred")
+    const { base, adapter } = ref
+    const place = preferred ? { endpoint: preferred.endpoint } : {}
+    const subject = {
+      base,
+      adapter,
+      rank,
+      dataCentre: preferred?.dataCentre ?? dataCentre,
+      ...place,
+    }
+    const { decisions } = resolveSettings(keeper.stored.configuration, subject)
+    const { revision } = keeper
+    return createJson({
+      model,
+      rank,
+      dataCentre,
+      revision,
+      candidates,
+      decisions,
+    } satisfies ExplainReply)
+  }
+
+  getEvents(): Reply {
+    const { instance, timeline } = this.parts
+    return createJson({ instance, events: timeline.listEvents() } satisfies EventsReply)
+  }
+
+  getMetrics(): Reply {
+    return { kind: "text", text: this.parts.metrics.format() }
+  }
+
+  private async edit(
+    origin: Omit<ChangeOrigin, "at">,
+    makeNext: (current: Configuration) => Configuration,
+  ): Promise<Reply> {
+    return createChangeReply(await this.parts.writer.edit(makeNext, this.stamp(origin)))
+  }
+
+  private stamp(origin: Omit<ChangeOrigin, "at">): ChangeOrigin {
+    return { ...origin, at: new Date(this.parts.clock.wallNow()).toISOString() }
+  }
+}
+
+const HTTP_OK = 200
+const HTTP_CONFLICT = 409
+
+function createJson(body: object, status = HTTP_OK): Reply {
+  return { kind: "json", status, body }
+}
+
+function createChangeReply(result: ChangeResult): Reply {
+  return createJson(result, result.kind === "conflict" ? HTTP_CONFLICT : HTTP_OK)
+}
+
+function isDrainOf(drain: Drain, kind: Drain["kind"], id: string): boolean {
+  return drain.kind === kind && drain.id === id
+}
+
+function parseBody<T extends z.ZodType>(schema: T, body: unknown): z.infer<T> {
+  const result = schema.safeParse(body)
+  if (result.success) return result.data
+  throw new ConfigurationError(
+    result.error.issues.map((issue) => {
+      const path = issue.path.map(String).join(".")
+      const value = (body as Record<string, unknown> | null)?.[path]
+      return createIssue(path, value, issue.message)
+    }),
+  )
+}
+
+function refuse(path: string, value: unknown, allowed: string): ConfigurationError {
+  return new ConfigurationError([createIssue(path, value, allowed)])
+}
