--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -8,7 +8,6 @@
   createMetrics,
   createRecorder,
   type Log,
-  type Metrics,
   type Recorder,
 } from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
@@ -16,12 +15,18 @@
 import { createTiming } from "./caller/request.js"
 import { ServiceHandler } from "./caller/services.js"
 import { systemClock } from "./clock.js"
-import { type ConfigurationKeeper, defaultKeeper } from "./configuration/keeper.js"
+import type { ConfigurationKeeper } from "./configuration/keeper.js"
+import { CONFIGURATION_PEERS, registerConfiguration } from "./configuration/parts.js"
+import type { ConfigurationPeers } from "./configuration/peers.js"
+import { StoredConfigurationKeeper } from "./configuration/stored.js"
+import { ConfigurationWatch } from "./configuration/watch.js"
 import { Coordination } from "./coordination.js"
 import { HttpEngine } from "./endpoint/engine.js"
+import { OPERATOR_TOKENS, registerOperator } from "./operator/parts.js"
 import { ConsulPlatform } from "./platform/consul.js"
 import { NaiveRouter } from "./router/naive.js"
 import type { Settings } from "./settings.js"
+import { CoordinatedStatus } from "./status.js"
 
 /** Names of the parts in the daemon's container. */
 export const TOKENS = {
@@ -59,8 +64,11 @@
     TOKENS.recorder,
     createRecorder({ instance, dataCentre, clock: systemClock }),
   )
-  parts.registerInstance<Metrics>(TOKENS.metrics, createMetrics(systemClock))
-  parts.registerInstance<ConfigurationKeeper>(TOKENS.keeper, defaultKeeper)
+  parts.registerInstance(TOKENS.metrics, createMetrics(systemClock))
+  registerConfiguration(parts, settings)
+  registerOperator(parts, settings)
+  if (settings.router === "coordinated") registerCoordinated(parts, settings)
+  parts.register<ConfigurationKeeper>(TOKENS.keeper, { useToken: StoredConfigurationKeeper })
   registerCached<PlatformPort>(
     parts,
     TOKENS.platform,
@@ -112,6 +120,28 @@
   parts.register<T>(token as symbol, { useFactory: instanceCachingFactory(create) })
 }
 
+/** Puts the sources that know the owners in place of those that know only reports and settings. */
+function registerCoordinated(parts: DependencyContainer, settings: Settings): void {
+  registerCached<ConfigurationPeers>(
+    parts,
+    CONFIGURATION_PEERS,
+    (c) => c.resolve(Coordination).configurationPeers,
+  )
+  registerCached(
+    parts,
+    CoordinatedStatus,
+    (c) =>
+      new CoordinatedStatus(
+        settings,
+        c.resolve(Coordination),
+        c.resolve(StoredConfigurationKeeper),
+        c.resolve(ConfigurationWatch),
+      ),
+  )
+  parts.register(OPERATOR_TOKENS.status, { useToken: CoordinatedStatus })
+  parts.register(OPERATOR_TOKENS.explainer, { useToken: CoordinatedStatus })
+}
+
 function createCoordination(settings: Settings, parts: DependencyContainer): Coordination {
   return new Coordination({
     settings,
@@ -122,7 +152,7 @@
     recorder: parts.resolve(TOKENS.recorder),
     metrics: parts.resolve(TOKENS.metrics),
     log: parts.resolve(TOKENS.log),
-    keeper: parts.resolve(TOKENS.keeper),
+    keeper: parts.resolve(StoredConfigurationKeeper),
   })
 }
 
--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -10,7 +10,8 @@
 } from "@galenaway/core"
 import type { MemberEvent, MemberReply, OwnershipDocument } from "@galenaway/coordination"
 import type { Log, Metrics, Recorder } from "@galenaway/observe"
-import type { ConfigurationKeeper } from "./configuration/keeper.js"
+import type { ConfigurationPeers } from "./configuration/peers.js"
+import type { StoredConfigurationKeeper } from "./configuration/stored.js"
 import type { EngineMap } from "./container.js"
 import type { Heartbeat } from "./generated/peer.js"
 import { OwnershipDocuments } from "./ownership/documents.js"
@@ -33,6 +34,7 @@
 const LIST_INTERVAL_MS = 1000
 const SHARE_INTERVAL_MS = 500
 const RETRY_INTERVAL_MS = 200
+const CONFIGURATION_INTERVAL_MS = 100
 const READY_POLL_MS = 20
 const HANDOVER_LIMIT_MS = 5000
 const FINISH_LIMIT_MS = 2000
@@ -48,7 +50,7 @@
   readonly recorder: Recorder
   readonly metrics: Metrics
   readonly log: Log
-  readonly keeper: ConfigurationKeeper
+  readonly keeper: StoredConfigurationKeeper
 }
 
 /**
@@ -57,6 +59,8 @@
  */
 export class Coordination {
   readonly router: Router
+  /** The other instances, as far as configuration goes, by the address of their peer interface. */
+  readonly configurationPeers: ConfigurationPeers
   readonly caller: PeerCaller
   readonly peers: PeerTable
   readonly documents: OwnershipDocuments
@@ -71,6 +75,8 @@
   private readonly shares: LoadShares
   private server: Server | undefined
   private isLeaving = false
+  private appliedRevision = -1
+  private handleRevision: (peer: string, revision: number) => void = () => undefined
 
   constructor(private readonly parts: CoordinationParts) {
     const { settings, incarnation, platform, engines, clock, recorder, metrics, log } = parts
@@ -147,6 +153,10 @@
         this.handleHeartbeat(heartbeat)
       },
     )
+    this.configurationPeers = {
+      listPeers: () => this.peers.list().map((row) => row.address),
+      fetch: (peer, aboveRevision) => this.caller.fetchConfiguration(peer, aboveRevision),
+    }
     this.router = new CoordinatedRouter({
       self: incarnation,
       home: settings.dataCentre,
@@ -163,6 +173,11 @@
     })
   }
 
+  /** Calls a listener with the configuration's revision that each peer's heartbeat tells. */
+  onRevision(listener: (peer: string, revision: number) => void): void {
+    this.handleRevision = listener
+  }
+
   /** Joins the fleet. It resolves when peers can call this instance. */
   async start(): Promise<void> {
     const { settings, recorder } = this.parts
@@ -188,6 +203,9 @@
     void this.repeat(SHARE_INTERVAL_MS, () => {
       this.updateShare()
     })
+    void this.repeat(CONFIGURATION_INTERVAL_MS, () => {
+      this.applyConfiguration()
+    })
     void this.repeat(RETRY_INTERVAL_MS, () => {
       this.owned.retry()
     })
@@ -205,6 +223,11 @@
     while (!isReady() && clock.now() < end) await waitFor(READY_POLL_MS)
   }
 
+  /** The monotonic time that the coordination runs on, in milliseconds. */
+  now(): number {
+    return this.parts.clock.now()
+  }
+
   /** Hands the owned endpoints over. Running requests go on. */
   async leave(): Promise<void> {
     this.isLeaving = true
@@ -280,6 +303,7 @@
     const replaced = this.peers.hear(heartbeat)
     if (replaced !== undefined) this.membership.handleGone(replaced)
     this.views.handleDigests(heartbeat.endpoints)
+    this.handleRevision(heartbeat.peerAddress, heartbeat.configurationRevision)
   }
 
   private handleDocument(document: OwnershipDocument): void {
@@ -299,6 +323,23 @@
     }
   }
 
+  /** Puts a changed configuration in force: the policy of this data centre, and drains. */
+  private applyConfiguration(): void {
+    const { keeper, settings } = this.parts
+    if (keeper.revision === this.appliedRevision) return
+    this.appliedRevision = keeper.revision
+    this.dispatcher.setPolicy(keeper.getPolicy({ dataCentre: settings.dataCentre }))
+    const { drains } = keeper.stored.configuration
+    const drained = drains.filter((drain) => drain.kind === "endpoint").map((drain) => drain.id)
+    this.handlePhases(this.views.setDraining(new Set(drained)))
+    this.membership.setDrained(keeper.isDrained("instance", settings.id))
+  }
+
+  private handlePhases(endpoints: readonly EndpointId[]): void {
+    for (const endpoint of endpoints)
+      this.dispatcher.setPhase(endpoint, this.views.getPhase(endpoint))
+  }
+
   /** Recomputes this instance's share of the weight store's budget. */
   private updateShare(): void {
     if (this.documents.isPlatformUp)
@@ -312,8 +353,7 @@
     try {
       const listings = await platform.list()
       this.membership.handleListings(listings)
-      for (const endpoint of this.views.handleListings(listings))
-        this.dispatcher.setPhase(endpoint, this.views.getPhase(endpoint))
+      this.handlePhases(this.views.handleListings(listings))
     } catch (error) {
       log.debug({ step: "platform", error: describeError(error) }, "list-failed")
     }
--- a/packages/daemon/src/ownership/membership.ts
+++ b/packages/daemon/src/ownership/membership.ts
@@ -8,7 +8,7 @@
   Listing,
   Millis,
 } from "@galenaway/core"
-import type { Member, MemberPhase, OwnershipDocument, Resolution } from "@galenaway/coordination"
+import type { Member, OwnershipDocument, Resolution } from "@galenaway/coordination"
 import type { Log, Recorder } from "@galenaway/observe"
 import { probeProcess } from "../peer/probe.js"
 import { waitFor } from "../wait.js"
@@ -36,7 +36,7 @@
  * a document has to change.
  */
 export class Membership {
-  private phase: MemberPhase | "left" = "live"
+  private phase: "live" | "drained" | "leaving" | "left" = "live"
   private readonly unownedSince = new Map<DataCentre, Millis>()
   private readonly goneListeners: ((incarnation: Incarnation) => void)[] = []
   /** Incarnations that ended so long ago that nothing of theirs is on its way. */
@@ -84,6 +84,13 @@
     this.stopped.abort()
   }
 
+  /** Hands the endpoints over while operators drain this instance, and takes some again afterwards. */
+  setDrained(isDrained: boolean): void {
+    if (this.phase !== "live" && this.phase !== "drained") return
+    this.phase = isDrained ? "drained" : "live"
+    this.reconcileAll()
+  }
+
   /** Records that an incarnation's process has ended. */
   handleGone(incarnation: Incarnation): void {
     if (this.peers.isGone(incarnation)) return
@@ -216,9 +223,8 @@
   }
 
   private getKnowledge(dataCentre: DataCentre): Knowledge {
-    const { phase } = this
     return {
-      self: phase === "left" ? undefined : { ...this.self, phase },
+      self: this.describeSelf(),
       selfIncarnation: this.self.incarnation,
       endpoints: this.listEndpoints(dataCentre),
       renewals: this.listRenewals(),
@@ -229,6 +235,18 @@
     }
   }
 
+  private describeSelf(): Member | undefined {
+    switch (this.phase) {
+      case "live":
+        return { ...this.self, phase: "live" }
+      case "drained":
+      case "leaving":
+        return { ...this.self, phase: "leaving" }
+      case "left":
+        return undefined
+    }
+  }
+
   private listRenewals(): ReadonlySet<EndpointId> {
     for (const [endpoint, epoch] of this.renewals)
       if (this.documents.findOwnership(endpoint)?.epoch !== epoch) this.renewals.delete(endpoint)
