Operators read the time line and metrics; platform calls are measured

Cause: the operators' interface showed empty sources. Change: recorder and metrics stand behind it; a wrapper counts and times the calls to the platform's service.

--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -8,6 +8,7 @@
   createMetrics,
   createRecorder,
   type Log,
+  type Metrics,
   type Recorder,
 } from "@galenaway/observe"
 import type { NaiveRow } from "@galenaway/policy"
@@ -23,7 +24,9 @@
 import { Coordination } from "./coordination.js"
 import { HttpEngine } from "./endpoint/engine.js"
 import { OPERATOR_TOKENS, registerOperator } from "./operator/parts.js"
+import type { MetricsSource, TimelineSource } from "./operator/ports.js"
 import { ConsulPlatform } from "./platform/consul.js"
+import { MeasuredPlatform } from "./platform/measured.js"
 import { NaiveRouter } from "./router/naive.js"
 import type { Settings } from "./settings.js"
 import { CoordinatedStatus } from "./status.js"
@@ -60,19 +63,20 @@
   parts.registerInstance<Agent>(TOKENS.agent, createAgent())
   const { id: instance, dataCentre } = settings
   parts.registerInstance<Log>(TOKENS.log, createLog(settings.logLevel, { instance, dataCentre }))
-  parts.registerInstance<Recorder>(
-    TOKENS.recorder,
-    createRecorder({ instance, dataCentre, clock: systemClock }),
-  )
-  parts.registerInstance(TOKENS.metrics, createMetrics(systemClock))
   registerConfiguration(parts, settings)
   registerOperator(parts, settings)
+  registerObservers(parts, settings)
   if (settings.router === "coordinated") registerCoordinated(parts, settings)
   parts.register<ConfigurationKeeper>(TOKENS.keeper, { useToken: StoredConfigurationKeeper })
   registerCached<PlatformPort>(
     parts,
     TOKENS.platform,
-    (c) => new ConsulPlatform(settings.platformUrl, c.resolve(TOKENS.agent)),
+    (c) =>
+      new MeasuredPlatform(
+        new ConsulPlatform(settings.platformUrl, c.resolve(TOKENS.agent)),
+        systemClock,
+        c.resolve(TOKENS.metrics),
+      ),
   )
   registerCached<EngineMap>(parts, TOKENS.engines, (c) =>
     mapEngines(settings.endpoints, c.resolve(TOKENS.agent)),
@@ -120,6 +124,19 @@
   parts.register<T>(token as symbol, { useFactory: instanceCachingFactory(create) })
 }
 
+/** Registers the recorder and the metrics, which operators read. */
+function registerObservers(parts: DependencyContainer, settings: Settings): void {
+  const { id: instance, dataCentre } = settings
+  const recorder = createRecorder({ instance, dataCentre, clock: systemClock })
+  const metrics = createMetrics(systemClock)
+  parts.registerInstance<Recorder>(TOKENS.recorder, recorder)
+  parts.registerInstance<Metrics>(TOKENS.metrics, metrics)
+  parts.registerInstance<TimelineSource>(OPERATOR_TOKENS.timeline, recorder)
+  parts.registerInstance<MetricsSource>(OPERATOR_TOKENS.metrics, {
+    format: () => metrics.formatMetrics(),
+  })
+}
+
 /** Puts the sources that know the owners in place of those that know only reports and settings. */
 function registerCoordinated(parts: DependencyContainer, settings: Settings): void {
   registerCached<ConfigurationPeers>(
