--- /dev/null
+++ b/bench/src/policy/bound.ts
@@ -0,0 +1,82 @@
+import type { AdapterKey, Rank, RouteRequest } from "@galenaway/core"
+import { DEFAULT_POLICY } from "@galenaway/policy"
+import { BATCH_LIMIT, EngineModel, StoreModel } from "./engine.js"
+import { Simulation } from "./simulation.js"
+import { buildWorkload, type CaseName, DURING_MS } from "./workload.js"
+import { ENGINES, SLOTS } from "./world.js"
+
+const PERCENT = 100
+const MS_PER_SECOND = 1000
+/** Time from the start to the first token on an idle engine. */
+const SHORTEST_START_MS = 35
+const WINDOWS_MS = [500, 1000, 2000, 5000]
+
+/**
+ * Computes an upper bound of the share of a rank's requests in the disturbed
+ * time that any scheduler could serve within their target, in percent. It is
+ * the lower of two: one pooled engine that holds every adapter and runs this
+ * rank first, and the number of different adapters that the slots and the
+ * weight store allow in each window.
+ */
+export function computeBound(name: CaseName, seed: number, rank: Rank): number {
+  const requests = buildWorkload(name, seed).filter((request) => request.rank === rank)
+  const arrived = requests.filter(
+    ({ arrivedAt }) => arrivedAt >= DURING_MS.start && arrivedAt < DURING_MS.end,
+  )
+  const served = WINDOWS_MS.map((windowMs) => countByAdapters(arrived, rank, windowMs))
+  const bound = Math.min(countPooled(requests), ...served)
+  return (PERCENT * bound) / arrived.length
+}
+
+/** Counts what the most requested adapters of each window ask for. */
+function countByAdapters(requests: readonly RouteRequest[], rank: Rank, windowMs: number): number {
+  const { ratePerSecond, burst } = DEFAULT_POLICY.loads
+  const openMs = windowMs + DEFAULT_POLICY.targetMs[rank]
+  const limit = ENGINES * SLOTS + burst + Math.ceil((ratePerSecond * openMs) / MS_PER_SECOND)
+  let served = 0
+  for (let start = DURING_MS.start; start < DURING_MS.end; start += windowMs) {
+    const counts = new Map<AdapterKey, number>()
+    for (const { adapter, arrivedAt } of requests)
+      if (arrivedAt >= start && arrivedAt < start + windowMs)
+        counts.set(adapter, (counts.get(adapter) ?? 0) + 1)
+    const highest = [...counts.values()].sort((a, b) => b - a).slice(0, limit)
+    served += highest.reduce((sum, count) => sum + count, 0)
+  }
+  return served
+}
+
+/** Counts what one engine with the batch and the speed of all would start in time, the shortest first. */
+function countPooled(requests: readonly RouteRequest[]): number {
+  const simulation = new Simulation()
+  const engine = new EngineModel(
+    "pool",
+    simulation,
+    new StoreModel(simulation),
+    () => 1,
+    Infinity,
+    {
+      batchLimit: ENGINES * BATCH_LIMIT,
+      stepMsPerRequest: 0.5 / ENGINES,
+    },
+  )
+  let onTime = 0
+  for (const request of requests)
+    simulation.after(request.arrivedAt, () => {
+      engine.place(request.adapter)
+      engine.submit({
+        request: request.id,
+        adapter: request.adapter,
+        priority: request.maxTokens,
+        tokens: request.maxTokens,
+        expiresAt: request.deadline - SHORTEST_START_MS,
+        onFirst: () => {
+          const isDisturbed =
+            request.arrivedAt >= DURING_MS.start && request.arrivedAt < DURING_MS.end
+          if (isDisturbed) onTime++
+        },
+        onEnd: () => undefined,
+      })
+    })
+  simulation.runUntil(500_000)
+  return onTime
+}
--- a/bench/src/policy/engine.ts
+++ b/bench/src/policy/engine.ts
@@ -1,20 +1,22 @@
-import {
-  type AdapterKey,
-  type EndpointId,
-  type EngineReport,
-  getRankOrder,
-  type Rank,
-} from "@galenaway/core"
+import { type AdapterKey, type EndpointId, type EngineReport } from "@galenaway/core"
 import type { Simulation } from "./simulation.js"
 
 const STEP_MS = 15
-const STEP_MS_PER_REQUEST = 0.5
 const PREFILL_MS = 20
 const REPORT_LAG_MS = 200
 const MS_PER_SECOND = 1000
 /** Requests that an engine runs at once. */
 export const BATCH_LIMIT = 16
 
+/** How fast an engine runs. */
+export interface Speed {
+  readonly batchLimit: number
+  /** Added time of a step for each running request, in milliseconds. */
+  readonly stepMsPerRequest: number
+}
+
+const DEFAULT_SPEED: Speed = { batchLimit: BATCH_LIMIT, stepMsPerRequest: 0.5 }
+
 /** The weight store: starts are spaced by the rate beyond a burst, and transfers slow down when too many are in transit. */
 export class StoreModel {
   private nextStart = 0
@@ -52,8 +54,11 @@
 export interface EngineRun {
   readonly request: string
   readonly adapter: AdapterKey
-  readonly rank: Rank
+  /** The lowest runs first. */
+  readonly priority: number
   readonly tokens: number
+  /** A waiting request is dropped at this time. */
+  readonly expiresAt?: number
   readonly onFirst: () => void
   readonly onEnd: (result: "done" | "failed") => void
 }
@@ -107,6 +112,7 @@
     private readonly store: StoreModel,
     private readonly random: () => number,
     private readonly slots: number,
+    private readonly speed: Speed = DEFAULT_SPEED,
   ) {
     this.latest = this.createReport()
     simulation.every(REPORT_LAG_MS, () => {
@@ -118,7 +124,6 @@
   /** Puts an adapter on the engine before the run begins. */
   place(adapter: AdapterKey): void {
     this.resident.set(adapter, { loadedAt: 0, uses: 1 })
-    this.latest = this.createReport()
   }
 
   /** Returns the latest report, or undefined while the engine is down. */
@@ -136,7 +141,7 @@
     }
     resident.uses++
     this.waiting.push(run)
-    this.waiting.sort((a, b) => getRankOrder(a.rank) - getRankOrder(b.rank))
+    this.waiting.sort((a, b) => a.priority - b.priority)
     this.admit()
     return "accepted"
   }
@@ -209,14 +214,15 @@
   }
 
   private admit(): void {
-    while (this.running.length < BATCH_LIMIT) {
+    while (this.running.length < this.speed.batchLimit) {
       const run = this.waiting.shift()
       if (!run) break
+      if ((run.expiresAt ?? Infinity) < this.simulation.now) continue
       this.running.push({ run, readyAt: this.simulation.now + PREFILL_MS, made: 0 })
     }
     if (this.isStepping || this.running.length === 0) return
     this.isStepping = true
-    const ms = STEP_MS + STEP_MS_PER_REQUEST * this.running.length
+    const ms = STEP_MS + this.speed.stepMsPerRequest * this.running.length
     this.simulation.after(ms, () => {
       this.isStepping = false
       this.step()
--- a/bench/src/policy/world.ts
+++ b/bench/src/policy/world.ts
@@ -1,8 +1,15 @@
-import type { DataCentre, EndpointId, EndpointInfo, RouteRequest } from "@galenaway/core"
+import {
+  type DataCentre,
+  type EndpointId,
+  type EndpointInfo,
+  getRankOrder,
+  type RouteRequest,
+} from "@galenaway/core"
 import { BATCH_LIMIT, EngineModel, StoreModel } from "./engine.js"
 import type { Simulation } from "./simulation.js"
 
-const ENGINES = 13
+/** Engines of the fleet. */
+export const ENGINES = 13
 /** Adapters that an engine holds at once. */
 export const SLOTS = 8
 const DATA_CENTRES = ["x", "y", "z"] as const
@@ -104,7 +111,7 @@
     const result = engine.submit({
       request: request.id,
       adapter: request.adapter,
-      rank: request.rank,
+      priority: getRankOrder(request.rank),
       tokens: request.maxTokens,
       onFirst: () => {
         record.firstTokenAt ??= simulation.now + delay + CALLER_MS
--- a/packages/policy/src/evict.ts
+++ b/packages/policy/src/evict.ts
@@ -2,7 +2,7 @@
 import type { Wanted } from "./load.js"
 import { estimateArrivals } from "./popularity.js"
 import type { SchedulerOrder } from "./scheduler.js"
-import { type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
+import { countCopies, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
 
 /**
  * Orders the eviction of the adapter that is worth least, and less than the
@@ -17,7 +17,6 @@
   orders: SchedulerOrder[],
 ): boolean {
   const { adapter: key } = wanted.group
-  const copies = countCopies(tables)
   let place: EndpointRow | undefined
   let victim: AdapterKey | undefined
   let lowest = wanted.score
@@ -25,7 +24,8 @@
     if (!isOpen(row) || row.residents.has(key) || row.suspects.has(key)) continue
     for (const adapter of row.residents.keys()) {
       if (!canEvict(tables, row, adapter, wanted.rank, now)) continue
-      const worth = estimateArrivals(tables, adapter, now) / (copies.get(adapter) ?? 1)
+      // Copies share the requests of their adapter.
+      const worth = estimateArrivals(tables, adapter, now) / countCopies(tables, adapter)
       if (worth >= lowest) continue
       lowest = worth
       place = row
@@ -38,14 +38,6 @@
   return true
 }
 
-/** The copies of an adapter share its requests, so each is worth a part of them. */
-function countCopies(tables: SchedulerTables): ReadonlyMap<AdapterKey, number> {
-  const copies = new Map<AdapterKey, number>()
-  for (const row of tables.endpoints.values())
-    for (const adapter of row.residents.keys()) copies.set(adapter, (copies.get(adapter) ?? 0) + 1)
-  return copies
-}
-
 function canEvict(
   tables: SchedulerTables,
   row: EndpointRow,
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -1,13 +1,14 @@
-import type {
-  AdapterKey,
-  ByRank,
-  EndpointId,
-  EndpointInfo,
-  EndpointPhase,
-  Millis,
-  Rank,
-  RequestId,
-  RouteRequest,
+import {
+  type AdapterKey,
+  type ByRank,
+  type EndpointId,
+  type EndpointInfo,
+  type EndpointPhase,
+  type Millis,
+  type Rank,
+  RANKS,
+  type RequestId,
+  type RouteRequest,
 } from "@galenaway/core"
 import { createQueue, type RequestQueue } from "./queue.js"
 import type { PolicySettings } from "./settings.js"
@@ -135,7 +136,8 @@
 
 /**
  * Reads what the owner tells others of an endpoint. Requests wait at the owner
- * and not at an endpoint, so each endpoint is given its part of the queue.
+ * and not at an endpoint; those whose adapter it holds or loads count for it,
+ * in equal parts for each endpoint that does.
  */
 export function readEndpoint(
   tables: SchedulerTables,
@@ -143,23 +145,36 @@
 ): EndpointState | undefined {
   const row = tables.endpoints.get(endpoint)
   if (!row) return undefined
-  const parts = Math.max(1, tables.endpoints.size)
-  const { urgent, standard, bulk } = tables.queue.byRank
-  const queued = {
-    urgent: Math.ceil(urgent.length / parts),
-    standard: Math.ceil(standard.length / parts),
-    bulk: Math.ceil(bulk.length / parts),
-  }
   return {
     phase: row.phase,
     isReachable: row.isReachable,
     running: row.running.size,
-    queued,
+    queued: countQueued(tables, row),
     resident: new Set([...row.residents.keys()].filter((key) => canGrant(row, key))),
     loading: new Set(row.loading.keys()),
   }
 }
 
+function countQueued(tables: SchedulerTables, row: EndpointRow): ByRank<number> {
+  const queued = { urgent: 0, standard: 0, bulk: 0 }
+  for (const adapter of [...row.residents.keys(), ...row.loading.keys()]) {
+    const group = tables.queue.byAdapter.get(adapter)
+    if (!group) continue
+    const copies = countCopies(tables, adapter)
+    for (const rank of RANKS) queued[rank] += group.byRank[rank].length / copies
+  }
+  for (const rank of RANKS) queued[rank] = Math.ceil(queued[rank])
+  return queued
+}
+
+/** Counts the owned endpoints that hold an adapter or load it. */
+export function countCopies(tables: SchedulerTables, adapter: AdapterKey): number {
+  let copies = 0
+  for (const row of tables.endpoints.values())
+    if (row.residents.has(adapter) || row.loading.has(adapter)) copies++
+  return copies
+}
+
 /** Tells whether new work may be sent to an endpoint. */
 export function isOpen(row: EndpointRow): boolean {
   return row.isReachable && row.phase === "live" && row.incarnation !== undefined
