--- a/packages/daemon/src/router/coordinated.ts
+++ b/packages/daemon/src/router/coordinated.ts
@@ -25,6 +25,8 @@
 const RETRY_PAUSE_MS = 50
 const MAX_ROUNDS = 40
 const MAX_ASKED_A_ROUND = 3
+const MIN_PATIENCE_MS = 200
+const MAX_PATIENCE_MS = 2000
 
 /** The parts that a coordinated router works with. */
 export interface RouterParts {
@@ -85,7 +87,7 @@
       if (owner === undefined || asked.has(owner)) continue
       if (asked.size >= MAX_ASKED_A_ROUND) break
       asked.add(owner)
-      const answer = await this.ask(owner, endpoint, request, signal)
+      const answer = await this.askPatiently(owner, endpoint, request, signal)
       if (answer.kind === "granted" || isFinal(answer)) return answer
       last = answer
     }
@@ -97,6 +99,32 @@
     return table.find((view) => view.info.id === endpoint)?.owner
   }
 
+  /**
+   * Asks an owner for a part of the time that is left, so that one that can't
+   * make room doesn't use it all up. The request keeps its place by its
+   * arrival and deadline wherever it waits.
+   */
+  private async askPatiently(
+    owner: Incarnation,
+    endpoint: EndpointId,
+    request: RouteRequest,
+    signal: AbortSignal,
+  ): Promise<GrantAnswer> {
+    const left = (request.deadline - this.parts.clock.now()) / MAX_ASKED_A_ROUND
+    const patience = new AbortController()
+    const timer = setTimeout(
+      () => {
+        patience.abort()
+      },
+      Math.min(Math.max(left, MIN_PATIENCE_MS), MAX_PATIENCE_MS),
+    )
+    const either = AbortSignal.any([signal, patience.signal])
+    const answer = await this.ask(owner, endpoint, request, either)
+    clearTimeout(timer)
+    if (answer.kind === "granted" || signal.aborted || !patience.signal.aborted) return answer
+    return { kind: "refused", code: "no-endpoint", message: `${owner} made no room in time` }
+  }
+
   private async ask(
     owner: Incarnation,
     endpoint: EndpointId,
