Policy: urgent cold requests go where a load can start; floors are rounded up

Cause: an urgent request for a cold adapter waited for its home's turn at the store while another owner's share was unused; a floor of 10% of 16 places came to one place (6%); waiting adapters were looked through on each event.

--- a/bench/src/policy/main.ts
+++ b/bench/src/policy/main.ts
@@ -2,12 +2,19 @@
 import { runCase, STRATEGIES } from "./runner.js"
 import { CASES } from "./workload.js"
 
-const program = new Command().option("--seeds <n>", "number of seeds", "3").option("--case <name>")
+const program = new Command()
+  .option("--seeds <n>", "number of seeds", "3")
+  .option("--case <name>")
+  .option("--strategy <name>")
 program.parse()
-const { seeds, case: only } = program.opts<{ seeds: string; case?: string }>()
+const {
+  seeds,
+  case: only,
+  strategy: one,
+} = program.opts<{ seeds: string; case?: string; strategy?: string }>()
 for (const name of CASES) {
   if (only !== undefined && only !== name) continue
-  for (const strategy of STRATEGIES)
+  for (const strategy of STRATEGIES.filter((s) => one === undefined || s === one))
     for (let seed = 1; seed <= Number(seeds); seed++) {
       const start = performance.now()
       const f = runCase(name, strategy, seed)
--- a/bench/src/policy/naive.ts
+++ b/bench/src/policy/naive.ts
@@ -48,10 +48,7 @@
     else
       this.load(site, endpoint, request.adapter, decision.evict, (isLoaded) => {
         if (isLoaded) send()
-        else {
-          record.attempts++
-          this.retry(request, site)
-        }
+        else record.refusedAt ??= simulation.now
       })
   }
 
--- a/packages/policy/src/grant.ts
+++ b/packages/policy/src/grant.ts
@@ -21,7 +21,7 @@
   if (candidates.length === 0) return
   for (const rank of RANKS) {
     const floor = tables.settings.floors[rank]
-    const isBelowFloor = (row: EndpointRow) => row.runningByRank[rank] + 1 <= floor * row.limit
+    const isBelowFloor = (row: EndpointRow) => row.runningByRank[rank] < floor * row.limit
     grantRank(tables, candidates, rank, isBelowFloor, now, orders)
   }
   for (const rank of RANKS) {
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -7,6 +7,8 @@
 import { countSlots, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
 
 const MS_PER_SECOND = 1000
+/** How often waiting adapters are looked through at most. */
+const SCAN_EVERY_MS = 5
 /** Loads are counted for the ranks' floors over about this many. */
 const LOAD_MEMORY = 16
 
@@ -28,8 +30,10 @@
   const loading = countAll(tables, (row) => row.loading.size)
   let budget = Math.min(Math.floor(tables.loadBudget.tokens), tables.share.inTransit - loading)
   if (budget <= 0 || tables.queue.byId.size === 0) return
+  if (now < tables.loadBudget.scanAt) return
   let spare = budget - countAll(tables, (row) => row.evicting.size)
   const wanted = listWanted(tables, now)
+  tables.loadBudget.scanAt = now + SCAN_EVERY_MS
   while (budget > 0) {
     const next = chooseNext(tables, wanted)
     if (!next) return
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -2,6 +2,7 @@
   type DataCentre,
   type EndpointId,
   getRankOrder,
+  type Incarnation,
   type Millis,
   RANKS,
   type RouteRequest,
@@ -14,6 +15,8 @@
 const HASH_RANGE = 2 ** 32
 const LOAD_MS = 250
 const LOADING_MS = 125
+/** Time until an owner may start the next load. */
+const LOAD_TURN_MS = 400
 const HOP_MS = 3
 const SERVICE_MS = 2000
 /** Spreads endpoints of equal worth, so that views of the same age don't send everybody to one. */
@@ -30,10 +33,11 @@
   home: DataCentre,
   now: Millis,
 ): readonly EndpointId[] {
+  const loading = countLoading(views)
   const costs: { readonly id: EndpointId; readonly cost: number }[] = []
   for (const view of views) {
     if (!isUsable(view, request, now)) continue
-    costs.push({ id: view.info.id, cost: estimateCost(view, request, home) })
+    costs.push({ id: view.info.id, cost: estimateCost(view, request, home, loading) })
   }
   costs.sort((a, b) => a.cost - b.cost || (a.id < b.id ? -1 : 1))
   return costs.slice(0, CANDIDATE_LIMIT).map(({ id }) => id)
@@ -47,7 +51,12 @@
 }
 
 /** Estimates the time to the first token, in milliseconds, with a part that spreads equals. */
-function estimateCost(view: EndpointView, request: RouteRequest, home: DataCentre): number {
+function estimateCost(
+  view: EndpointView,
+  request: RouteRequest,
+  home: DataCentre,
+  loading: ReadonlyMap<Incarnation, number>,
+): number {
   const { id, capacity } = view.info
   const hop = view.info.dataCentre === home ? 0 : HOP_MS
   const ahead = view.running + countAhead(view, request)
@@ -57,7 +66,18 @@
     return hop + wait + SPREAD_MS * computeFraction(id, key)
   }
   if (view.loading.has(request.adapter)) return hop + wait + SPREAD_MS + LOADING_MS
-  return hop + wait + SPREAD_MS + LOAD_MS * (1 + computeFraction(id, request.adapter))
+  const turns = request.rank === "urgent" ? (loading.get(view.owner ?? "") ?? 0) : 0
+  const busyMs = LOAD_TURN_MS * turns
+  return hop + wait + SPREAD_MS + busyMs + LOAD_MS * (1 + computeFraction(id, request.adapter))
+}
+
+/** Counts the loads on their way for each owner, whose share of the budget they use up. */
+function countLoading(views: readonly EndpointView[]): ReadonlyMap<Incarnation, number> {
+  const counts = new Map<Incarnation, number>()
+  for (const { owner, loading } of views)
+    if (owner !== undefined && loading.size > 0)
+      counts.set(owner, (counts.get(owner) ?? 0) + loading.size)
+  return counts
 }
 
 function countAhead(view: EndpointView, request: RouteRequest): number {
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -91,6 +91,8 @@
 export interface LoadBudget {
   tokens: number
   at: Millis | undefined
+  /** When waiting adapters may be looked through again. */
+  scanAt: Millis
 }
 
 /** What the owner tells others of an endpoint. */
@@ -113,7 +115,7 @@
     placed: new Map(),
     popularity: new Map(),
     backoffs: new Map(),
-    loadBudget: { tokens: 0, at: undefined },
+    loadBudget: { tokens: 0, at: undefined, scanAt: -Infinity },
     loadsByRank: { urgent: 0, standard: 0, bulk: 0 },
   }
 }
