--- a/bench/src/policy/runner.ts
+++ b/bench/src/policy/runner.ts
@@ -14,7 +14,7 @@
   END_MS,
   formatIndex,
 } from "./workload.js"
-import { createWorld, deliverRequest, SLOTS, type Strategy, type World } from "./world.js"
+import { createWorld, deliverRequest, loseSite, SLOTS, type Strategy, type World } from "./world.js"
 
 const COLD_START_MS = 3000
 const RESTART_EVERY_MS = 4000
@@ -44,6 +44,7 @@
     simulation.after(request.arrivedAt, () => {
       world.records.set(request.id, {
         request,
+        site: undefined,
         sentAt: undefined,
         firstTokenAt: undefined,
         doneAt: undefined,
@@ -96,7 +97,8 @@
       return
     case "instance-loss":
       simulation.after(DURING_MS.start, () => {
-        loseSite(world, strategy)
+        const site = world.sites[LOST_SITE]
+        if (site) loseSite(world, strategy, site)
       })
       return
     case "engine-restarts":
@@ -124,14 +126,6 @@
   }
 }
 
-/** Callers of the lost instance that have no whole answer come back through another one. */
-function loseSite(world: World, strategy: Strategy): void {
-  const site = world.sites[LOST_SITE]
-  if (!site) return
-  site.isUp = false
-  strategy.loseInstance(site)
-}
-
 function restartEngine(world: World, engine: EngineModel): void {
   engine.stop()
   world.simulation.after(COLD_START_MS, () => {
--- a/bench/src/policy/world.ts
+++ b/bench/src/policy/world.ts
@@ -22,6 +22,8 @@
 /** What became of one request. Times are in milliseconds; a time that never came is undefined. */
 export interface RequestRecord {
   readonly request: RouteRequest
+  /** The instance that has it. */
+  site: Site | undefined
   sentAt: number | undefined
   firstTokenAt: number | undefined
   doneAt: number | undefined
@@ -77,10 +79,24 @@
 export function deliverRequest(world: World, strategy: Strategy, request: RouteRequest): void {
   const live = world.sites.filter((site) => site.isUp)
   const site = live[Math.floor(world.random() * live.length)]
-  if (site)
-    world.simulation.after(CALLER_MS, () => {
-      strategy.submit(request, site)
-    })
+  const record = world.records.get(request.id)
+  if (!site || !record) return
+  record.site = site
+  world.simulation.after(CALLER_MS, () => {
+    strategy.submit(request, site)
+  })
+}
+
+/** Takes an instance away. Its callers come back through another one if they have seen nothing of an answer. */
+export function loseSite(world: World, strategy: Strategy, site: Site): void {
+  site.isUp = false
+  strategy.loseInstance(site)
+  for (const record of world.records.values()) {
+    const isOpen = record.doneAt === undefined && record.refusedAt === undefined
+    if (record.site !== site || !isOpen) continue
+    for (const engine of world.engines.values()) engine.cancel(record.request.id)
+    if (record.firstTokenAt === undefined) deliverRequest(world, strategy, record.request)
+  }
 }
 
 /** How a try at an engine ended. */
--- a/packages/policy/src/events.ts
+++ b/packages/policy/src/events.ts
@@ -17,7 +17,7 @@
 /** How far a report may lie behind what was ordered. */
 const REPORT_LAG_MS = 2000
 const BLOCKED_RETRY_MS = 1000
-const BACKOFF_START_MS = 500
+const BACKOFF_START_MS = 100
 const BACKOFF_LIMIT_MS = 30_000
 
 /** Applies one event to the tables. Events of an endpoint that isn't owned have no effect. */
--- a/packages/policy/test/run.test.ts
+++ b/packages/policy/test/run.test.ts
@@ -1,10 +1,37 @@
 import { expect } from "chai"
-import { applySchedulerEvent, runScheduler } from "@galenaway/policy"
+import type { Rank } from "@galenaway/core"
+import {
+  applySchedulerEvent,
+  DEFAULT_POLICY,
+  readEndpoint,
+  runScheduler,
+  type SchedulerEvent,
+  type SchedulerTables,
+  setLoadShare,
+} from "@galenaway/policy"
 import { createOwner, createRequest, formatKey } from "./helper.js"
 
+function submit(tables: SchedulerTables, id: string, adapter: string, rank?: Rank, now = 1): void {
+  applySchedulerEvent(
+    tables,
+    { kind: "submitted", request: createRequest(id, adapter, rank, now) },
+    now,
+  )
+}
+
+function applyAndRun(tables: SchedulerTables, event: SchedulerEvent, now: number) {
+  applySchedulerEvent(tables, event, now)
+  return runScheduler(tables, now)
+}
+
+function restart(endpoint: string): SchedulerEvent {
+  const report = { endpoint, incarnation: "2", running: 0, waiting: 0, resident: [], cacheUsage: 0 }
+  return { kind: "reported", report }
+}
+
 it("grants a resident adapter at once", () => {
   const tables = createOwner({ e1: ["a"] })
-  applySchedulerEvent(tables, { kind: "submitted", request: createRequest("r", "a") }, 1)
+  submit(tables, "r", "a")
   expect(runScheduler(tables, 1)).to.deep.equal([
     { kind: "grant", request: "r", endpoint: "e1", adapter: formatKey("a") },
   ])
@@ -12,18 +39,110 @@
 
 it("loads once for two waiting requests of a cold adapter", () => {
   const tables = createOwner({ e1: [] })
-  for (const id of ["r", "s"])
-    applySchedulerEvent(tables, { kind: "submitted", request: createRequest(id, "a") }, 1)
-  const orders = [...runScheduler(tables, 1), ...runScheduler(tables, 2)]
+  submit(tables, "r", "a")
+  submit(tables, "s", "a")
+  const orders = [...runScheduler(tables, 1), ...runScheduler(tables, 20)]
   expect(orders).to.deep.equal([{ kind: "load", endpoint: "e1", adapter: formatKey("a") }])
 })
 
 it("evicts what is not in use", () => {
   const tables = createOwner({ e1: ["a", "b"] })
-  applySchedulerEvent(tables, { kind: "submitted", request: createRequest("r", "a") }, 1)
+  submit(tables, "r", "a")
   runScheduler(tables, 1)
-  applySchedulerEvent(tables, { kind: "submitted", request: createRequest("s", "c") }, 2)
-  expect(runScheduler(tables, 2)).to.deep.equal([
+  submit(tables, "s", "c", "standard", 20)
+  expect(runScheduler(tables, 20)).to.deep.equal([
     { kind: "evict", endpoint: "e1", adapter: formatKey("b") },
   ])
 })
+
+it("orders no load before the share is set", () => {
+  const tables = createOwner({ e1: [] })
+  setLoadShare(tables, { ratePerSecond: 0, burst: 0, inTransit: 0 })
+  submit(tables, "r", "a")
+  expect(runScheduler(tables, 1)).to.deep.equal([])
+})
+
+it("tries a failed load again after a while", () => {
+  const tables = createOwner({ e1: [] })
+  submit(tables, "r", "a")
+  const [load] = runScheduler(tables, 1)
+  const failed = { kind: "load-failed", endpoint: "e1", adapter: formatKey("a") } as const
+  const orders = [
+    applyAndRun(tables, failed, 10),
+    runScheduler(tables, 50),
+    runScheduler(tables, 500),
+  ]
+  expect(orders).to.deep.equal([[], [], [load]])
+})
+
+it("frees a place when a granted request is canceled", () => {
+  const tables = createOwner({ e1: ["a"] }, undefined, 1)
+  submit(tables, "r", "a", "urgent")
+  submit(tables, "s", "a", "urgent")
+  runScheduler(tables, 1)
+  const orders = applyAndRun(tables, { kind: "returned", request: "r", result: "canceled" }, 2)
+  expect(orders.map((order) => order.kind)).to.deep.equal(["grant"])
+})
+
+it("refuses the latest of a full queue", () => {
+  const queueLimit = { ...DEFAULT_POLICY.queueLimit, bulk: 1 }
+  const tables = createOwner({ e1: [] }, { ...DEFAULT_POLICY, queueLimit })
+  submit(tables, "r", "a", "bulk", 1)
+  submit(tables, "s", "a", "bulk", 2)
+  const refused = runScheduler(tables, 2).filter((order) => order.kind === "refuse")
+  expect(refused).to.deep.include({
+    kind: "refuse",
+    request: "s",
+    code: "overloaded",
+    message: "the queue is full",
+  })
+})
+
+it("refuses a cold request whose load would come too late", () => {
+  const tables = createOwner({ e1: [] })
+  setLoadShare(tables, { ratePerSecond: 0, burst: 0, inTransit: 0 })
+  submit(tables, "r", "a", "urgent", 0)
+  const late = DEFAULT_POLICY.targetMs.urgent - DEFAULT_POLICY.loads.loadMs
+  expect(runScheduler(tables, late).map((order) => order.kind)).to.deep.equal(["refuse"])
+})
+
+it("forgets residents and runs of a restarted engine", () => {
+  const tables = createOwner({ e1: ["a"] })
+  submit(tables, "r", "a")
+  runScheduler(tables, 1)
+  applySchedulerEvent(tables, restart("e1"), 2)
+  const state = readEndpoint(tables, "e1")
+  expect([state?.running, state?.resident.size]).to.deep.equal([0, 0])
+})
+
+it("grants nothing on a leaving endpoint", () => {
+  const tables = createOwner({ e1: ["a"] })
+  submit(tables, "r", "a")
+  const orders = applyAndRun(tables, { kind: "phase-changed", endpoint: "e1", phase: "leaving" }, 1)
+  expect(orders).to.deep.equal([])
+})
+
+it("keeps a place for urgent work in a flood of bulk work", () => {
+  const tables = createOwner({ e1: ["a"] }, undefined, 4)
+  for (let index = 0; index < 8; index++) submit(tables, `b${index}`, "a", "bulk")
+  runScheduler(tables, 1)
+  submit(tables, "u", "a", "urgent", 2)
+  expect(runScheduler(tables, 2).map((order) => order.kind)).to.deep.equal(["grant"])
+})
+
+it("lowers the limit of an engine that reports waiting requests", () => {
+  const tables = createOwner({ e1: ["a"] }, undefined, 10)
+  const resident = [formatKey("a")]
+  const report = {
+    endpoint: "e1",
+    incarnation: "1",
+    running: 8,
+    waiting: 2,
+    resident,
+    cacheUsage: 1,
+  }
+  for (let count = 0; count < 3; count++)
+    applySchedulerEvent(tables, { kind: "reported", report }, 1)
+  for (let index = 0; index < 20; index++) submit(tables, `u${index}`, "a", "urgent")
+  expect(runScheduler(tables, 1).length).to.equal(6)
+})
