Policy: retry budget; bench: tables, plots and an upper bound in one command

The bound for a rank is the lower of a pooled engine that holds everything, without the places that other ranks' floors keep (shortest requests first), and what slots and store allow of different adapters in a window.

--- a/bench/src/policy/bound.ts
+++ b/bench/src/policy/bound.ts
@@ -1,30 +1,33 @@
-import type { AdapterKey, Rank, RouteRequest } from "@galenaway/core"
+import { type AdapterKey, type Rank, RANKS, type RouteRequest } from "@galenaway/core"
 import { DEFAULT_POLICY } from "@galenaway/policy"
 import { BATCH_LIMIT, EngineModel, StoreModel } from "./engine.js"
 import { Simulation } from "./simulation.js"
-import { buildWorkload, type CaseName, DURING_MS } from "./workload.js"
+import { buildWorkload, type CaseName, DURING_MS, formatIndex } from "./workload.js"
 import { ENGINES, SLOTS } from "./world.js"
 
 const PERCENT = 100
 const MS_PER_SECOND = 1000
 /** Time from the start to the first token on an idle engine. */
 const SHORTEST_START_MS = 35
+/** Tokens that an engine makes with a full batch. */
+const TOKENS_PER_SECOND = (BATCH_LIMIT * MS_PER_SECOND) / 23
 const WINDOWS_MS = [500, 1000, 2000, 5000]
 
 /**
  * Computes an upper bound of the share of a rank's requests in the disturbed
  * time that any scheduler could serve within their target, in percent. It is
  * the lower of two: one pooled engine that holds every adapter and runs this
- * rank first, and the number of different adapters that the slots and the
+ * rank first on the places that the others' floors leave, and the number of different adapters that the slots and the
  * weight store allow in each window.
  */
 export function computeBound(name: CaseName, seed: number, rank: Rank): number {
-  const requests = buildWorkload(name, seed).filter((request) => request.rank === rank)
+  const all = buildWorkload(name, seed)
+  const requests = all.filter((request) => request.rank === rank)
   const arrived = requests.filter(
     ({ arrivedAt }) => arrivedAt >= DURING_MS.start && arrivedAt < DURING_MS.end,
   )
   const served = WINDOWS_MS.map((windowMs) => countByAdapters(arrived, rank, windowMs))
-  const bound = Math.min(countPooled(requests), ...served)
+  const bound = Math.min(countPooled(requests, 1 - computeKeptByOthers(all, rank)), ...served)
   return (PERCENT * bound) / arrived.length
 }
 
@@ -45,8 +48,23 @@
   return served
 }
 
+/** Computes the share of the places that the other ranks' floors keep: no more than they ask for. */
+function computeKeptByOthers(requests: readonly RouteRequest[], rank: Rank): number {
+  const seconds = (DURING_MS.end - DURING_MS.start) / MS_PER_SECOND
+  let kept = 0
+  for (const other of RANKS) {
+    if (other === rank) continue
+    const tokens = requests
+      .filter(({ arrivedAt }) => arrivedAt >= DURING_MS.start && arrivedAt < DURING_MS.end)
+      .reduce((sum, request) => sum + (request.rank === other ? request.maxTokens : 0), 0)
+    const demand = tokens / seconds / (ENGINES * TOKENS_PER_SECOND)
+    kept += Math.min(DEFAULT_POLICY.floors[other], demand)
+  }
+  return kept
+}
+
 /** Counts what one engine with the batch and the speed of all would start in time, the shortest first. */
-function countPooled(requests: readonly RouteRequest[]): number {
+function countPooled(requests: readonly RouteRequest[], share: number): number {
   const simulation = new Simulation()
   const engine = new EngineModel(
     "pool",
@@ -55,7 +73,7 @@
     () => 1,
     Infinity,
     {
-      batchLimit: ENGINES * BATCH_LIMIT,
+      batchLimit: Math.ceil(ENGINES * BATCH_LIMIT * share),
       stepMsPerRequest: 0.5 / ENGINES,
     },
   )
@@ -80,3 +98,10 @@
   simulation.runUntil(500_000)
   return onTime
 }
+
+/** Counts the adapters that are asked for and are on no engine at the start: each takes a load and a stall at least. */
+export function countFirstLoads(name: CaseName, seed: number): number {
+  const asked = new Set(buildWorkload(name, seed).map(({ adapter }) => adapter))
+  for (let index = 0; index < ENGINES * SLOTS; index++) asked.delete(formatIndex(index))
+  return asked.size
+}
--- a/bench/src/policy/coordinated.ts
+++ b/bench/src/policy/coordinated.ts
@@ -1,10 +1,14 @@
 import type { EndpointId, EndpointInfo, GrantResult, RouteRequest } from "@galenaway/core"
 import {
+  removeRetry,
+  addFirstTry,
   applySchedulerEvent,
+  createRetryBudget,
   createScheduler,
   type EndpointView,
   type PolicySettings,
   rankEndpoints,
+  type RetryBudget,
   readEndpoint,
   runScheduler,
   type SchedulerEvent,
@@ -29,6 +33,7 @@
   readonly tables: SchedulerTables
   readonly asked: Map<string, Asked>
   readonly views: Map<EndpointId, EndpointView>
+  readonly retries: RetryBudget
 }
 
 interface Asked {
@@ -53,6 +58,7 @@
       tables: createScheduler(settings),
       asked: new Map(),
       views: new Map(),
+      retries: createRetryBudget(settings.retryShare),
     }))
     for (const info of world.infos) this.gain(this.chooseOwner(info), info)
     this.shareLoads()
@@ -61,7 +67,9 @@
 
   submit(request: RouteRequest, site: Site): void {
     const from = this.owners[site.index]
-    if (from && site.isUp) this.ask(request, from, [])
+    if (!from || !site.isUp) return
+    addFirstTry(from.retries)
+    this.ask(request, from, [])
   }
 
   loseInstance(site: Site): void {
@@ -150,7 +158,7 @@
         })
         const record = this.world.records.get(id)
         if (result === "done" || !record) return
-        if (canRetry(record)) this.ask(request, from, [])
+        if (canRetry(record) && removeRetry(from.retries)) this.ask(request, from, [])
         else this.refuse(request)
       })
     })
@@ -166,7 +174,8 @@
     if (!asked) return
     owner.asked.delete(id)
     const { request, from, tried } = asked
-    if (mayTryOthers && tried.length === 0) this.ask(request, from, [owner])
+    if (mayTryOthers && tried.length === 0 && removeRetry(from.retries))
+      this.ask(request, from, [owner])
     else this.refuse(request)
   }
 
--- a/bench/src/policy/main.ts
+++ b/bench/src/policy/main.ts
@@ -1,58 +1,42 @@
+import { mkdir, writeFile } from "node:fs/promises"
+import { join } from "node:path"
+import { fileURLToPath } from "node:url"
 import { Command } from "commander"
+import { drawPlot } from "./plot.js"
+import { formatTable, type Result } from "./report.js"
 import { runCase, STRATEGIES } from "./runner.js"
-import { CASES } from "./workload.js"
+import { type CaseName, CASES } from "./workload.js"
 
-const program = new Command()
-  .option("--seeds <n>", "number of seeds", "3")
-  .option("--case <name>")
-  .option("--strategy <name>")
+/** Runs every case with every strategy and seed, prints the tables and writes them and the plots to the results. */
+const RESULTS = fileURLToPath(new URL("../../../results/", import.meta.url))
+
+const program = new Command("policy")
+  .option("--seeds <n>", "number of seeds", Number, 3)
+  .option("--case <name>", "only this case, without writing the results")
 program.parse()
-const {
-  seeds,
-  case: only,
-  strategy: one,
-} = program.opts<{ seeds: string; case?: string; strategy?: string }>()
+const options = program.opts<{ seeds: number; case?: string }>()
+const isWhole = options.case === undefined
+if (isWhole) await mkdir(RESULTS, { recursive: true })
+const sections: string[] = []
 for (const name of CASES) {
-  if (only !== undefined && only !== name) continue
-  for (const strategy of STRATEGIES.filter((s) => one === undefined || s === one))
-    for (let seed = 1; seed <= Number(seeds); seed++) {
-      const start = performance.now()
-      const f = runCase(name, strategy, seed)
-      const n = (x: number) => x.toFixed(1)
-      console.log(
-        name,
-        strategy,
-        seed,
-        "onTime",
-        n(f.onTime.urgent),
-        n(f.onTime.standard),
-        n(f.onTime.bulk),
-        "kept",
-        n(f.kept.urgent),
-        n(f.kept.standard),
-        n(f.kept.bulk),
-        "tok",
-        n(f.tokenShare.urgent),
-        n(f.tokenShare.standard),
-        n(f.tokenShare.bulk),
-        "stalls",
-        f.stalls,
-        n(f.stallMs),
-        "urg",
-        f.urgentStalls,
-        n(f.urgentStallMs),
-        "fill",
-        n(f.batchFill),
-        "ref",
-        f.refused,
-        "loads",
-        f.loads,
-        f.wastedLoads,
-        "inuse",
-        f.evictionsInUse,
-        "transit",
-        f.highestTransit,
-        (performance.now() - start).toFixed(0) + "ms",
-      )
-    }
+  if (!isWhole && options.case !== name) continue
+  const results = runAll(name, options.seeds)
+  const section = `## ${name}\n\n${formatTable(name, results)}\n`
+  console.log(section)
+  sections.push(isWhole ? `${section}\n![${name}](${name}.svg)\n` : section)
+  if (isWhole) await writeFile(join(RESULTS, `${name}.svg`), await drawPlot(name, results))
+}
+if (isWhole) await writeFile(join(RESULTS, "policy.md"), formatReport(sections, options.seeds))
+
+function runAll(name: CaseName, seeds: number): Result[] {
+  const results: Result[] = []
+  for (const strategy of STRATEGIES)
+    for (let seed = 1; seed <= seeds; seed++)
+      results.push({ strategy, seed, figures: runCase(name, strategy, seed) })
+  return results
+}
+
+function formatReport(list: readonly string[], seeds: number): string {
+  const head = `# Policy: the naive router and the scheduler\n\nWritten by \`node bench/dist/src/policy/main.js --seeds ${seeds}\`. Each cell is the mean over the seeds, with the lowest and the highest.\n`
+  return [head, ...list].join("\n")
 }
--- /dev/null
+++ b/bench/src/policy/plot.ts
@@ -0,0 +1,43 @@
+import { parse, View } from "vega"
+import { compile, type TopLevelSpec } from "vega-lite"
+import { RANKS } from "@galenaway/core"
+import type { Result } from "./report.js"
+import { STRATEGIES } from "./runner.js"
+
+/** Draws the share of requests on time by rank and strategy, one point for each seed, as SVG. */
+export async function drawPlot(title: string, results: readonly Result[]): Promise<string> {
+  const values = results.flatMap(({ strategy, seed, figures }) =>
+    RANKS.map((rank) => ({ strategy, seed, rank, onTime: figures.onTime[rank] })),
+  )
+  const spec: TopLevelSpec = {
+    title,
+    data: { values },
+    facet: { column: { field: "rank", sort: [...RANKS], title: null } },
+    spec: {
+      width: 160,
+      height: 180,
+      encoding: { x: { field: "strategy", sort: [...STRATEGIES], title: null } },
+      layer: [
+        {
+          mark: { type: "bar", color: "#9ecae1" },
+          encoding: {
+            y: {
+              field: "onTime",
+              aggregate: "mean",
+              title: "on time, %",
+              scale: { domain: [0, 100] },
+            },
+          },
+        },
+        {
+          mark: { type: "point", color: "#08306b", filled: true },
+          encoding: { y: { field: "onTime", type: "quantitative" } },
+        },
+      ],
+    },
+  }
+  const view = new View(parse(compile(spec).spec), { renderer: "none" })
+  const svg = await view.toSVG()
+  view.finalize()
+  return svg
+}
--- /dev/null
+++ b/bench/src/policy/report.ts
@@ -0,0 +1,77 @@
+import { type Rank, RANKS } from "@galenaway/core"
+import { computeBound, countFirstLoads } from "./bound.js"
+import type { Figures } from "./figures.js"
+import { STRATEGIES, type StrategyName } from "./runner.js"
+import type { CaseName } from "./workload.js"
+
+/** The figures of one run. */
+export interface Result {
+  readonly strategy: StrategyName
+  readonly seed: number
+  readonly figures: Figures
+}
+
+/** A row of a table: a figure's name, how to read it, and its bound when there is one. */
+interface Row {
+  readonly name: string
+  readonly read: (figures: Figures) => number
+  readonly bound?: (name: CaseName, seed: number) => number
+}
+
+const ROWS: readonly Row[] = [
+  ...listRankRows("on time %", (figures, rank) => figures.onTime[rank], computeBound),
+  ...listRankRows("answers against before %", (figures, rank) => figures.kept[rank]),
+  ...listRankRows("share of tokens %", (figures, rank) => figures.tokenShare[rank]),
+  { name: "stalls", read: (figures) => figures.stalls, bound: countFirstLoads },
+  { name: "mean stall ms", read: (figures) => figures.stallMs },
+  { name: "urgent stalls", read: (figures) => figures.urgentStalls },
+  { name: "mean urgent stall ms", read: (figures) => figures.urgentStallMs },
+  { name: "batch fill %", read: (figures) => figures.batchFill },
+  { name: "refused", read: (figures) => figures.refused },
+  { name: "loads", read: (figures) => figures.loads, bound: countFirstLoads },
+  { name: "wasted loads", read: (figures) => figures.wastedLoads },
+  { name: "highest number in transit", read: (figures) => figures.highestTransit },
+  { name: "evictions in use", read: (figures) => figures.evictionsInUse },
+]
+
+/** Formats the results of one case as a Markdown table: the mean over the seeds, with the lowest and the highest. */
+export function formatTable(name: CaseName, results: readonly Result[]): string {
+  const seeds = [...new Set(results.map(({ seed }) => seed))]
+  const lines = [
+    `| figure | ${STRATEGIES.join(" | ")} | bound |`,
+    `| --- |${" ---: |".repeat(STRATEGIES.length + 1)}`,
+  ]
+  for (const { name: figure, read, bound } of ROWS) {
+    const cells = STRATEGIES.map((strategy) => {
+      const own = results.filter((result) => result.strategy === strategy)
+      return formatSpread(own.map(({ figures }) => read(figures)))
+    })
+    const limit = bound ? formatSpread(seeds.map((seed) => bound(name, seed))) : ""
+    lines.push(`| ${figure} | ${cells.join(" | ")} | ${limit} |`)
+  }
+  return lines.join("\n")
+}
+
+function listRankRows(
+  name: string,
+  read: (figures: Figures, rank: Rank) => number,
+  bound?: (name: CaseName, seed: number, rank: Rank) => number,
+): Row[] {
+  return RANKS.map((rank) => ({
+    name: `${rank} ${name}`,
+    read: (figures) => read(figures, rank),
+    ...(bound && { bound: (one: CaseName, seed: number) => bound(one, seed, rank) }),
+  }))
+}
+
+function formatSpread(values: readonly number[]): string {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length
+  const [low, high] = [Math.min(...values), Math.max(...values)]
+  return low === high
+    ? formatNumber(mean)
+    : `${formatNumber(mean)} (${formatNumber(low)}–${formatNumber(high)})`
+}
+
+function formatNumber(value: number): string {
+  return Math.abs(value) >= 1000 || Number.isInteger(value) ? value.toFixed(0) : value.toFixed(1)
+}
