Policy: an owner without a load to spare sends urgent cold requests on

Change: a request that is submitted as redirectable is refused as overloaded, not run, when no load starts for it in the same tick and nobody waits for the adapter there; the asking instance tries the next owner.

--- a/bench/src/policy/coordinated.ts
+++ b/bench/src/policy/coordinated.ts
@@ -23,6 +23,7 @@
 const TICK_MS = 20
 const TAKE_OVER_MS = 3000
 const ANNOUNCE_MS = 3
+const REDIRECT_LIMIT = 3
 
 /** Ranks the endpoints to ask. */
 export type Placement = typeof rankEndpoints
@@ -41,6 +42,8 @@
   readonly from: Owner
   /** Owners that refused it before. */
   readonly tried: readonly Owner[]
+  /** Whether another owner is asked when this one is overloaded. */
+  readonly canRedirect: boolean
 }
 
 /** The scheduler on four instances, each owning a part of the engines. */
@@ -89,21 +92,24 @@
   private ask(request: RouteRequest, from: Owner, tried: readonly Owner[]): void {
     const { now } = this.world.simulation
     const views = [...from.views.values()]
-    const ranked = this.placement(views, request, from.site.dataCentre, now)
-    const owner = ranked
+    const owners = this.placement(views, request, from.site.dataCentre, now)
       .map((id) => this.ownerOf.get(id))
-      .find((other) => other?.site.isUp && !tried.includes(other))
+      .filter((owner) => owner?.site.isUp)
+    const next = owners.find((owner) => owner && !tried.includes(owner))
+    const owner = next ?? owners[0]
     if (!owner) {
       this.refuse(request)
       return
     }
+    const isUrgent = request.rank === "urgent"
+    const canRedirect = isUrgent && next !== undefined && tried.length < REDIRECT_LIMIT
     this.world.simulation.after(getDelay(from.site.dataCentre, owner.site.dataCentre), () => {
       if (!owner.site.isUp) {
         this.ask(request, from, [...tried, owner])
         return
       }
-      owner.asked.set(request.id, { request, from, tried })
-      this.change(owner, { kind: "submitted", request })
+      owner.asked.set(request.id, { request, from, tried, canRedirect })
+      this.change(owner, { kind: "submitted", request, canRedirect })
     })
   }
 
@@ -173,9 +179,8 @@
     const asked = owner.asked.get(id)
     if (!asked) return
     owner.asked.delete(id)
-    const { request, from, tried } = asked
-    if (mayTryOthers && tried.length === 0 && removeRetry(from.retries))
-      this.ask(request, from, [owner])
+    const { request, from, tried, canRedirect } = asked
+    if (mayTryOthers && canRedirect) this.ask(request, from, [...tried, owner])
     else this.refuse(request)
   }
 
--- a/packages/policy/src/events.ts
+++ b/packages/policy/src/events.ts
@@ -31,6 +31,7 @@
       if (tables.placed.has(event.request.id)) return
       addPopularity(tables, event.request.adapter, event.request.rank, now)
       addQueued(tables.queue, event.request)
+      if (event.canRedirect) tables.redirectable.push(event.request)
       return
     case "canceled":
       removeQueued(tables.queue, event.request)
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -30,7 +30,7 @@
   const loading = countAll(tables, (row) => row.loading.size)
   let budget = Math.min(Math.floor(tables.loadBudget.tokens), tables.share.inTransit - loading)
   if (budget <= 0 || tables.queue.byId.size === 0) return
-  if (now < tables.loadBudget.scanAt) return
+  if (now < tables.loadBudget.scanAt && tables.redirectable.length === 0) return
   let spare = budget - countAll(tables, (row) => row.evicting.size)
   const wanted = listWanted(tables, now)
   tables.loadBudget.scanAt = now + SCAN_EVERY_MS
--- a/packages/policy/src/refuse.ts
+++ b/packages/policy/src/refuse.ts
@@ -13,6 +13,21 @@
   refuseExcess(tables, orders)
 }
 
+/**
+ * Sends cold requests that just came on to another owner when no load starts
+ * here now. It runs after the loads. Requests join those that wait already.
+ */
+export function runRedirects(tables: SchedulerTables, orders: SchedulerOrder[]): void {
+  const fresh = tables.redirectable.splice(0)
+  if (orders.some(({ kind }) => kind === "load" || kind === "evict")) return
+  for (const request of fresh) {
+    const group = tables.queue.byAdapter.get(request.adapter)
+    if (!tables.queue.byId.has(request.id) || group?.count !== 1 || !isCold(tables, request))
+      continue
+    refuseQueued(tables, orders, request, "overloaded", "no load can start here now")
+  }
+}
+
 function refuseLate(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
   const horizon = now + FIRST_TOKEN_MS
   const coldHorizon = horizon + tables.settings.loads.loadMs
--- a/packages/policy/src/run.ts
+++ b/packages/policy/src/run.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@galenaway/core"
 import { runGrants } from "./grant.js"
 import { runLoads } from "./load.js"
-import { runRefusals } from "./refuse.js"
+import { runRedirects, runRefusals } from "./refuse.js"
 import type { SchedulerOrder } from "./scheduler.js"
 import type { SchedulerTables } from "./tables.js"
 
@@ -15,5 +15,6 @@
   runRefusals(tables, now, orders)
   runGrants(tables, now, orders)
   runLoads(tables, now, orders)
+  runRedirects(tables, orders)
   return orders
 }
--- a/packages/policy/src/scheduler.ts
+++ b/packages/policy/src/scheduler.ts
@@ -12,7 +12,12 @@
 
 /** What changes the tables of an owner's scheduler. */
 export type SchedulerEvent =
-  | { readonly kind: "submitted"; readonly request: RouteRequest }
+  | {
+      readonly kind: "submitted"
+      readonly request: RouteRequest
+      /** Whether the asking instance will ask another owner when this one refuses as overloaded. */
+      readonly canRedirect?: boolean
+    }
   | { readonly kind: "canceled"; readonly request: RequestId }
   /** A granted request ended. */
   | { readonly kind: "returned"; readonly request: RequestId; readonly result: GrantResult }
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -20,6 +20,8 @@
   share: LoadShare
   readonly queue: RequestQueue
   readonly endpoints: Map<EndpointId, EndpointRow>
+  /** Requests that came since the last tick and may be sent on to another owner. */
+  readonly redirectable: RouteRequest[]
   /** Where each granted and not yet returned request runs. */
   readonly placed: Map<RequestId, EndpointId>
   readonly popularity: Map<AdapterKey, Popularity>
@@ -111,6 +113,7 @@
     settings,
     share: { ratePerSecond: 0, burst: 0, inTransit: 0 },
     queue: createQueue(),
+    redirectable: [],
     endpoints: new Map(),
     placed: new Map(),
     popularity: new Map(),
