--- a/bench/src/policy/coordinated.ts
+++ b/bench/src/policy/coordinated.ts
@@ -1,10 +1,14 @@
 import type { EndpointId, EndpointInfo, GrantResult, RouteRequest } from "@galenaway/core"
 import {
+  removeRetry,
+  addFirstTry,
   applySchedulerEvent,
+  createRetryBudget,
   createScheduler,
   type EndpointView,
   type PolicySettings,
   rankEndpoints,
+  type RetryBudget,
   readEndpoint,
   runScheduler,
   type SchedulerEvent,
@@ -19,6 +23,7 @@
 const TICK_MS = 20
 const TAKE_OVER_MS = 3000
 const ANNOUNCE_MS = 3
+const REDIRECT_LIMIT = 3
 
 /** Ranks the endpoints to ask. */
 export type Placement = typeof rankEndpoints
@@ -29,6 +34,7 @@
   readonly tables: SchedulerTables
   readonly asked: Map<string, Asked>
   readonly views: Map<EndpointId, EndpointView>
+  readonly retries: RetryBudget
 }
 
 interface Asked {
@@ -36,6 +42,8 @@
   readonly from: Owner
   /** Owners that refused it before. */
   readonly tried: readonly Owner[]
+  /** Whether another owner is asked when this one is overloaded. */
+  readonly canRedirect: boolean
 }
 
 /** The scheduler on four instances, each owning a part of the engines. */
@@ -53,6 +61,7 @@
       tables: createScheduler(settings),
       asked: new Map(),
       views: new Map(),
+      retries: createRetryBudget(settings.retryShare),
     }))
     for (const info of world.infos) this.gain(this.chooseOwner(info), info)
     this.shareLoads()
@@ -61,7 +70,9 @@
 
   submit(request: RouteRequest, site: Site): void {
     const from = this.owners[site.index]
-    if (from && site.isUp) this.ask(request, from, [])
+    if (!from || !site.isUp) return
+    addFirstTry(from.retries)
+    this.ask(request, from, [])
   }
 
   loseInstance(site: Site): void {
@@ -81,21 +92,24 @@
   private ask(request: RouteRequest, from: Owner, tried: readonly Owner[]): void {
     const { now } = this.world.simulation
     const views = [...from.views.values()]
-    const ranked = this.placement(views, request, from.site.dataCentre, now)
-    const owner = ranked
+    const owners = this.placement(views, request, from.site.dataCentre, now)
       .map((id) => this.ownerOf.get(id))
-      .find((other) => other?.site.isUp && !tried.includes(other))
+      .filter((owner) => owner?.site.isUp)
+    const next = owners.find((owner) => owner && !tried.includes(owner))
+    const owner = next ?? owners[0]
     if (!owner) {
       this.refuse(request)
       return
     }
+    const isUrgent = request.rank === "urgent"
+    const canRedirect = isUrgent && next !== undefined && tried.length < REDIRECT_LIMIT
     this.world.simulation.after(getDelay(from.site.dataCentre, owner.site.dataCentre), () => {
       if (!owner.site.isUp) {
         this.ask(request, from, [...tried, owner])
         return
       }
-      owner.asked.set(request.id, { request, from, tried })
-      this.change(owner, { kind: "submitted", request })
+      owner.asked.set(request.id, { request, from, tried, canRedirect })
+      this.change(owner, { kind: "submitted", request, canRedirect })
     })
   }
 
@@ -150,7 +164,7 @@
         })
         const record = this.world.records.get(id)
         if (result === "done" || !record) return
-        if (canRetry(record)) this.ask(request, from, [])
+        if (canRetry(record) && removeRetry(from.retries)) this.ask(request, from, [])
         else this.refuse(request)
       })
     })
@@ -165,8 +179,8 @@
     const asked = owner.asked.get(id)
     if (!asked) return
     owner.asked.delete(id)
-    const { request, from, tried } = asked
-    if (mayTryOthers && tried.length === 0) this.ask(request, from, [owner])
+    const { request, from, tried, canRedirect } = asked
+    if (mayTryOthers && canRedirect) this.ask(request, from, [...tried, owner])
     else this.refuse(request)
   }
 
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -20,6 +20,8 @@
   share: LoadShare
   readonly queue: RequestQueue
   readonly endpoints: Map<EndpointId, EndpointRow>
+  /** Requests that came since the last tick and may be sent on to another owner. */
+  readonly redirectable: RouteRequest[]
   /** Where each granted and not yet returned request runs. */
   readonly placed: Map<RequestId, EndpointId>
   readonly popularity: Map<AdapterKey, Popularity>
@@ -91,6 +93,8 @@
 export interface LoadBudget {
   tokens: number
   at: Millis | undefined
+  /** When waiting adapters may be looked through again. */
+  scanAt: Millis
 }
 
 /** What the owner tells others of an endpoint. */
@@ -109,11 +113,12 @@
     settings,
     share: { ratePerSecond: 0, burst: 0, inTransit: 0 },
     queue: createQueue(),
+    redirectable: [],
     endpoints: new Map(),
     placed: new Map(),
     popularity: new Map(),
     backoffs: new Map(),
-    loadBudget: { tokens: 0, at: undefined },
+    loadBudget: { tokens: 0, at: undefined, scanAt: -Infinity },
     loadsByRank: { urgent: 0, standard: 0, bulk: 0 },
   }
 }
