Daemon: put a change in force that was read back after a lost reply

Cause: a writer that settled a lost reply by reading back told the operator that the change was accepted, but left its own keeper to the watch; the tool's test with a lost reply then ended as lagging. Ruled out: asking the watch to hurry, as the value is already at hand. Change: what the writer reads is offered to the keeper. Shown: the tool's test 'settles a lost reply through the platform' failed before and passes after, and a test of the writer alone.

--- a/packages/daemon/src/configuration/writer.ts
+++ b/packages/daemon/src/configuration/writer.ts
@@ -102,6 +102,7 @@
     const { platform, keeper } = this.parts
     const found = await platform.read(CONFIGURATION_KEY)
     const current = this.getNewer(found)
+    if (found) keeper.offer(current.revision, found.value)
     const plan = planChange(current, edited, origin)
     switch (plan.kind) {
       case "done":
--- a/packages/daemon/test/configuration-writer.test.ts
+++ b/packages/daemon/test/configuration-writer.test.ts
@@ -37,6 +37,14 @@
   expect(parseStored(platform.entry?.value ?? "").revision).to.equal(1)
 })
 
+it("puts a change in force that it has read back", async () => {
+  const platform = new MemoryPlatform()
+  platform.lostReplies = 1
+  const keeper = createKeeper()
+  await createWriter(platform, keeper).change(buildEdited(4, 0), ORIGIN)
+  expect(keeper.revision).to.equal(1)
+})
+
 it("says unknown when a write can't be read back", async () => {
   const platform = new MemoryPlatform()
   platform.lostReplies = 1
