Command line: galenaway, with status, config, explain, drain and time line

Cause: operators had no tool. Change: commands over the operators' interface; each URL is tried in turn, and a change goes again under the same id, so that it takes effect once; the tool says that nothing was changed only when that is certain. apply checks locally and remotely, shows the difference, asks a person for missing reasons, swaps by revision, waits until the change is in force and names laggards; a conflict shows whose change won. The binary is a committed script, as npm links it before the build.

--- /dev/null
+++ b/packages/cli/bin/galenaway.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/src/main.js"
--- /dev/null
+++ b/packages/cli/src/client.ts
@@ -0,0 +1,146 @@
+import { request as sendRequest } from "undici"
+import { type ConfigurationIssue, describeIssue } from "@galenaway/config"
+import { describeError } from "@galenaway/core"
+import type { ChangeResult, OperatorErrorBody } from "@galenaway/daemon"
+import { CommandError } from "./exit.js"
+
+const CALL_TIMEOUT_MS = 10_000
+const HTTP_OK = 200
+const HTTP_BAD_REQUEST = 400
+const HTTP_UNAUTHORIZED = 401
+const HTTP_CONFLICT = 409
+const HTTP_SERVER_ERROR = 500
+
+/** What an instance answered. */
+export interface Answer<T> {
+  readonly url: string
+  /** A conflict has a body of its own; every other refusal throws. */
+  readonly isConflict: boolean
+  readonly body: T
+}
+
+/** What every instance answered. */
+export interface FleetAnswers<T> {
+  readonly answers: readonly T[]
+  /** A line for each instance that didn't answer. */
+  readonly failures: readonly string[]
+}
+
+/** A call that no answer came for. */
+interface Failure {
+  readonly url: string
+  readonly reason: string
+  /** Whether the call may have taken effect. */
+  readonly mayHaveArrived: boolean
+  /** Why the instance refused the call; another one would refuse it too. */
+  readonly refusal?: CommandError
+}
+
+type Attempt<T> = Answer<T> | Failure
+
+/** Calls the operators' interface, of each instance in turn until one answers. */
+export class OperatorClient {
+  constructor(
+    private readonly urls: readonly string[],
+    private readonly key: string,
+  ) {}
+
+  /** Reads a path. Throws a CommandError when no instance answers. */
+  async read<T>(path: string): Promise<T> {
+    return (await this.call<T>(path)).body
+  }
+
+  /** Posts a change. It carries an id, so that it may safely be sent again through the next instance. */
+  post(path: string, body: { readonly id: string }): Promise<Answer<ChangeResult>> {
+    return this.call<ChangeResult>(path, body)
+  }
+
+  /** Reads a path of every instance. Instances that don't answer are in the failures. */
+  async readAll<T>(path: string): Promise<FleetAnswers<T>> {
+    const attempts = await Promise.all(this.urls.map((url) => this.attempt<T>(url, path)))
+    const answers = attempts.flatMap((each) => ("body" in each ? [each.body] : []))
+    const failures = attempts.flatMap((each) => ("body" in each ? [] : [each]))
+    if (answers.length === 0) throw createFailure(failures, false)
+    return { answers, failures: failures.map(describeFailure) }
+  }
+
+  private async call<T>(path: string, body?: unknown): Promise<Answer<T>> {
+    const failures: Failure[] = []
+    for (const url of this.urls) {
+      const attempt = await this.attempt<T>(url, path, body)
+      if ("body" in attempt) return attempt
+      failures.push(attempt)
+      if (attempt.refusal) break
+    }
+    throw createFailure(failures, body !== undefined)
+  }
+
+  private async attempt<T>(url: string, path: string, body?: unknown): Promise<Attempt<T>> {
+    try {
+      const response = await sendRequest(`${url}${path}`, {
+        method: body === undefined ? "GET" : "POST",
+        headers: { authorization: `Bearer ${this.key}`, "content-type": "application/json" },
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      })
+      const text = await response.body.text()
+      return readAnswer<T>(url, response.statusCode, text)
+    } catch (error) {
+      if (error instanceof CommandError)
+        return { url, reason: error.message, mayHaveArrived: false, refusal: error }
+      const reason = describeCause(error)
+      return { url, reason, mayHaveArrived: !isConnectFailure(error) }
+    }
+  }
+}
+
+function readAnswer<T>(url: string, status: number, text: string): Attempt<T> {
+  const body: unknown = JSON.parse(text)
+  if (status === HTTP_OK) return { url, isConflict: false, body: body as T }
+  if (status === HTTP_CONFLICT && !isErrorBody(body))
+    return { url, isConflict: true, body: body as T }
+  const { error, issues = [] } = body as OperatorErrorBody
+  if (status === HTTP_UNAUTHORIZED)
+    throw new CommandError("unauthorized", error.message, error.code)
+  if (status === HTTP_BAD_REQUEST) throw refuseInput(issues, error.message)
+  if (status < HTTP_SERVER_ERROR) throw new CommandError("refused", error.message, error.code)
+  return { url, reason: error.message, mayHaveArrived: error.outcome === "unknown" }
+}
+
+/** Creates the error for refused input, with a line for each fault. */
+export function refuseInput(issues: readonly ConfigurationIssue[], message = ""): CommandError {
+  const lines = issues.length > 0 ? issues.map(describeIssue).join("\n") : message
+  return new CommandError("refused", lines, "bad-request")
+}
+
+function isErrorBody(body: unknown): boolean {
+  return typeof body === "object" && body !== null && "error" in body
+}
+
+/** A refusal says that nothing was changed only if no earlier call may have changed anything. */
+function createFailure(failures: readonly Failure[], isChange: boolean): CommandError {
+  const message = failures.map(describeFailure).join("\n")
+  if (isChange && failures.some((each) => each.mayHaveArrived))
+    return new CommandError("unknown", message, "peer-down")
+  const refusal = failures.find((each) => each.refusal)?.refusal
+  return refusal ?? new CommandError("unreachable", message, "peer-down")
+}
+
+function describeFailure({ url, reason }: Failure): string {
+  return `${url}: ${reason}`
+}
+
+function describeCause(error: unknown): string {
+  const code = getCode(error)
+  return code === "" ? describeError(error) : `${code} ${describeError(error)}`.trim()
+}
+
+function isConnectFailure(error: unknown): boolean {
+  return ["ECONNREFUSED", "EHOSTUNREACH", "ENOTFOUND", "UND_ERR_CONNECT_TIMEOUT"].includes(
+    getCode(error),
+  )
+}
+
+function getCode(error: unknown): string {
+  return (error as { code?: string }).code ?? ""
+}
--- /dev/null
+++ b/packages/cli/src/commands/apply.ts
@@ -0,0 +1,118 @@
+import { diffConfigurations } from "@galenaway/config"
+import { type Context, refuseUsage } from "../context.js"
+import type { Shell } from "../shell.js"
+import { sendChange } from "./change.js"
+import { formatDifferences, parseEdited, readConfiguration, readText } from "./config.js"
+
+/** Options of commands that change the configuration. */
+export interface ChangeOptions {
+  readonly reason?: string
+  readonly author?: string
+  readonly yes?: boolean
+  /** How long to wait until the change is in force, in seconds. */
+  readonly wait: string
+}
+
+const DATE_CHARACTERS = 10
+const MAX_WAIT_SECONDS = 3600
+
+/** Applies an edited configuration: checks it, shows the difference, swaps it by revision and waits until it is in force. */
+export async function runConfigApply(
+  context: Context,
+  path: string,
+  options: ChangeOptions,
+): Promise<void> {
+  const { shell } = context
+  const waitSeconds = parseWait(options.wait)
+  const author = getAuthor(shell, options)
+  const text = await fillExceptions(shell, readText(shell, path), author, options.reason)
+  const edited = parseEdited(text)
+  const current = await readConfiguration(context)
+  const differences = diffConfigurations(current.configuration, edited.configuration)
+  shell.printError(formatDifferences(differences))
+  const reason = await getReason(shell, options, "Reason for this change: ")
+  if (!(await isConfirmed(shell, options))) throw refuseUsage("not confirmed, nothing was changed")
+  const revision = edited.baseRevision ?? current.revision
+  const configuration = { revision, ...edited.configuration }
+  const body = { id: shell.createId(), author, reason, configuration }
+  await sendChange(context, "/v1/configuration", body, waitSeconds)
+}
+
+/** Reads the reason from the flag or from a person. Throws a CommandError without one. */
+export async function getReason(
+  shell: Shell,
+  { reason }: Pick<ChangeOptions, "reason">,
+  question: string,
+): Promise<string> {
+  const given = reason ?? (shell.isInteractive ? await shell.ask(question) : "")
+  if (given.trim() === "") throw refuseUsage("a change needs a reason: give --reason")
+  return given.trim()
+}
+
+/** Returns who makes the change. */
+export function getAuthor(shell: Shell, { author }: Pick<ChangeOptions, "author">): string {
+  return author ?? shell.env.GALENAWAY_AUTHOR ?? shell.env.USER ?? "operator"
+}
+
+/** Parses the time to wait in seconds. Throws a CommandError for another text. */
+export function parseWait(text: string): number {
+  const seconds = Number(text)
+  if (text.trim() !== "" && seconds >= 0 && seconds <= MAX_WAIT_SECONDS) return seconds
+  throw refuseUsage(`--wait: got ${text}; allowed: seconds from 0 to ${MAX_WAIT_SECONDS}`)
+}
+
+async function isConfirmed(shell: Shell, { yes }: ChangeOptions): Promise<boolean> {
+  if (yes === true || !shell.isInteractive) return true
+  return /^y(es)?$/i.test(await shell.ask("Apply this? [y/N] "))
+}
+
+/** Completes exceptions and drains that lack a reason, an author or a date. Malformed text is left to the checks. */
+async function fillExceptions(
+  shell: Shell,
+  text: string,
+  author: string,
+  reason: string | undefined,
+): Promise<string> {
+  const document = parseObject(text)
+  if (!document) return text
+  const date = new Date(shell.now()).toISOString().slice(0, DATE_CHARACTERS)
+  const filled = { ...document }
+  for (const list of ["exceptions", "drains"]) {
+    const entries = document[list]
+    if (!Array.isArray(entries)) continue
+    const next: unknown[] = []
+    for (const entry of entries as unknown[]) {
+      const given = isObject(entry) ? entry : undefined
+      if (!given) next.push(entry)
+      else next.push({ author, date, ...given, ...(await askReason(shell, list, given, reason)) })
+    }
+    filled[list] = next
+  }
+  return JSON.stringify(filled)
+}
+
+async function askReason(
+  shell: Shell,
+  list: string,
+  entry: Record<string, unknown>,
+  reason: string | undefined,
+): Promise<{ reason?: string }> {
+  if (entry.reason !== undefined) return {}
+  if (reason !== undefined) return { reason }
+  if (!shell.isInteractive) return {}
+  const what = JSON.stringify(list === "drains" ? entry.id : entry.match)
+  return { reason: await shell.ask(`Reason for ${list} ${what}: `) }
+}
+
+function parseObject(text: string): Record<string, unknown> | undefined {
+  try {
+    const value: unknown = JSON.parse(text)
+    return isObject(value) ? value : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function isObject(value: unknown): value is Record<string, unknown> {
+  return typeof value === "object" && value !== null && !Array.isArray(value)
+}
--- /dev/null
+++ b/packages/cli/src/commands/change.ts
@@ -0,0 +1,80 @@
+import type { InForceReply } from "@galenaway/daemon"
+import type { Context } from "../context.js"
+import { CommandError } from "../exit.js"
+import { formatJson } from "../table.js"
+import { formatHistory } from "./config.js"
+
+const POLL_MS = 250
+const MS_PER_SECOND = 1000
+
+/** Sends a change, waits until it is in force on every live instance, and prints what became of it. */
+export async function sendChange(
+  context: Context,
+  path: string,
+  body: { readonly id: string },
+  waitSeconds: number,
+): Promise<void> {
+  const { body: result } = await context.client.post(path, body)
+  switch (result.kind) {
+    case "conflict":
+      throw createConflict(result.revision, formatHistory(result.winners))
+    case "unchanged":
+      print(context, result, `nothing to change, revision ${result.revision} says so already\n`)
+      return
+    case "accepted": {
+      const { revision } = result.record
+      const inForce = await waitInForce(context, revision, waitSeconds)
+      const laggards = inForce.instances.filter((each) => each.state !== "in-force")
+      const count = inForce.instances.length
+      const message = `revision ${revision} accepted, in force on ${count - laggards.length} of ${count} instances\n`
+      print(context, { ...result, inForce }, message)
+      if (laggards.length === 0) return
+      const names = laggards.map((each) => `${each.instance} (${each.state})`).join(", ")
+      throw new CommandError("lagging", `not in force after ${waitSeconds} s on: ${names}`)
+    }
+  }
+}
+
+async function waitInForce(
+  context: Context,
+  revision: number,
+  waitSeconds: number,
+): Promise<InForceReply> {
+  const { shell } = context
+  const end = shell.now() + waitSeconds * MS_PER_SECOND
+  let reply = await readInForce(context, revision)
+  while (!isEverywhere(reply) && shell.now() < end) {
+    const done = reply.instances.filter((each) => each.state === "in-force").length
+    if (shell.canDraw)
+      shell.printError(`\rrevision ${revision}: in force on ${done} of ${reply.instances.length}`)
+    await shell.pause(POLL_MS)
+    reply = await readInForce(context, revision)
+  }
+  if (shell.canDraw) shell.printError("\r\u001b[K")
+  return reply
+}
+
+/** The change is accepted by now, so without an answer it is only unknown where it is in force. */
+async function readInForce({ client }: Context, revision: number): Promise<InForceReply> {
+  try {
+    return await client.read<InForceReply>(`/v1/configuration/in-force?revision=${revision}`)
+  } catch {
+    const instances = [{ instance: "every instance", state: "unreachable" as const }]
+    return { revision, instances }
+  }
+}
+
+function isEverywhere(reply: InForceReply): boolean {
+  return reply.instances.every((each) => each.state === "in-force")
+}
+
+function createConflict(revision: number, winners: string): CommandError {
+  const advice =
+    "Nothing was changed. Read it again with `galenaway config get`, repeat your edit there and apply it."
+  const message = `another change came first; the revision is now ${revision}\n${winners}${advice}`
+  return new CommandError("conflict", message, "conflict", "config")
+}
+
+function print(context: Context, value: unknown, message: string): void {
+  context.shell.print(context.isJson ? formatJson(value) : message)
+}
--- /dev/null
+++ b/packages/cli/src/commands/config.ts
@@ -0,0 +1,83 @@
+import {
+  type ChangeRecord,
+  ConfigurationError,
+  type Difference,
+  diffConfigurations,
+  type EditedConfiguration,
+  parseConfiguration,
+} from "@galenaway/config"
+import { describeError } from "@galenaway/core"
+import type { ConfigurationReply } from "@galenaway/daemon"
+import { refuseInput } from "../client.js"
+import { type Context, printResult, refuseUsage } from "../context.js"
+import type { Shell } from "../shell.js"
+import { formatJson, formatTable } from "../table.js"
+
+/** Prints the configuration in force as JSON, ready to be edited and applied. */
+export async function runConfigGet(context: Context): Promise<void> {
+  const { revision, configuration } = await readConfiguration(context)
+  context.shell.print(formatJson({ revision, ...configuration }))
+}
+
+/** Shows where a file differs from the configuration in force. */
+export async function runConfigDiff(context: Context, path: string): Promise<void> {
+  const edited = parseEdited(readText(context.shell, path))
+  const current = await readConfiguration(context)
+  const differences = diffConfigurations(current.configuration, edited.configuration)
+  const value = { revision: current.revision, differences }
+  printResult(context, value, () => formatDifferences(differences))
+}
+
+/** Lists the last changes, newest first. */
+export async function runConfigHistory(context: Context): Promise<void> {
+  const { history } = await readConfiguration(context)
+  printResult(context, history, () => formatHistory(history))
+}
+
+/** Reads the configuration in force on the first instance that answers. */
+export function readConfiguration(context: Context): Promise<ConfigurationReply> {
+  return context.client.read<ConfigurationReply>("/v1/configuration")
+}
+
+/** Parses an edited configuration. Throws a CommandError with a line for each fault. */
+export function parseEdited(text: string): EditedConfiguration {
+  try {
+    return parseConfiguration(text)
+  } catch (error) {
+    if (error instanceof ConfigurationError) throw refuseInput(error.issues)
+    throw error
+  }
+}
+
+/** Reads a file. Throws a CommandError when it can't be read. */
+export function readText(shell: Shell, path: string): string {
+  try {
+    return shell.readFile(path)
+  } catch (error) {
+    throw refuseUsage(`file ${path}: ${describeError(error)}`)
+  }
+}
+
+/** Formats differences as lines with a sign: added, removed or changed. */
+export function formatDifferences(differences: readonly Difference[]): string {
+  if (differences.length === 0) return "no difference\n"
+  return differences.map((each) => `${formatDifference(each)}\n`).join("")
+}
+
+/** Formats changes as a table. */
+export function formatHistory(history: readonly ChangeRecord[]): string {
+  const rows = history.map((each) => [
+    each.revision,
+    each.at,
+    each.author,
+    each.differences.length,
+    each.reason,
+  ])
+  return formatTable("Changes", ["REVISION", "AT", "AUTHOR", "PLACES", "REASON"], rows)
+}
+
+function formatDifference({ path, before, after }: Difference): string {
+  if (before === undefined) return `+ ${path}: ${after ?? ""}`
+  if (after === undefined) return `- ${path}: ${before}`
+  return `~ ${path}: ${before} -> ${after}`
+}
--- /dev/null
+++ b/packages/cli/src/table.ts
@@ -0,0 +1,24 @@
+const GAP = "  "
+
+/** Formats rows under a heading as aligned columns; without rows it says so. */
+export function formatTable(
+  title: string,
+  columns: readonly string[],
+  rows: readonly (readonly (string | number)[])[],
+): string {
+  if (rows.length === 0) return `${title}: none\n`
+  const cells = [columns, ...rows].map((row) => row.map(String))
+  const widths = columns.map((_, index) => Math.max(...cells.map((row) => row[index]?.length ?? 0)))
+  const lines = cells.map((row) =>
+    row
+      .map((cell, index) => cell.padEnd(widths[index] ?? 0))
+      .join(GAP)
+      .trimEnd(),
+  )
+  return `${title}\n${lines.map((line) => `${GAP}${line}\n`).join("")}`
+}
+
+/** Formats a value as JSON for other programs. */
+export function formatJson(value: unknown): string {
+  return `${JSON.stringify(value, undefined, 2)}\n`
+}
--- /dev/null
+++ b/packages/cli/test/support.ts
@@ -0,0 +1,175 @@
+import { Agent } from "undici"
+import { type EndpointInfo, PlatformError } from "@galenaway/core"
+import { EXIT_CODES, runCli, type Shell } from "@galenaway/cli"
+import {
+  type ConfigurationPeers,
+  ConfigurationWriter,
+  ConsulPlatform,
+  noPeers,
+  OperatorHandlers,
+  PeerRevisions,
+  ReportStatus,
+  StoredConfigurationKeeper,
+  startOperatorServer,
+  type Timing,
+} from "@galenaway/daemon"
+import { type FakePlatform, startPlatform } from "@galenaway/fakes"
+import { createLog, silentRecorder, type TimelineEvent } from "@galenaway/observe"
+
+export const KEY = "operator-secret"
+const START = Date.UTC(2026, 0, 31)
+const ENDPOINTS: readonly EndpointInfo[] = ["engine-1", "engine-2"].map((id) => ({
+  id,
+  kind: "engine",
+  dataCentre: "iloilo",
+  url: "http://127.0.0.1:1",
+  fencing: "checked",
+  slots: 8,
+  capacity: 16,
+}))
+
+/** Events that the instances of a test answer. */
+export const EVENTS: readonly TimelineEvent[] = [
+  {
+    kind: "request-received",
+    request: "r1",
+    instance: "entry-1",
+    dataCentre: "iloilo",
+    at: { wall: START - 5000, counter: 0 },
+  },
+  {
+    kind: "load-ordered",
+    endpoint: "engine-1",
+    instance: "entry-1",
+    dataCentre: "iloilo",
+    at: { wall: START - 1000, counter: 0 },
+  },
+  {
+    kind: "request-done",
+    request: "r1",
+    instance: "entry-1",
+    dataCentre: "iloilo",
+    at: { wall: START - 1000, counter: 1 },
+  },
+]
+
+/** Two instances' operators' interfaces over one platform's service. */
+export interface TestFleet {
+  readonly urls: readonly string[]
+  readonly platform: FakePlatform
+  close(): Promise<void>
+}
+
+/** Starts two instances in this process; the first one asks the given peers. */
+export async function startTestFleet(peers: ConfigurationPeers = noPeers): Promise<TestFleet> {
+  const platform = await startPlatform()
+  const agent = new Agent()
+  const servers = await Promise.all([
+    startInstance("entry-1", new ConsulPlatform(platform.url, agent), peers),
+    startInstance("entry-2", new ConsulPlatform(platform.url, agent), noPeers),
+  ])
+  return {
+    urls: servers.map((server) => server.url),
+    platform,
+    close: async () => {
+      await Promise.all([...servers.map((server) => server.close()), agent.close()])
+      await platform.close()
+    },
+  }
+}
+
+async function startInstance(id: string, platform: ConsulPlatform, peers: ConfigurationPeers) {
+  const log = createLog("error", { instance: id, dataCentre: "iloilo" }, { write: () => undefined })
+  const keeper = new StoredConfigurationKeeper(log, silentRecorder)
+  const timing: Timing = { pause: () => Promise.resolve(), random: () => 0.5 }
+  const settings = { id, dataCentre: "iloilo", endpoints: ENDPOINTS }
+  const rows = new Map(
+    ENDPOINTS.map((info) => [
+      info.id,
+      { info, isReachable: true, report: undefined, lastUsed: new Map() },
+    ]),
+  )
+  const status = new ReportStatus(settings, rows, keeper, { isPlatformReachable: true }, peers)
+  const pause = () => new Promise<void>(() => undefined)
+  const handlers = new OperatorHandlers({
+    instance: id,
+    dataCentre: "iloilo",
+    inventory: { endpoints: ENDPOINTS },
+    keeper,
+    writer: new ConfigurationWriter({ platform, keeper, timing, log }),
+    clock: { wallNow: () => START },
+    status,
+    explainer: status,
+    revisions: new PeerRevisions(id, keeper, peers, { pause }),
+    timeline: { listEvents: () => EVENTS },
+    metrics: { format: () => "" },
+  })
+  return startOperatorServer({ host: "127.0.0.1", port: 0 }, KEY, handlers)
+}
+
+/** What a run of the tool printed, and how it ended. */
+export interface CliRun {
+  readonly reason: string | undefined
+  readonly output: string
+  readonly errors: string
+  readonly files: ReadonlyMap<string, string>
+}
+
+/** What a run differs in from one without a terminal against the given URLs. */
+export interface RunOptions {
+  readonly urls: readonly string[]
+  readonly key?: string
+  readonly file?: unknown
+  /** Answers of the person at the terminal, in order; without them there is no terminal. */
+  readonly answers?: readonly string[]
+}
+
+/** Runs the tool in this process. Its pauses take no time and move its clock. */
+export async function runTool(args: readonly string[], options: RunOptions): Promise<CliRun> {
+  const { urls, key = KEY, file, answers } = options
+  const state = { output: "", errors: "", now: START }
+  const left = [...(answers ?? [])]
+  const files = new Map(file === undefined ? [] : [["edited.json", formatFile(file)]])
+  const shell: Shell = {
+    env: { GALENAWAY_OPERATOR_URLS: urls.join(","), GALENAWAY_OPERATOR_KEY: key, USER: "maria" },
+    isInteractive: answers !== undefined,
+    canDraw: answers !== undefined,
+    print: (text) => (state.output += text),
+    printError: (text) => (state.errors += text),
+    ask: () => Promise.resolve(left.shift() ?? ""),
+    readFile: (path) => {
+      const text = files.get(path)
+      if (text === undefined) throw new Error("ENOENT")
+      return text
+    },
+    writeFile: (path, text) => files.set(path, text),
+    pause: (ms) => {
+      state.now += ms
+      return Promise.resolve()
+    },
+    now: () => state.now,
+    createId: () => `change-${createCount()}`,
+  }
+  const code = await runCli(args, shell)
+  const reason = Object.entries(EXIT_CODES).find(([, value]) => value === code)?.[0]
+  return { reason, output: state.output, errors: state.errors, files }
+}
+
+let count = 0
+
+function createCount(): number {
+  return ++count
+}
+
+function formatFile(file: unknown): string {
+  return typeof file === "string" ? file : JSON.stringify(file)
+}
+
+/** A peer that the platform's changes never reach. */
+export const laggingPeers: ConfigurationPeers = {
+  listPeers: () => ["entry-3", "entry-4"],
+  fetch: (peer) =>
+    peer === "entry-3"
+      ? Promise.resolve(undefined)
+      : Promise.reject(new PlatformError(peer, "no answer")),
+}
