--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -11,7 +11,7 @@
 type Group = keyof FleetSettings
 
 /** The match fields that can change each group of settings. */
-const SCOPES: Readonly<Record<Group, readonly (keyof Match)[]>> = {
+export const SETTING_SCOPES: Readonly<Record<Group, readonly (keyof Match)[]>> = {
   floors: ["dataCentre", "endpoint"],
   queueLimit: ["dataCentre", "endpoint"],
   targetMs: MATCH_FIELDS,
@@ -86,7 +86,7 @@
   if (leaves.length === 0) return [createIssue(`${path}.set`, set, "at least one setting")]
   return leaves.flatMap(([leaf, value]) => {
     const [group, name] = leaf.split(".") as [Group, string | undefined]
-    const scope = SCOPES[group]
+    const scope = SETTING_SCOPES[group]
     const wrong = MATCH_FIELDS.filter((field) => match[field] !== undefined).find(
       (field) => !scope.includes(field),
     )
--- /dev/null
+++ b/packages/config/src/reference.ts
@@ -0,0 +1,45 @@
+import { z } from "zod"
+import { SETTING_SCOPES } from "./check.js"
+import { listLeaves } from "./resolve.js"
+import {
+  CONFIGURATION_SCHEMA,
+  DEFAULT_CONFIGURATION,
+  type FleetSettings,
+  type Match,
+} from "./schema.js"
+
+/** One setting as the reference documents it. */
+export interface SettingReference {
+  readonly path: string
+  readonly description: string
+  readonly allowed: string
+  readonly fallback: number
+  /** The match fields by which an exception may change it; none when only a default may. */
+  readonly scope: readonly (keyof Match)[]
+}
+
+type JsonSchema = z.core.JSONSchema.BaseSchema
+
+/** Lists every setting of the defaults, in the order of the schema. */
+export function listSettingReferences(): SettingReference[] {
+  const document = z.toJSONSchema(CONFIGURATION_SCHEMA, { io: "input" })
+  const defaults = findProperty(document, "defaults")
+  return listLeaves(DEFAULT_CONFIGURATION.defaults).map(([path, fallback]) => {
+    const [group = "", name] = path.split(".")
+    const groupSchema = findProperty(defaults, group)
+    const leaf = name === undefined ? groupSchema : findProperty(groupSchema, name)
+    return {
+      path,
+      description: leaf.description ?? groupSchema.description ?? "",
+      allowed: String(leaf.allowed),
+      fallback,
+      scope: SETTING_SCOPES[group as keyof FleetSettings],
+    }
+  })
+}
+
+function findProperty(schema: JsonSchema, name: string): JsonSchema {
+  const found = schema.properties?.[name]
+  if (typeof found === "object") return found
+  throw new Error(`the schema has no ${name}`)
+}
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -145,9 +145,9 @@
 }
 
 function buildNumber(allowed: string, low: number, high: number) {
-  return z.number({ error: allowed }).min(low, allowed).max(high, allowed)
+  return z.number({ error: allowed }).min(low, allowed).max(high, allowed).meta({ allowed })
 }
 
 function buildInteger(allowed: string, low: number, high: number) {
-  return z.int({ error: allowed }).min(low, allowed).max(high, allowed)
+  return z.int({ error: allowed }).min(low, allowed).max(high, allowed).meta({ allowed })
 }
--- /dev/null
+++ b/scripts/configuration-docs.mjs
@@ -0,0 +1,93 @@
+import { readFileSync, writeFileSync } from "node:fs"
+import { join } from "node:path"
+import { format, resolveConfig } from "prettier"
+import {
+  checkConfiguration,
+  DRAIN_LIMIT,
+  EXCEPTION_LIMIT,
+  HISTORY_LIMIT,
+  listSettingReferences,
+  MATCH_FIELDS,
+} from "@galenaway/config"
+import { root } from "./prepare.mjs"
+
+/** Writes docs/CONFIGURATION.md from the schema. With --check it writes nothing and exits 1 when the page is not current. */
+const path = join(root, "docs/CONFIGURATION.md")
+const example = {
+  revision: 7,
+  defaults: { floors: { urgent: 0.5, standard: 0.2, bulk: 0.1 }, loads: { burst: 3 } },
+  exceptions: [
+    {
+      match: { adapter: "iloilo-sst", rank: "urgent" },
+      set: { targetMs: { urgent: 1000 } },
+      reason: "skippers ask while they load ice",
+      author: "maria",
+      date: "2026-01-31",
+    },
+  ],
+  drains: [
+    {
+      kind: "endpoint",
+      id: "engine-3",
+      reason: "its card is replaced",
+      author: "rafael",
+      date: "2026-02-02",
+    },
+  ],
+}
+checkConfiguration(example)
+const options = await resolveConfig(path)
+const page = await format(buildPage(), { ...options, parser: "markdown" })
+if (!process.argv.includes("--check")) writeFileSync(path, page)
+else if (readFileSync(path, "utf8") !== page) {
+  console.error("docs/CONFIGURATION.md is not current: node scripts/configuration-docs.mjs")
+  process.exit(1)
+}
+
+function buildPage() {
+  return `# Configuration
+
+This page is generated from the schema by \`node scripts/configuration-docs.mjs\`.
+
+The configuration is one JSON document for the whole fleet: \`defaults\`, a short list of \`exceptions\`, and \`drains\`. What it leaves out has the built-in default. \`galenaway config get\` prints the one in force, \`galenaway config apply FILE\` puts an edited one in force.
+
+\`\`\`json
+${JSON.stringify(example, undefined, 2)}
+\`\`\`
+
+## Settings
+
+Durations are whole milliseconds, shares go from 0 to 1. A setting may be changed by exceptions with the match fields of the last column only.
+
+| setting | meaning | allowed | built-in default | exceptions by |
+| --- | --- | --- | --- | --- |
+${listSettingReferences().map(formatRow).join("\n")}
+
+## Exceptions
+
+At most ${EXCEPTION_LIMIT}. Each has a \`match\`, a \`set\` with some of the settings, a \`reason\`, an \`author\` and a \`date\`. An exception holds where every field of its match is equal. Where several hold, the one with the strongest field decides, and among equals the next field; from strong to weak: ${[...MATCH_FIELDS].reverse().join(", ")}. \`galenaway explain MODEL --rank RANK\` shows which default or exception decides each setting.
+
+## Drains
+
+At most ${DRAIN_LIMIT}. Each names an \`endpoint\` or \`instance\` by \`kind\` and \`id\`, with \`reason\`, \`author\` and \`date\`. \`galenaway drain\` and \`galenaway undrain\` edit the list.
+
+## What is refused
+
+- A key that doesn't exist, a value of another type or unit, a value outside its bounds.
+- Floors whose sum is above 1, in the defaults or wherever exceptions apply.
+- A \`targetMs\` or \`deadlineMs\` that is not urgent <= standard <= bulk, or a target above its deadline, in the defaults or wherever exceptions apply.
+- An exception without a match or a setting, one for an endpoint or data centre that doesn't exist, one that sets what its match can't change, and two exceptions with the same match.
+- A drain of an endpoint that doesn't exist, and two drains of the same one.
+
+Each refusal names the path, the value and what is allowed. Nothing is changed then.
+
+## Revisions
+
+The document is stored under the key \`galenaway/configuration\` of the platform's service with its own revision, which grows by one with each change, and the last ${HISTORY_LIMIT} changes (fewer when they are large). A change is refused when \`revision\` is not the current one. No instance puts a lower revision in force than the one it has. An instance that starts while neither the platform's service nor a peer answers serves under the built-in defaults, and says so in its status, until one of them answers.
+`
+}
+
+function formatRow({ path, description, allowed, fallback, scope }) {
+  const by = scope.length === 0 ? "none" : scope.join(", ")
+  return `| \`${path}\` | ${description} | ${allowed} | ${fallback} | ${by} |`
+}
