--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -34,6 +34,23 @@
   expect(JSON.parse(output)).to.have.nested.property("endpoints[1].id", "engine-2")
 })
 
+const JSON_COMMANDS: readonly (readonly string[])[] = [
+  ["config", "get"],
+  ["config", "diff", "edited.json"],
+  ["config", "history"],
+  APPLY,
+  ["explain", "reef/sst@v1"],
+  ["drain", "endpoint", "engine-1", ...REASON],
+  ["undrain", "endpoint", "engine-1", ...REASON],
+  ["timeline"],
+]
+
+for (const args of JSON_COMMANDS)
+  it(`prints JSON for ${args.slice(0, 2).join(" ")}`, async () => {
+    const { reason, output } = await runOnce([...args, "--json"], EDITED)
+    expect([reason, typeof JSON.parse(output)]).to.deep.equal(["done", "object"])
+  })
+
 it("goes on to the next URL when an instance doesn't answer", async () => {
   const { reason } = await useFleet(({ urls: [url = ""] }) =>
     runTool(["status"], { urls: ["http://127.0.0.1:1", url] }),
