Operators: say that nothing was changed when that is so, and show an outage at once

Cause, both seen in a trial with real processes: (1) a drain while the platform is down ended as unknown, as the first read of an edit failed outside the writer's own bookkeeping; (2) the status showed an outage up to 30 s late, as a waiting watch only fails when it ends. Change: an edit goes through the same tries as a change and reads inside them; the status reads the platform's key once, for 1 s at most. The tool waits 20 s for an answer, longer than an instance bears a slow platform. Tests: the platform's line of the status was asserted on the engines' report source; it comes from the interface now, so the tool's test 'shows at once that the platform is down' replaces it through HTTP.

--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -4,7 +4,8 @@
 import type { ChangeResult, OperatorErrorBody } from "@galenaway/daemon"
 import { CommandError } from "./exit.js"
 
-const CALL_TIMEOUT_MS = 10_000
+/** Longer than an instance bears a slow platform for one change. */
+const CALL_TIMEOUT_MS = 20_000
 const HTTP_OK = 200
 const HTTP_BAD_REQUEST = 400
 const HTTP_UNAUTHORIZED = 401
--- a/packages/cli/test/support.ts
+++ b/packages/cli/test/support.ts
@@ -95,6 +95,8 @@
     instance: id,
     dataCentre: "iloilo",
     inventory: { endpoints: ENDPOINTS },
+    platform,
+    timing: { pause },
     keeper,
     writer: new ConfigurationWriter({ platform, keeper, timing, log }),
     clock: { wallNow: () => START },
--- a/packages/daemon/src/configuration/writer.ts
+++ b/packages/daemon/src/configuration/writer.ts
@@ -22,10 +22,10 @@
 import { computeBackoffMs, type Timing } from "./backoff.js"
 import type { StoredConfigurationKeeper } from "./stored.js"
 
-/** Tries of one change while the platform's service fails. */
-const TRIES = 4
-/** Tries of an edit that others overtake. */
-const EDIT_TRIES = 8
+/** Failures of the platform's service that one change bears. With the time limit of a call they fit into an operator's patience. */
+const FAILURE_LIMIT = 3
+/** Tries of one change that others overtake. */
+const TRY_LIMIT = 8
 
 /** What became of a change. */
 export type ChangeResult =
@@ -45,6 +45,7 @@
   readonly log: Pick<Log, "info">
 }
 
+type MakeEdited = (current: StoredConfiguration) => EditedConfiguration
 type Attempt = ChangeResult | { readonly kind: "overtaken" }
 
 /** Writes changes of the configuration by compare-and-swap. */
@@ -56,46 +57,42 @@
    * through another instance: it takes effect at most once. Throws an
    * UnknownOutcomeError when a write may have left and can't be read back.
    */
-  async change(edited: EditedConfiguration, origin: ChangeOrigin): Promise<ChangeResult> {
+  change(edited: EditedConfiguration, origin: ChangeOrigin): Promise<ChangeResult> {
+    return this.run(() => edited, origin)
+  }
+
+  /** Makes a change on whatever configuration is current, again when another change came first. Otherwise it is as {@link change}. */
+  edit(
+    makeNext: (current: Configuration) => Configuration,
+    origin: ChangeOrigin,
+  ): Promise<ChangeResult> {
+    const makeEdited = ({ configuration, revision }: StoredConfiguration) => ({
+      configuration: makeNext(configuration),
+      baseRevision: revision,
+    })
+    return this.run(makeEdited, origin)
+  }
+
+  private async run(makeEdited: MakeEdited, origin: ChangeOrigin): Promise<ChangeResult> {
     const state = { mayHaveWritten: false }
-    let failure: unknown
-    for (let turn = 1; turn <= TRIES; turn++) {
+    let failures = 0
+    for (let turn = 0; turn < TRY_LIMIT; turn++) {
       try {
-        const result = await this.attempt(edited, origin, state)
+        const result = await this.attempt(makeEdited, origin, state)
         if (result.kind !== "overtaken") return this.logResult(result, origin)
       } catch (error) {
         if (!(error instanceof PlatformError)) throw error
-        failure = error
-        const ms = computeBackoffMs(turn, this.parts.timing.random())
+        if (++failures === FAILURE_LIMIT)
+          throw createFailure(state.mayHaveWritten, origin.id, describeError(error))
+        const ms = computeBackoffMs(failures, this.parts.timing.random())
         await this.parts.timing.pause(ms, new AbortController().signal)
       }
     }
-    throw createFailure(state.mayHaveWritten, origin.id, failure)
-  }
-
-  /** Makes a change on whatever configuration is current, again when another change came first. */
-  async edit(
-    makeNext: (current: Configuration) => Configuration,
-    origin: ChangeOrigin,
-  ): Promise<ChangeResult> {
-    let result: ChangeResult | undefined
-    for (let turn = 0; turn < EDIT_TRIES; turn++) {
-      const { configuration, revision } = await this.readCurrent()
-      const edited = { configuration: makeNext(configuration), baseRevision: revision }
-      result = await this.change(edited, origin)
-      if (result.kind !== "conflict") return result
-    }
-    if (result) return result
-    throw new RefusedError("conflict", "config", "platform", "overtaken by other changes")
-  }
-
-  /** Reads the current value. Throws a PlatformError when the platform's service doesn't answer. */
-  async readCurrent(): Promise<StoredConfiguration> {
-    return this.getNewer(await this.parts.platform.read(CONFIGURATION_KEY))
+    throw createFailure(state.mayHaveWritten, origin.id, "overtaken by other changes")
   }
 
   private async attempt(
-    edited: EditedConfiguration,
+    makeEdited: MakeEdited,
     origin: ChangeOrigin,
     state: { mayHaveWritten: boolean },
   ): Promise<Attempt> {
@@ -103,7 +100,7 @@
     const found = await platform.read(CONFIGURATION_KEY)
     const current = this.getNewer(found)
     if (found) keeper.offer(current.revision, found.value)
-    const plan = planChange(current, edited, origin)
+    const plan = planChange(current, makeEdited(current), origin)
     switch (plan.kind) {
       case "done":
         return { kind: "accepted", record: plan.record }
@@ -150,8 +147,7 @@
   }
 }
 
-function createFailure(mayHaveWritten: boolean, id: string, failure: unknown) {
-  const reason = describeError(failure)
+function createFailure(mayHaveWritten: boolean, id: string, reason: string) {
   if (!mayHaveWritten) return new RefusedError("platform-down", "config", "platform", reason)
   const message = `change ${id} may have taken effect, ask again under its id: ${reason}`
   return new UnknownOutcomeError("platform-down", "config", "platform", message)
--- a/packages/daemon/src/operator/handlers.ts
+++ b/packages/daemon/src/operator/handlers.ts
@@ -3,13 +3,22 @@
   type ChangeOrigin,
   checkConfiguration,
   type Configuration,
+  CONFIGURATION_KEY,
   ConfigurationError,
   createIssue,
   type Drain,
   type Inventory,
   resolveSettings,
 } from "@galenaway/config"
-import { type Clock, type DataCentre, type InstanceId, isRank, parseAdapter } from "@galenaway/core"
+import {
+  type Clock,
+  type DataCentre,
+  type InstanceId,
+  isRank,
+  parseAdapter,
+  type PlatformPort,
+} from "@galenaway/core"
+import type { Timing } from "../configuration/backoff.js"
 import type { StoredConfigurationKeeper } from "../configuration/stored.js"
 import type { ChangeResult, ConfigurationWriter } from "../configuration/writer.js"
 import type {
@@ -22,6 +31,7 @@
 import type {
   FleetRevisions,
   MetricsSource,
+  Problem,
   RouteExplainer,
   StatusSource,
   TimelineSource,
@@ -37,6 +47,8 @@
   readonly instance: InstanceId
   readonly dataCentre: DataCentre
   readonly inventory: Inventory
+  readonly platform: Pick<PlatformPort, "read">
+  readonly timing: Pick<Timing, "pause">
   readonly keeper: StoredConfigurationKeeper
   readonly writer: Pick<ConfigurationWriter, "change" | "edit">
   readonly clock: Pick<Clock, "wallNow">
@@ -47,6 +59,8 @@
   readonly metrics: MetricsSource
 }
 
+/** A platform's service that takes longer counts as lost. */
+const PLATFORM_ANSWER_MS = 1000
 const NAME_TEXT = "a name of 1 to 63 letters, digits, . _ -"
 const NAME = z.string(NAME_TEXT).regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, NAME_TEXT)
 const REASON_TEXT = "a reason of 1 to 500 characters"
@@ -63,15 +77,16 @@
 export class OperatorHandlers {
   constructor(private readonly parts: OperatorParts) {}
 
-  getStatus(): Reply {
+  async getStatus(): Promise<Reply> {
     const { instance, keeper, status } = this.parts
+    const lost = await this.findLostPlatform()
     return createJson({
       instance,
       revision: keeper.revision,
       instances: status.listInstances(),
       endpoints: status.listEndpoints(),
       adapters: status.listAdapters(),
-      problems: status.listProblems(),
+      problems: [...lost, ...status.listProblems()],
     } satisfies StatusReply)
   }
 
@@ -154,6 +169,21 @@
     return { kind: "text", text: this.parts.metrics.format() }
   }
 
+  /** Asks the platform's service now, as a waiting watch shows an outage only when it ends. */
+  private async findLostPlatform(): Promise<Problem[]> {
+    const { platform, timing } = this.parts
+    const lost = { subject: "platform", message: "doesn't answer, changes can't be made" }
+    const abort = new AbortController()
+    const found = platform.read(CONFIGURATION_KEY).then(
+      () => [],
+      () => [lost],
+    )
+    const limit = timing.pause(PLATFORM_ANSWER_MS, abort.signal).then(() => [lost])
+    const problems = await Promise.race([found, limit])
+    abort.abort()
+    return problems
+  }
+
   private async edit(
     origin: Omit<ChangeOrigin, "at">,
     makeNext: (current: Configuration) => Configuration,
--- a/packages/daemon/src/operator/parts.ts
+++ b/packages/daemon/src/operator/parts.ts
@@ -61,6 +61,8 @@
     instance: settings.id,
     dataCentre: settings.dataCentre,
     inventory: settings,
+    platform: parts.resolve(TOKENS.platform),
+    timing: systemTiming,
     keeper: parts.resolve(StoredConfigurationKeeper),
     writer: parts.resolve(ConfigurationWriter),
     clock: systemClock,
--- a/packages/daemon/src/operator/status.ts
+++ b/packages/daemon/src/operator/status.ts
@@ -68,8 +68,6 @@
     }))
     for (const { info, isReachable } of this.rows.values())
       if (!isReachable) problems.push({ subject: `endpoint ${info.id}`, message: "doesn't answer" })
-    if (!this.watch.isPlatformReachable)
-      problems.push({ subject: "platform", message: "doesn't answer, changes can't be made" })
     if (this.keeper.revision === 0 && !this.watch.isPlatformReachable)
       problems.push({
         subject: `instance ${this.settings.id}`,
--- a/packages/daemon/test/operator-support.ts
+++ b/packages/daemon/test/operator-support.ts
@@ -54,6 +54,8 @@
     instance: "entry-1",
     dataCentre: "iloilo",
     inventory: { endpoints: ENDPOINTS },
+    platform,
+    timing: { pause },
     keeper,
     writer: new ConfigurationWriter({ platform, keeper, timing, log }),
     clock: { wallNow: () => Date.UTC(2026, 0, 31) },
