Policy: bulk loads leave gaps in the load budget for urgent ones

Cause: in a bulk flood bulk work took every turn at the store at once, so an urgent request for a cold adapter found no owner with a load to spare.

Change: while urgent loads are needed too, bulk loads are spaced twice as wide as the budget allows.

--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -9,6 +9,9 @@
 const MS_PER_SECOND = 1000
 /** How often waiting adapters are looked through at most. */
 const SCAN_EVERY_MS = 5
+/** Spacing of bulk loads against that of the budget, while urgent loads are needed too. */
+const BULK_SPACING = 2
+const FEW_LOADS = 0.5
 /** Loads are counted for the ranks' floors over about this many. */
 const LOAD_MEMORY = 16
 
@@ -64,14 +67,22 @@
 
 function listWanted(tables: SchedulerTables, now: Millis): Set<Wanted> {
   const wanted = new Set<Wanted>()
+  const isBulkAllowed = canLoadBulk(tables, now)
   for (const group of tables.queue.byAdapter.values()) {
     const rank = RANKS.find((one) => group.byRank[one].length > 0)
-    if (rank !== undefined && isWanted(tables, group, rank, now))
+    if (rank === undefined || (rank === "bulk" && !isBulkAllowed)) continue
+    if (isWanted(tables, group, rank, now))
       wanted.add({ group, rank, score: computeScore(tables, group, rank, now) })
   }
   return wanted
 }
 
+/** Bulk loads leave gaps, in which an urgent request finds the budget unused. */
+function canLoadBulk({ loadBudget, loadsByRank, share }: SchedulerTables, now: Millis): boolean {
+  if (loadsByRank.urgent < FEW_LOADS) return true
+  return now - loadBudget.usedAt >= (BULK_SPACING * MS_PER_SECOND) / share.ratePerSecond
+}
+
 /** A cold adapter is wanted, and a copy of one that waits for longer than a load while other endpoints have room. */
 function isWanted(
   tables: SchedulerTables,
@@ -142,6 +153,7 @@
 ): void {
   row.loading.set(group.adapter, now)
   tables.loadBudget.tokens--
+  tables.loadBudget.usedAt = now
   for (const one of RANKS) tables.loadsByRank[one] *= 1 - 1 / LOAD_MEMORY
   tables.loadsByRank[rank]++
   orders.push({ kind: "load", endpoint: row.info.id, adapter: group.adapter })
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -93,6 +93,8 @@
 export interface LoadBudget {
   tokens: number
   at: Millis | undefined
+  /** When the last load was ordered. */
+  usedAt: Millis
   /** When waiting adapters may be looked through again. */
   scanAt: Millis
 }
@@ -118,7 +120,7 @@
     placed: new Map(),
     popularity: new Map(),
     backoffs: new Map(),
-    loadBudget: { tokens: 0, at: undefined, scanAt: -Infinity },
+    loadBudget: { tokens: 0, at: undefined, usedAt: -Infinity, scanAt: -Infinity },
     loadsByRank: { urgent: 0, standard: 0, bulk: 0 },
   }
 }
