--- a/packages/policy/src/hash.ts
+++ b/packages/policy/src/hash.ts
@@ -6,3 +6,10 @@
 export function hashText(text: string, seed = 0): number {
   return hasher.h32(text, seed)
 }
+
+/** Merges two hashes into an unsigned 32-bit number whose bits all depend on both. */
+export function mergeHashes(a: number, b: number): number {
+  let mixed = Math.imul(a ^ Math.imul(b, 0x9e3779b1), 0x85ebca6b)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
+}
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -1,13 +1,15 @@
 import {
+  type AdapterKey,
   type DataCentre,
   type EndpointId,
-  getRankOrder,
+  type EndpointInfo,
   type Incarnation,
   type Millis,
+  type Rank,
   RANKS,
   type RouteRequest,
 } from "@galenaway/core"
-import { hashText } from "./hash.js"
+import { hashText, mergeHashes } from "./hash.js"
 import type { EndpointView } from "./view.js"
 
 const CANDIDATE_LIMIT = 8
@@ -22,10 +24,29 @@
 /** Spreads endpoints of equal worth, so that views of the same age don't send everybody to one. */
 const SPREAD_MS = 100
 
+/** What of a request the cost depends on, computed once for all endpoints. */
+interface Question {
+  readonly adapter: AdapterKey
+  readonly rank: Rank
+  readonly home: DataCentre
+  /** Chooses among endpoints that hold the adapter. */
+  readonly spreadHash: number
+  /** Chooses the endpoint that a cold adapter is loaded on. */
+  readonly adapterHash: number
+  /** Loads on their way for each owner. Only urgent requests avoid owners that are busy loading. */
+  readonly loading: ReadonlyMap<Incarnation, number>
+}
+
+interface Candidate {
+  readonly id: EndpointId
+  readonly cost: number
+}
+
 /**
  * Ranks the endpoints whose owners to ask for a request, the quickest first.
- * It names no endpoint that is unreachable or leaving, and one without an owner only for an adapter that it holds. All
- * instances with the same views send a cold adapter to the same endpoint.
+ * It names no endpoint that is unreachable or leaving, and one without an
+ * owner only for an adapter that it holds. All instances with the same views
+ * send a cold adapter to the same endpoint.
  */
 export function rankEndpoints(
   views: readonly EndpointView[],
@@ -33,14 +54,22 @@
   home: DataCentre,
   now: Millis,
 ): readonly EndpointId[] {
-  const loading = countLoading(views)
-  const costs: { readonly id: EndpointId; readonly cost: number }[] = []
-  for (const view of views) {
-    if (!isUsable(view, request, now)) continue
-    costs.push({ id: view.info.id, cost: estimateCost(view, request, home, loading) })
-  }
-  costs.sort((a, b) => a.cost - b.cost || (a.id < b.id ? -1 : 1))
-  return costs.slice(0, CANDIDATE_LIMIT).map(({ id }) => id)
+  const question = createQuestion(views, request, home)
+  const best: Candidate[] = []
+  for (const view of views)
+    if (isUsable(view, request, now)) addCandidate(best, view.info.id, estimateCost(view, question))
+  return best.map(({ id }) => id)
+}
+
+function createQuestion(
+  views: readonly EndpointView[],
+  { id, adapter, rank, prefix }: RouteRequest,
+  home: DataCentre,
+): Question {
+  const adapterHash = hashText(adapter)
+  const spreadHash = rank === "bulk" ? mergeHashes(adapterHash, prefix) : hashText(id)
+  const loading = rank === "urgent" ? countLoading(views) : new Map<Incarnation, number>()
+  return { adapter, rank, home, spreadHash, adapterHash, loading }
 }
 
 /** An endpoint without an owner can only serve what it holds, since nobody may order loads there. */
@@ -50,25 +79,44 @@
   return view.owner !== undefined || view.resident.has(request.adapter)
 }
 
+/** Keeps the cheapest few in order. */
+function addCandidate(best: Candidate[], id: EndpointId, cost: number): void {
+  const last = best.at(-1)
+  if (best.length >= CANDIDATE_LIMIT && last && !isCheaper(id, cost, last)) return
+  let index = best.length
+  for (; index > 0; index--) {
+    const other = best[index - 1]
+    if (!other || !isCheaper(id, cost, other)) break
+  }
+  best.splice(index, 0, { id, cost })
+  if (best.length > CANDIDATE_LIMIT) best.pop()
+}
+
+function isCheaper(id: EndpointId, cost: number, other: Candidate): boolean {
+  return cost < other.cost || (cost === other.cost && id < other.id)
+}
+
 /** Estimates the time to the first token, in milliseconds, with a part that spreads equals. */
-function estimateCost(
-  view: EndpointView,
-  request: RouteRequest,
-  home: DataCentre,
-  loading: ReadonlyMap<Incarnation, number>,
-): number {
-  const { id, capacity } = view.info
-  const hop = view.info.dataCentre === home ? 0 : HOP_MS
-  const ahead = view.running + countAhead(view, request)
+function estimateCost(view: EndpointView, question: Question): number {
+  const { capacity, dataCentre } = view.info
+  const hop = dataCentre === question.home ? 0 : HOP_MS
+  const ahead = view.running + countAhead(view, question.rank)
   const wait = (Math.max(0, ahead + 1 - capacity) * SERVICE_MS) / Math.max(1, capacity)
-  if (view.resident.has(request.adapter)) {
-    const key = request.rank === "bulk" ? String(request.prefix) : request.id
-    return hop + wait + SPREAD_MS * computeFraction(id, key)
+  if (view.resident.has(question.adapter))
+    return hop + wait + SPREAD_MS * computeFraction(view.info, question.spreadHash)
+  if (view.loading.has(question.adapter)) return hop + wait + SPREAD_MS + LOADING_MS
+  const busyMs = LOAD_TURN_MS * (question.loading.get(view.owner ?? "") ?? 0)
+  const loadMs = LOAD_MS * (1 + computeFraction(view.info, question.adapterHash))
+  return hop + wait + SPREAD_MS + busyMs + loadMs
+}
+
+function countAhead(view: EndpointView, rank: Rank): number {
+  let count = 0
+  for (const one of RANKS) {
+    count += view.queued[one]
+    if (one === rank) break
   }
-  if (view.loading.has(request.adapter)) return hop + wait + SPREAD_MS + LOADING_MS
-  const turns = request.rank === "urgent" ? (loading.get(view.owner ?? "") ?? 0) : 0
-  const busyMs = LOAD_TURN_MS * turns
-  return hop + wait + SPREAD_MS + busyMs + LOAD_MS * (1 + computeFraction(id, request.adapter))
+  return count
 }
 
 /** Counts the loads on their way for each owner, whose share of the budget they use up. */
@@ -80,12 +128,13 @@
   return counts
 }
 
-function countAhead(view: EndpointView, request: RouteRequest): number {
-  let count = 0
-  for (const rank of RANKS.slice(0, getRankOrder(request.rank) + 1)) count += view.queued[rank]
-  return count
-}
+const endpointHashes = new WeakMap<EndpointInfo, number>()
 
-function computeFraction(endpoint: EndpointId, key: string): number {
-  return hashText(key, hashText(endpoint)) / HASH_RANGE
+function computeFraction(info: EndpointInfo, key: number): number {
+  let hash = endpointHashes.get(info)
+  if (hash === undefined) {
+    hash = hashText(info.id)
+    endpointHashes.set(info, hash)
+  }
+  return mergeHashes(hash, key) / HASH_RANGE
 }
