Fence an endpoint only after its predecessor's witnesses have answered

Cause: the specification gave a counterexample with a checking endpoint that restarts and forgets the number. A successor that was active by its fence alone granted; the old owner, whose witnesses nobody had asked, loaded the adapter again, announced its eviction, had it acknowledged and ordered it. Ruled out: a fence sent at once and counted later (its answer of before the restart clears what was announced after it); a restart that ends every order without a reply (one may have gone to the new process before the owner read of the restart); loading an adapter that an own order may still evict. Change: an owner is active once a witness of each predecessor has answered; the fence goes out then and clears the suspects. A restart ends only orders that a report of the same process followed.

--- a/packages/coordination/src/create-owner.ts
+++ b/packages/coordination/src/create-owner.ts
@@ -60,17 +60,10 @@
   return { state, effects: [...blocked, ...listOpening(state)] }
 }
 
-/** The first messages of an epoch, which are also repeated until they are answered. */
-export function listOpening({
-  awaited,
-  ownership,
-  fencing,
-  isFenced,
-}: OwnerState): readonly OwnerEffect[] {
+/** The first questions of an epoch, which are also repeated until they are answered. */
+export function listOpening({ awaited, ownership }: OwnerState): readonly OwnerEffect[] {
   const { epoch } = ownership
-  const asks = [...awaited].map((to): OwnerEffect => ({ kind: "ask-holdings", to, epoch }))
-  if (fencing === "ignored" || isFenced) return asks
-  return [{ kind: "fence", fencingNumber: epoch }, ...asks]
+  return [...awaited].map((to) => ({ kind: "ask-holdings", to, epoch }))
 }
 
 function createPredecessors(
--- a/packages/coordination/src/evictions.ts
+++ b/packages/coordination/src/evictions.ts
@@ -125,6 +125,7 @@
         adapter,
         epoch,
         announcement,
+        isConfirmed: false,
       })
       return { state: { ...state, unresolved }, effects: [{ kind: "eviction-blocked", adapter }] }
     }
--- a/packages/coordination/src/owner.ts
+++ b/packages/coordination/src/owner.ts
@@ -25,14 +25,14 @@
   readonly returned: ReadonlySet<string>
   /** What is known of earlier ownerships, by their epoch. */
   readonly predecessors: ReadonlyMap<number, PredecessorState>
-  /** Whether the endpoint has checked this epoch's number, so that it refuses all older orders. */
+  /** Whether the endpoint has checked this epoch's number, so that it refuses the predecessors' orders. */
   readonly isFenced: boolean
   /** Witnesses that don't yet know the suspects of this epoch. While there is one, nothing is announced. */
   readonly unbriefed: ReadonlySet<Incarnation>
   readonly grants: ReadonlyMap<string, HeldGrant>
   readonly evictions: ReadonlyMap<AdapterKey, Eviction>
   /** Own orders without a reply, by their announcement. */
-  readonly unresolved: ReadonlyMap<number, AnnouncedEviction>
+  readonly unresolved: ReadonlyMap<number, UnresolvedOrder>
   /** How many announcements the owner has made. */
   readonly announcements: number
   /** Adapters that an order of a predecessor, or one without a reply, may still evict. They are not granted. */
@@ -67,6 +67,12 @@
   readonly awaited: ReadonlySet<Incarnation>
 }
 
+/** An order without a reply, which may still take effect. */
+export interface UnresolvedOrder extends AnnouncedEviction {
+  /** Whether the endpoint's present process, or an earlier one, is known to have received it, so that a restart ends it. */
+  readonly isConfirmed: boolean
+}
+
 /** What can happen to an owned endpoint. */
 export type OwnerEvent =
   /** The scheduler wants an adapter evicted. It is blocked while the adapter is pinned. */
@@ -112,7 +118,9 @@
     }
   /** An incarnation's process is known to have ended, and nothing that it sent is on its way. */
   | { readonly kind: "member-gone"; readonly member: Incarnation }
-  /** The endpoint restarted: no order that it had received can take effect any more. */
+  /** A report that was asked for after all earlier events comes from the same process as the last one. */
+  | { readonly kind: "endpoint-confirmed" }
+  /** A report comes from a new process: what the old one had received can't take effect any more. */
   | { readonly kind: "endpoint-restarted" }
   /** The ownership document changed. */
   | {
--- a/packages/coordination/src/settle.ts
+++ b/packages/coordination/src/settle.ts
@@ -47,6 +47,22 @@
   return { evictions: new Map(entries.filter(([, { step }]) => step === "ordered")), blocked }
 }
 
+/**
+ * Lists the order that makes a checking endpoint refuse older numbers. It is
+ * sent only by an active owner: what predecessors can still order is known
+ * then and grows no more, so that an endpoint which restarts, and forgets the
+ * number, can't meet an order that nobody has told.
+ */
+export function listFence({
+  phase,
+  fencing,
+  isFenced,
+  ownership,
+}: OwnerState): readonly OwnerEffect[] {
+  if (phase !== "active" || fencing === "ignored" || isFenced) return []
+  return [{ kind: "fence", fencingNumber: ownership.epoch }]
+}
+
 /** Lists the messages that tell witnesses what they must know before anything is announced. */
 export function listBriefings(state: OwnerState): readonly OwnerEffect[] {
   if (state.phase !== "active") return []
@@ -64,7 +80,7 @@
 function setPhase(state: OwnerState): OwnerState {
   if (state.phase === "deposed") return state
   const isBriefed = [...state.predecessors.values()].every((entry) => entry.isBriefed)
-  const phase = state.isFenced || isBriefed ? "active" : "taking-over"
+  const phase = isBriefed ? "active" : "taking-over"
   return phase === state.phase ? state : { ...state, phase }
 }
 
@@ -114,7 +130,7 @@
   if (after.phase !== "active") return []
   const isNew = before.ownership.epoch !== after.ownership.epoch
   if (before.phase === "active" && !isNew) return []
-  return [{ kind: "activated" }, ...listBriefings(after)]
+  return [{ kind: "activated" }, ...listFence(after), ...listBriefings(after)]
 }
 
 function listResolved(before: OwnerState, after: OwnerState): readonly OwnerEffect[] {
--- a/packages/coordination/src/update-owner.ts
+++ b/packages/coordination/src/update-owner.ts
@@ -2,7 +2,7 @@
 import { listOpening, renewOwner } from "./create-owner.js"
 import { applyHoldings } from "./holdings.js"
 import type { OwnerEffect, OwnerEvent, OwnerState, OwnerTransaction } from "./owner.js"
-import { finishTransaction, listBriefings, listWitnesses } from "./settle.js"
+import { finishTransaction, listBriefings, listFence, listWitnesses } from "./settle.js"
 import {
   abandonEviction,
   applyAcknowledgement,
@@ -22,7 +22,7 @@
   return finishTransaction(state, applyEvent(state, event))
 }
 
-/** Tells whether the adapter may be granted: no order of anybody can evict it without asking this owner. */
+/** Tells whether the adapter may be granted, or loaded: no order that may still arrive can evict it. */
 export function canGrant(state: OwnerState, adapter: AdapterKey): boolean {
   return state.phase === "active" && !state.evictions.has(adapter) && !state.suspects.has(adapter)
 }
@@ -57,6 +57,8 @@
       return applyFenceAnswer(state, event)
     case "member-gone":
       return removeGoneMember(state, event.member)
+    case "endpoint-confirmed":
+      return confirmEndpoint(state)
     case "endpoint-restarted":
       return restartEndpoint(state)
     case "ownership-changed":
@@ -96,7 +98,7 @@
 function applyFenceAnswer(state: OwnerState, event: EventOf<"fence-answered">): OwnerTransaction {
   const { fencingNumber, result } = event
   const { epoch } = state.ownership
-  if (fencingNumber !== epoch || state.phase === "deposed") return { state, effects: [] }
+  if (fencingNumber !== epoch || state.phase !== "active") return { state, effects: [] }
   if (result === "fenced") return deposeOwner(state)
   if (result !== "done") return { state, effects: [] }
   const unresolved = new Map([...state.unresolved].filter(([, order]) => order.epoch >= epoch))
@@ -115,15 +117,23 @@
   return removeWitness(next, member)
 }
 
-/** An endpoint that restarts forgets the fencing numbers that it has seen. */
+/** Orders of before the report went to the process that made it, or to an earlier one. */
+function confirmEndpoint(state: OwnerState): OwnerTransaction {
+  const entries = [...state.unresolved]
+  if (entries.every(([, { isConfirmed }]) => isConfirmed)) return { state, effects: [] }
+  const unresolved = new Map(entries.map(([id, order]) => [id, { ...order, isConfirmed: true }]))
+  return { state: { ...state, unresolved }, effects: [] }
+}
+
+/** An endpoint that restarts forgets the fencing numbers that it has seen, and the orders that it had received. */
 function restartEndpoint(state: OwnerState): OwnerTransaction {
   const next = {
     ...state,
-    unresolved: new Map(),
+    unresolved: new Map([...state.unresolved].filter(([, { isConfirmed }]) => !isConfirmed)),
     isFenced: false,
     unbriefed: state.isFenced ? new Set(listWitnesses(state.ownership)) : state.unbriefed,
   }
-  return { state: next, effects: next.phase === "deposed" ? [] : listOpening(next) }
+  return { state: next, effects: listFence(next) }
 }
 
 function changeOwnership(
@@ -142,6 +152,7 @@
   if (state.phase === "deposed") return []
   return [
     ...listOpening(state),
+    ...listFence(state),
     ...listQuestions(state),
     ...listBriefings(state),
     ...listOutstanding(state),
--- a/packages/coordination/test/owner.test.ts
+++ b/packages/coordination/test/owner.test.ts
@@ -127,8 +127,9 @@
 })
 
 it("clears suspects when the endpoint has checked the number", () => {
-  const state = applyAll(takeOver([OLD], "checked"), reportHoldings("w1", [[X, 1]]))
-  const fenced = applyAll(state, { kind: "fence-answered", fencingNumber: 2, result: "done" })
+  const answer: OwnerEvent = { kind: "fence-answered", fencingNumber: 2, result: "done" }
+  const state = applyAll(takeOver([OLD], "checked"), answer, reportHoldings("w1", [[X, 1]]))
+  const fenced = applyAll(state, answer)
   const restarted = applyAll(fenced, { kind: "endpoint-restarted" })
   expect([state, fenced, restarted].map((each) => canGrant(each, X))).to.deep.equal([
     false,
@@ -163,8 +164,10 @@
     announcement: 1,
     result: "unresolved",
   })
-  const { state, effects } = updateOwner(lost, { kind: "endpoint-restarted" })
-  expect([canGrant(lost, X), canGrant(state, X)]).to.deep.equal([false, true])
+  const early = applyAll(lost, { kind: "endpoint-restarted" })
+  const confirmed = applyAll(early, { kind: "endpoint-confirmed" })
+  const { state, effects } = updateOwner(confirmed, { kind: "endpoint-restarted" })
+  expect([lost, early, state].map((each) => canGrant(each, X))).to.deep.equal([false, false, true])
   expect(listKinds(effects).filter((kind) => kind === "settle")).to.have.length(3)
 })
 
