--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -257,7 +257,7 @@
   private createHandlers(): PeerHandlers {
     const { clock, keeper } = this.parts
     return {
-      grant: (request, holder, signal) => this.dispatcher.submit(request, holder, signal),
+      grant: (question, signal) => this.dispatcher.submit(question, signal),
       takeReturns: (returns) => {
         this.dispatcher.takeReturns(returns)
       },
--- a/packages/daemon/src/peer/client.ts
+++ b/packages/daemon/src/peer/client.ts
@@ -71,10 +71,11 @@
   async requestGrant(
     address: string,
     request: RouteRequest,
+    ask: number,
     now: number,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
-    const message = formatGrantRequest(request, this.self, now, this.recorder.stamp())
+    const message = formatGrantRequest(request, ask, this.self, now, this.recorder.stamp())
     const timeout = Math.max(MIN_GRANT_TIMEOUT_MS, request.deadline - now + GRANT_MARGIN_MS)
     const reply = await this.call<GrantReply>(
       address,
--- a/packages/daemon/src/peer/codec.ts
+++ b/packages/daemon/src/peer/codec.ts
@@ -3,6 +3,7 @@
   type ErrorCode,
   type Grant,
   type GrantResult,
+  type Incarnation,
   isRank,
   type Millis,
   RefusedError,
@@ -19,14 +20,25 @@
   ReturnedGrant,
 } from "../generated/peer.js"
 
+/** A holder's question for a grant. */
+export interface GrantQuestion {
+  readonly request: RouteRequest
+  readonly holder: Incarnation
+  /** Tells this question from earlier ones of the same holder for the same request. */
+  readonly ask: number
+}
+
 /** How an owner answered a request for a grant. */
 export type GrantAnswer =
   | { readonly kind: "granted"; readonly grant: Grant }
   | { readonly kind: "refused"; readonly code: ErrorCode; readonly message: string }
 
-/** A grant that its holder gives back. An empty id gives back whatever was granted for the request. */
+/** A grant that its holder gives back. */
 export interface GrantReturn {
+  /** Empty when the answer was lost: whatever was granted for the question is given back. */
   readonly id: string
+  /** The question that the grant answered; 0 for one whose id is known. */
+  readonly ask: number
   readonly endpoint: string
   readonly request: string
   readonly result: GrantResult
@@ -35,6 +47,7 @@
 /** Formats a request for a grant. Times go as durations, since clocks differ. */
 export function formatGrantRequest(
   request: RouteRequest,
+  ask: number,
   holder: string,
   now: Millis,
   time: HybridTime,
@@ -49,6 +62,7 @@
     waitedMs: now - request.arrivedAt,
     prefix: request.prefix,
     maxTokens: request.maxTokens,
+    ask,
   }
 }
 
--- a/packages/daemon/src/peer/server.ts
+++ b/packages/daemon/src/peer/server.ts
@@ -7,12 +7,7 @@
   status,
   type UntypedHandleCall,
 } from "@grpc/grpc-js"
-import {
-  type AdapterKey,
-  describeError,
-  type Incarnation,
-  type RouteRequest,
-} from "@galenaway/core"
+import { type AdapterKey, describeError } from "@galenaway/core"
 import type { MemberEvent, MemberReply } from "@galenaway/coordination"
 import type { HybridTime, Recorder } from "@galenaway/observe"
 import {
@@ -29,6 +24,7 @@
   formatGrantAnswer,
   formatMemberReply,
   type GrantAnswer,
+  type GrantQuestion,
   type GrantReturn,
   parseGrantRequest,
   parseReturn,
@@ -37,7 +33,7 @@
 /** What an instance does when others call it. */
 export interface PeerHandlers {
   /** Queues a request at this owner until it is granted, refused or aborted. */
-  grant(request: RouteRequest, holder: Incarnation, signal: AbortSignal): Promise<GrantAnswer>
+  grant(question: GrantQuestion, signal: AbortSignal): Promise<GrantAnswer>
   /** Takes grants back. */
   takeReturns(returns: readonly GrantReturn[]): void
   /** Handles an event as a member. */
@@ -111,7 +107,8 @@
       call.on("cancelled", () => {
         abort.abort()
       })
-      const answer = await handlers.grant(request, call.request.holder, abort.signal)
+      const { holder, ask } = call.request
+      const answer = await handlers.grant({ request, holder, ask }, abort.signal)
       return formatGrantAnswer(answer, recorder.stamp())
     }),
     returnGrants: reply((call) => {
--- a/packages/daemon/src/router/coordinated.ts
+++ b/packages/daemon/src/router/coordinated.ts
@@ -48,6 +48,8 @@
 
 /** Asks the owner of a well-chosen endpoint for a grant, and the next one when that fails without a grant. */
 export class CoordinatedRouter implements Router {
+  private asks = 0
+
   constructor(private readonly parts: RouterParts) {}
 
   async acquire(request: RouteRequest, signal: AbortSignal): Promise<Grant> {
@@ -69,7 +71,7 @@
     const { endpoint, id, request } = grant
     handleMember({ kind: "grant-ended", endpoint, grant: id })
     ownerless.release(grant)
-    returns.add({ id, endpoint, request, result }, () => getMinimumEpoch(endpoint))
+    returns.add({ id, ask: 0, endpoint, request, result }, () => getMinimumEpoch(endpoint))
   }
 
   /** Asks the best owners in turn until one answers for certain. */
@@ -138,10 +140,11 @@
       endpoint,
       peer: owner,
     })
+    const ask = ++this.asks
     const answer =
       owner === this.parts.self
-        ? await this.parts.dispatcher.submit(request, owner, signal)
-        : await this.askPeer(owner, endpoint, request, signal)
+        ? await this.parts.dispatcher.submit({ request, holder: owner, ask }, signal)
+        : await this.askPeer(owner, endpoint, request, ask, signal)
     return answer.kind === "granted" ? this.accept(answer.grant) : answer
   }
 
@@ -149,6 +152,7 @@
     owner: Incarnation,
     endpoint: EndpointId,
     request: RouteRequest,
+    ask: number,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
     const { documents, caller, clock, returns } = this.parts
@@ -156,11 +160,11 @@
     if (address === undefined)
       return { kind: "refused", code: "no-owner", message: `${owner} has no address` }
     try {
-      return await caller.requestGrant(address, request, clock.now(), signal)
+      return await caller.requestGrant(address, request, ask, clock.now(), signal)
     } catch (error) {
-      // The owner may have granted it all the same: it is given back by the request's id.
+      // The owner may have granted it all the same: it is given back by the question.
       const { id } = request
-      returns.add({ id: "", endpoint, request: id, result: "canceled" }, () => 0)
+      returns.add({ id: "", ask, endpoint, request: id, result: "canceled" }, () => 0)
       return { kind: "refused", code: "peer-down", message: describeError(error) }
     }
   }
@@ -174,7 +178,7 @@
       return { kind: "granted", grant }
     }
     const { id, endpoint, request } = grant
-    returns.add({ id, endpoint, request, result: "canceled" }, () => 0)
+    returns.add({ id, ask: 0, endpoint, request, result: "canceled" }, () => 0)
     return { kind: "refused", code: "no-owner", message: "the grant's owner has a successor" }
   }
 }
--- a/packages/daemon/src/router/dispatcher.ts
+++ b/packages/daemon/src/router/dispatcher.ts
@@ -9,7 +9,6 @@
   type Grant,
   type Incarnation,
   type RequestId,
-  type RouteRequest,
 } from "@galenaway/core"
 import type { OwnerState } from "@galenaway/coordination"
 import type { Log, Metrics, Recorder } from "@galenaway/observe"
@@ -27,18 +26,21 @@
   setPolicy,
 } from "@galenaway/policy"
 import type { OwnedEndpoints, OwnedListener } from "../ownership/owned.js"
-import type { GrantAnswer, GrantReturn } from "../peer/codec.js"
+import type { GrantAnswer, GrantQuestion, GrantReturn } from "../peer/codec.js"
 import type { EndpointLoad } from "./views.js"
 
 const TICK_INTERVAL_MS = 20
 const REPORT_INTERVAL_MS = 200
 
-interface Waiting {
-  readonly request: RouteRequest
-  readonly holder: Incarnation
+interface Waiting extends GrantQuestion {
   readonly settle: (answer: GrantAnswer) => void
 }
 
+interface Granted {
+  readonly grant: Grant
+  readonly ask: number
+}
+
 /**
  * The owner's side of routing: queues the requests for the endpoints that this
  * instance owns, runs the scheduler's systems each tick, and carries out its
@@ -47,7 +49,7 @@
 export class Dispatcher implements OwnedListener {
   private readonly tables: SchedulerTables
   private readonly waiting = new Map<RequestId, Waiting>()
-  private readonly granted = new Map<RequestId, Grant>()
+  private readonly granted = new Map<RequestId, Granted>()
   private readonly reachable = new Set<EndpointId>()
   private readonly incarnations = new Map<EndpointId, string>()
   private readonly timers: NodeJS.Timeout[] = []
@@ -85,16 +87,15 @@
   }
 
   /** Queues a request until it is granted or refused. Aborting takes it out. */
-  submit(request: RouteRequest, holder: Incarnation, signal: AbortSignal): Promise<GrantAnswer> {
+  submit(question: GrantQuestion, signal: AbortSignal): Promise<GrantAnswer> {
+    const { request } = question
+    this.dropEarlier(request.id)
     return new Promise((settle) => {
-      this.waiting.set(request.id, { request, holder, settle })
-      signal.addEventListener(
-        "abort",
-        () => {
-          this.cancel(request.id)
-        },
-        { once: true },
-      )
+      this.waiting.set(request.id, { ...question, settle })
+      const cancel = () => {
+        if (this.waiting.get(request.id)?.ask === question.ask) this.cancel(request.id)
+      }
+      signal.addEventListener("abort", cancel, { once: true })
       this.update({ kind: "submitted", request })
     })
   }
@@ -136,7 +137,7 @@
     const info = this.infos.get(endpoint)
     if (!info) return
     const running = [...state.grants.values()].map(({ grant }) => grant)
-    for (const grant of running) this.granted.set(grant.request, grant)
+    for (const grant of running) this.granted.set(grant.request, { grant, ask: 0 })
     this.metrics.count("ownership-changes")
     this.update({ kind: "endpoint-gained", info, running })
     this.update({ kind: "suspects-changed", endpoint, suspects: state.suspects })
@@ -145,6 +146,8 @@
 
   onDeposed(endpoint: EndpointId): void {
     this.metrics.count("ownership-changes")
+    for (const [request, { grant }] of this.granted)
+      if (grant.endpoint === endpoint) this.granted.delete(request)
     this.update({ kind: "endpoint-lost", endpoint })
   }
 
@@ -168,15 +171,24 @@
     waiting?.settle({ kind: "refused", code: "canceled", message: "canceled by its holder" })
   }
 
-  private takeReturn({ id, endpoint, request, result }: GrantReturn): void {
-    const grant = this.granted.get(request)
-    if (grant && (id === "" || id === grant.id)) {
-      this.owned.apply(grant.endpoint, { kind: "grant-returned", grant: grant.id })
-      this.finish(request, result)
-    } else {
-      this.owned.apply(endpoint, { kind: "grant-returned", grant: id })
-      this.cancel(request)
-    }
+  /** A holder that asks anew for a request holds nothing of its earlier questions. */
+  private dropEarlier(request: RequestId): void {
+    const earlier = this.granted.get(request)
+    if (earlier) this.giveBack(earlier.grant, "canceled")
+    if (this.waiting.has(request)) this.cancel(request)
+  }
+
+  private takeReturn({ id, ask, endpoint, request, result }: GrantReturn): void {
+    const granted = this.granted.get(request)
+    const isMeant = granted && (id === "" ? ask === granted.ask : id === granted.grant.id)
+    if (isMeant) this.giveBack(granted.grant, result)
+    else if (id !== "") this.owned.apply(endpoint, { kind: "grant-returned", grant: id })
+    else if (this.waiting.get(request)?.ask === ask) this.cancel(request)
+  }
+
+  private giveBack(grant: Grant, result: GrantReturn["result"]): void {
+    this.owned.apply(grant.endpoint, { kind: "grant-returned", grant: grant.id })
+    this.finish(grant.request, result)
   }
 
   private finish(request: RequestId, result: GrantReturn["result"]): void {
@@ -232,7 +244,7 @@
     }
     const id = `${this.self}-${++this.counter}`
     const grant: Grant = { id, request, endpoint, adapter, owner: this.self, epoch }
-    this.granted.set(request, grant)
+    this.granted.set(request, { grant, ask: waiting.ask })
     this.owned.apply(endpoint, { kind: "granted", grant, holder: waiting.holder })
     this.metrics.count("grants")
     this.metrics.timeRank(
