Policy: margins for a first token follow the load; no waiting without a live endpoint

Cause: a request with a deadline below 100 ms was refused on an idle engine; requests at an owner without a live endpoint waited for their deadline; a load that ended after the engine's restart counted as resident; two tables of one entry for each adapter were never pruned.

Change: the margin is 40 ms on idle engines and 100 ms on full ones; such requests are refused as no-endpoint, not run; a load counts only while it is awaited; the tables drop what has ended.

--- a/packages/policy/src/events.ts
+++ b/packages/policy/src/events.ts
@@ -68,8 +68,7 @@
     case "loaded":
       tables.backoffs.delete(event.adapter)
       updateEndpoint(tables, event.endpoint, (row) => {
-        row.loading.delete(event.adapter)
-        addResident(row, event.adapter, now)
+        if (row.loading.delete(event.adapter)) addResident(row, event.adapter, now)
       })
       return
     case "load-failed":
@@ -224,11 +223,15 @@
   }
   for (const [adapter, at] of row.evictedAt)
     if (now - at > REPORT_LAG_MS) row.evictedAt.delete(adapter)
+  for (const [adapter, until] of row.blockedUntil)
+    if (until <= now) row.blockedUntil.delete(adapter)
   for (const adapter of reported)
     if (!row.evictedAt.has(adapter) && !row.loading.has(adapter)) addResident(row, adapter, now)
 }
 
 function delayLoad(tables: SchedulerTables, adapter: AdapterKey, now: Millis): void {
+  for (const [other, { retryAt }] of tables.backoffs)
+    if (now - retryAt > BACKOFF_LIMIT_MS) tables.backoffs.delete(other)
   const failures = (tables.backoffs.get(adapter)?.failures ?? 0) + 1
   const delay = Math.min(BACKOFF_LIMIT_MS, BACKOFF_START_MS * 2 ** (failures - 1))
   tables.backoffs.set(adapter, { failures, retryAt: now + delay })
--- a/packages/policy/src/refuse.ts
+++ b/packages/policy/src/refuse.ts
@@ -4,11 +4,14 @@
 import { isOpen, type SchedulerTables } from "./tables.js"
 
 const QUEUE_LIMIT_BYTES = 8 * 1024 * 1024
-/** The shortest time from a grant to the first token. */
-const FIRST_TOKEN_MS = 100
+/** Time from a grant to the first token on an idle engine, and what a full batch adds. */
+const FIRST_TOKEN_MS = 40
+const FULL_BATCH_MS = 60
 
 /** Refuses what can't be on time any more, and what the bounded queues can't hold. */
 export function runRefusals(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
+  if (tables.queue.byId.size === 0) return
+  refuseHomeless(tables, orders)
   refuseLate(tables, now, orders)
   refuseExcess(tables, orders)
 }
@@ -28,8 +31,27 @@
   }
 }
 
+/** Without any endpoint that will take work again there is nothing to wait for. */
+function refuseHomeless(tables: SchedulerTables, orders: SchedulerOrder[]): void {
+  for (const row of tables.endpoints.values()) if (row.phase === "live") return
+  for (const request of tables.queue.byId.values())
+    refuseQueued(tables, orders, request, "no-endpoint", "this instance owns no live endpoint")
+}
+
+/** Computes how full the open endpoints are, from 0 to 1. */
+function computeFill(tables: SchedulerTables): number {
+  let running = 0
+  let limit = 0
+  for (const row of tables.endpoints.values()) {
+    if (!isOpen(row)) continue
+    running += row.running.size
+    limit += row.limit
+  }
+  return limit === 0 ? 0 : Math.min(1, running / limit)
+}
+
 function refuseLate(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
-  const horizon = now + FIRST_TOKEN_MS
+  const horizon = now + FIRST_TOKEN_MS + FULL_BATCH_MS * computeFill(tables)
   const coldHorizon = horizon + tables.settings.loads.loadMs
   for (const rank of RANKS) {
     const late: RouteRequest[] = []
@@ -74,7 +96,7 @@
   tables: SchedulerTables,
   orders: SchedulerOrder[],
   request: RouteRequest,
-  code: "deadline" | "overloaded",
+  code: "deadline" | "overloaded" | "no-endpoint",
   message: string,
 ): void {
   removeQueued(tables.queue, request.id)
