Claims: fair rounds under contention, smaller records, and a bench

Fixed waits by instance made it worse (the one with the longest wait always lost), as did waits that grow with each loss.

Change: while a shard is contended each round is preceded by a spread pause that shrinks with each loss, so the winner lets others go first and gathers more. Records lost their author and id once settled. Keys are kept an hour, bodies a quarter of one; 8 shards.

--- /dev/null
+++ b/bench/src/claims.ts
@@ -0,0 +1,157 @@
+import { build, type Histogram } from "hdr-histogram-js"
+import { Agent } from "undici"
+import { ClaimKeeper, type ClaimStore, type RecordedAnswer } from "@galenaway/claims"
+import { ConsulPlatform, systemClock, waitMs } from "@galenaway/daemon"
+import { startPlatform } from "@galenaway/fakes"
+
+/**
+ * Measures what claims cost: writes to the platform and time added for each
+ * booking, by callers at once, with claims written in groups against one
+ * value a key, over the platform's stand-in on loopback. The endpoint takes
+ * no time, so all that is measured is the claims' own.
+ */
+const CALLERS = [1, 8, 64]
+const CALLS_A_CALLER = 25
+const MIN_CALLS = 200
+const MICROS_PER_MS = 1000
+const MAX_MICROS = 60_000_000
+const PLATFORM_DELAY_MS = 2
+const DRAIN_MS = 30_000
+const ANSWER: RecordedAnswer = { status: 200, body: '{"ok":true}' }
+
+interface Runner {
+  runOnce(key: string, send: () => Promise<RecordedAnswer>): Promise<unknown>
+  /** Waits until every answer is recorded. */
+  drain(): Promise<unknown>
+}
+
+interface Variant {
+  readonly name: string
+  readonly instances: number
+  readonly create: (platform: ClaimStore, author: string) => Runner
+}
+
+interface Row {
+  readonly variant: string
+  readonly callers: number
+  readonly writes: number
+  readonly reads: number
+  readonly p50: number
+  readonly p99: number
+  readonly rate: number
+}
+
+const VARIANTS: readonly Variant[] = [
+  { name: "one value a key", instances: 1, create: createSingle },
+  { name: "groups, 4 shards", instances: 1, create: createGroups(4) },
+  { name: "groups, 8 shards", instances: 1, create: createGroups(8) },
+  { name: "one value a key, 4 instances", instances: 4, create: createSingle },
+  { name: "groups, 4 shards, 4 instances", instances: 4, create: createGroups(4) },
+  { name: "groups, 8 shards, 4 instances", instances: 4, create: createGroups(8) },
+  { name: "groups, 16 shards, 4 instances", instances: 4, create: createGroups(16) },
+]
+
+const rows: Row[] = []
+for (const variant of VARIANTS)
+  for (const callers of CALLERS) rows.push(await measure(variant, callers))
+printRows(rows)
+
+async function measure(variant: Variant, callers: number): Promise<Row> {
+  const calls = Math.max(MIN_CALLS, callers * CALLS_A_CALLER)
+  const platform = await startPlatform()
+  const agent = new Agent()
+  try {
+    platform.faults.delayMs = PLATFORM_DELAY_MS
+    const authors = Array.from({ length: variant.instances }, (_, index) => `entry-${index}:run`)
+    const store = new ConsulPlatform(platform.url, agent)
+    const instances = authors.map((author) => variant.create(store, author))
+    const added = build({ highestTrackableValue: MAX_MICROS })
+    const start = performance.now()
+    await runCallers(instances, callers, calls, added)
+    const ms = performance.now() - start
+    await Promise.all(instances.map((instance) => instance.drain()))
+    const { writes, reads } = platform.counters
+    return {
+      variant: variant.name,
+      callers,
+      writes: writes / calls,
+      reads: reads / calls,
+      p50: added.getValueAtPercentile(50) / MICROS_PER_MS,
+      p99: added.getValueAtPercentile(99) / MICROS_PER_MS,
+      rate: (calls / ms) * 1000,
+    }
+  } finally {
+    await agent.close()
+    await platform.close()
+  }
+}
+
+async function runCallers(
+  instances: readonly Runner[],
+  callers: number,
+  calls: number,
+  added: Histogram,
+): Promise<void> {
+  let left = calls
+  const runCaller = async (index: number) => {
+    const instance = instances[index % instances.length]
+    while (instance && left-- > 0) {
+      const start = performance.now()
+      await instance.runOnce(`key-${left}`, () => Promise.resolve(ANSWER))
+      added.recordValue(Math.round((performance.now() - start) * MICROS_PER_MS))
+    }
+  }
+  await Promise.all(Array.from({ length: callers }, (_, index) => runCaller(index)))
+}
+
+function createGroups(shards: number) {
+  return (platform: ClaimStore, author: string): Runner => {
+    const parts = { platform, author, clock: systemClock, wait: waitMs, limits: { shards } }
+    const keeper = new ClaimKeeper(parts)
+    return {
+      runOnce: (key, send) => keeper.runOnce({ operation: "bookings", key, body: "{}" }, send),
+      drain: () => keeper.drain(DRAIN_MS),
+    }
+  }
+}
+
+/** A value for each key, written before the call and after it, the second write in the background. */
+function createSingle(platform: ClaimStore, author: string): Runner {
+  const settling = new Set<Promise<void>>()
+  const settle = async (path: string, answer: RecordedAnswer) => {
+    const current = await platform.read(path)
+    await platform.compareAndSwap(path, current?.revision ?? 0, JSON.stringify(answer))
+  }
+  return {
+    runOnce: async (key, send) => {
+      const path = `single/${key}`
+      await platform.compareAndSwap(path, 0, JSON.stringify({ state: "claimed", author }))
+      const answer = await send()
+      const settled = settle(path, answer).finally(() => settling.delete(settled))
+      settling.add(settled)
+      return answer
+    },
+    drain: () => Promise.all(settling),
+  }
+}
+
+function printRows(all: readonly Row[]): void {
+  console.log(
+    `${CALLS_A_CALLER} bookings a caller, the platform answers in ${PLATFORM_DELAY_MS} ms`,
+  )
+  const head = ["variant", "callers", "writes", "reads", "p50 ms", "p99 ms", "bookings/s"]
+  const cells = all.map((row) => [
+    row.variant,
+    String(row.callers),
+    row.writes.toFixed(2),
+    row.reads.toFixed(2),
+    row.p50.toFixed(1),
+    row.p99.toFixed(1),
+    row.rate.toFixed(0),
+  ])
+  const widths = head.map((title, column) =>
+    Math.max(title.length, ...cells.map((row) => row[column]?.length ?? 0)),
+  )
+  for (const row of [head, ...cells])
+    console.log(row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join("  "))
+}
--- a/packages/claims/src/document.ts
+++ b/packages/claims/src/document.ts
@@ -3,24 +3,23 @@
 import type { ClaimRecord, Settlement, ShardDocument } from "./record.js"
 
 const PAST_CHARACTERS = 11
-const RECORD_BYTES = 256
+const RECORD_BYTES = 160
+
+/** The claim that an operation is about. Its author and id together are unique for ever. */
+export interface ClaimIdentity {
+  readonly key: ClaimKey
+  readonly author: string
+  readonly id: number
+}
 
 /** A change of one claim. Applying one twice changes nothing more. */
-export type ClaimOperation =
-  | {
-      readonly kind: "claim"
-      readonly key: ClaimKey
-      readonly id: string
-      readonly author: string
-    }
-  | {
-      readonly kind: "settle"
-      readonly key: ClaimKey
-      readonly id: string
-      readonly settlement: Settlement
-    }
-  /** Takes a claim back whose call certainly hasn't run, or one whose write may still take effect. */
-  | { readonly kind: "release"; readonly key: ClaimKey; readonly id: string }
+export type ClaimOperation = ClaimIdentity &
+  (
+    | { readonly kind: "claim" }
+    | { readonly kind: "settle"; readonly settlement: Settlement }
+    /** Takes a claim back whose call certainly hasn't run, or one whose write may still take effect. */
+    | { readonly kind: "release" }
+  )
 
 /** What became of an operation. Only a claim can be anything but applied. */
 export type OperationResult =
@@ -102,20 +101,20 @@
   limits: ClaimLimits,
 ): Applied {
   const held = document.claims.get(operation.key.digest)
-  const isOwn = held?.id === operation.id
+  const own = findOwn(held, operation)
   switch (operation.kind) {
     case "claim":
-      return isOwn ? [{ kind: "applied" }, held] : addClaim(document, operation, wallNow, limits)
+      return own ? [{ kind: "applied" }, own] : addClaim(document, operation, wallNow, limits)
     case "settle":
-      return [{ kind: "applied" }, isOwn ? settleClaim(held, operation.settlement) : held]
+      return [{ kind: "applied" }, own ? settleClaim(own, operation.settlement) : held]
     case "release":
-      return [{ kind: "applied" }, isOwn ? undefined : held]
+      return [{ kind: "applied" }, own ? undefined : held]
   }
 }
 
 function addClaim(
   document: ShardDocument,
-  { key, id, author }: Extract<ClaimOperation, { kind: "claim" }>,
+  { key, id, author }: ClaimIdentity,
   wallNow: number,
   limits: ClaimLimits,
 ): Applied {
@@ -125,19 +124,20 @@
   if (issuedAt !== undefined && issuedAt < wallNow - limits.retentionMs)
     return [{ kind: "expired" }, undefined]
   if (isFull(document, issuedAt === undefined, limits)) return [{ kind: "full" }, undefined]
-  const base = {
-    id,
-    fingerprint,
-    claimedAt: wallNow,
-    ...(issuedAt === undefined ? {} : { issuedAt }),
-  }
-  return [{ kind: "applied" }, { state: "claimed", author, ...base }]
+  const base = { fingerprint, claimedAt: wallNow, ...(issuedAt === undefined ? {} : { issuedAt }) }
+  return [{ kind: "applied" }, { state: "claimed", author, id, ...base }]
+}
+
+type OpenRecord = Extract<ClaimRecord, { state: "claimed" }>
+
+function findOwn(held: ClaimRecord | undefined, own: ClaimIdentity): OpenRecord | undefined {
+  if (held?.state !== "claimed") return undefined
+  return held.author === own.author && held.id === own.id ? held : undefined
 }
 
-function settleClaim(held: ClaimRecord, settlement: Settlement): ClaimRecord {
-  if (held.state !== "claimed") return held
-  const { id, fingerprint, claimedAt, issuedAt } = held
-  const base = { id, fingerprint, claimedAt, ...(issuedAt === undefined ? {} : { issuedAt }) }
+function settleClaim(held: OpenRecord, settlement: Settlement): ClaimRecord {
+  const { fingerprint, claimedAt, issuedAt } = held
+  const base = { fingerprint, claimedAt, ...(issuedAt === undefined ? {} : { issuedAt }) }
   return { ...base, ...settlement }
 }
 
@@ -187,8 +187,8 @@
 function dropOldBody(record: ClaimRecord, before: number): ClaimRecord {
   if (record.state !== "done" || record.body === undefined || record.claimedAt >= before)
     return record
-  const { id, fingerprint, claimedAt, issuedAt, state, status } = record
-  const base = { id, fingerprint, claimedAt, ...(issuedAt === undefined ? {} : { issuedAt }) }
+  const { fingerprint, claimedAt, issuedAt, state, status } = record
+  const base = { fingerprint, claimedAt, ...(issuedAt === undefined ? {} : { issuedAt }) }
   return { ...base, state, status }
 }
 
--- a/packages/claims/src/keeper.ts
+++ b/packages/claims/src/keeper.ts
@@ -111,14 +111,14 @@
     key: ClaimKey,
     send: () => Promise<RecordedAnswer>,
   ): Promise<ClaimedAnswer> {
-    let claim: string | ClaimedAnswer
+    let claim: number | ClaimedAnswer
     try {
       claim = await this.claim(key)
     } catch (error) {
       this.open.delete(key.digest)
       throw error
     }
-    if (typeof claim !== "string") {
+    if (typeof claim !== "number") {
       this.open.delete(key.digest)
       return claim
     }
@@ -126,12 +126,12 @@
   }
 
   /** Returns the id of the written claim, or the recorded answer of an earlier call. */
-  private async claim(key: ClaimKey): Promise<string | ClaimedAnswer> {
-    const { clock, wait, author } = this.parts
+  private async claim(key: ClaimKey): Promise<number | ClaimedAnswer> {
+    const { clock, wait } = this.parts
     const end = clock.now() + this.limits.replayWaitMs
     let isHeld = false
     for (let pollMs = FIRST_POLL_MS; ; pollMs = Math.min(MAX_POLL_MS, 2 * pollMs)) {
-      const id = `${author}#${++this.claims}`
+      const id = ++this.claims
       const result = await this.writeClaim(key, id)
       if (!result) return this.answerWithoutPlatform(key, isHeld)
       if (result.kind === "applied") return id
@@ -144,7 +144,7 @@
   }
 
   /** Writes a claim. Returns undefined when the platform didn't confirm it in time; it is then taken back. */
-  private async writeClaim(key: ClaimKey, id: string): Promise<OperationResult | undefined> {
+  private async writeClaim(key: ClaimKey, id: number): Promise<OperationResult | undefined> {
     const { author, wait } = this.parts
     const { pending, result } = this.submit({ kind: "claim", key, id, author })
     const timer = new AbortController()
@@ -159,7 +159,7 @@
 
   private async sendClaimed(
     key: ClaimKey,
-    id: string,
+    id: number,
     send: () => Promise<RecordedAnswer>,
   ): Promise<ClaimedAnswer> {
     try {
@@ -168,7 +168,7 @@
       return { ...answer, isReplayed: false }
     } catch (error) {
       if (error instanceof GalenawayError && error.outcome === "not-run") {
-        this.submit({ kind: "release", key, id })
+        this.submit({ kind: "release", key, author: this.parts.author, id })
         this.open.delete(key.digest)
       } else this.settle(key, id, { state: "unknown" })
       throw error
@@ -176,8 +176,14 @@
   }
 
   /** Writes a settlement in the background. Until the platform has it, retries here find the open call. */
-  private settle(key: ClaimKey, id: string, settlement: Settlement): void {
-    const { result } = this.submit({ kind: "settle", key, id, settlement })
+  private settle(key: ClaimKey, id: number, settlement: Settlement): void {
+    const { result } = this.submit({
+      kind: "settle",
+      key,
+      author: this.parts.author,
+      id,
+      settlement,
+    })
     void result.then(() => {
       this.open.delete(key.digest)
       this.parts.onEvent?.("claim-settled", key.digest)
--- a/packages/claims/src/limits.ts
+++ b/packages/claims/src/limits.ts
@@ -22,11 +22,11 @@
 
 /** The bounds that the daemon uses. */
 export const DEFAULT_CLAIM_LIMITS: ClaimLimits = {
-  shards: 16,
-  retentionMs: 24 * 3_600_000,
-  bodyRetentionMs: 3_600_000,
+  shards: 8,
+  retentionMs: 3_600_000,
+  bodyRetentionMs: 900_000,
   bodyBytes: 4096,
-  documentBytes: 512 * 1024,
+  documentBytes: 384 * 1024,
   pastBytes: 256 * 1024,
   maxOpen: 4096,
   claimTimeoutMs: 1500,
--- a/packages/claims/src/record.ts
+++ b/packages/claims/src/record.ts
@@ -5,8 +5,6 @@
 }
 
 interface ClaimBase {
-  /** The claim's own id, by which its author recognises it after a lost reply. */
-  readonly id: string
   /** Hash of the request's body; another body under the same key is a conflict. */
   readonly fingerprint: string
   /** Wall time of the claim in milliseconds. */
@@ -17,8 +15,8 @@
 
 /** What the platform's service keeps of a call under its idempotency key. */
 export type ClaimRecord =
-  /** Its author may run it, be running it, or have died over it. */
-  | (ClaimBase & { readonly state: "claimed"; readonly author: string })
+  /** Its author may run it, be running it, or have died over it. The author knows it again by its id. */
+  | (ClaimBase & { readonly state: "claimed"; readonly author: string; readonly id: number })
   /** It ran. The body is dropped after a while, or when it is large. */
   | (ClaimBase & { readonly state: "done"; readonly status: number; readonly body?: string })
   /** It was sent, and its outcome won't become known. */
--- a/packages/claims/src/shard.ts
+++ b/packages/claims/src/shard.ts
@@ -14,7 +14,10 @@
 const MAX_BATCH = 256
 const MIN_BACKOFF_MS = 25
 const MAX_BACKOFF_MS = 500
-const MAX_CONFLICT_WAITS = 6
+const MAX_YIELDED_ROUNDS = 16
+const MIN_CONTENTION = 0.1
+const SMOOTHING = 0.2
+const GOLDEN_RATIO = 0.618_033_988_75
 
 /** What the claims need of the platform's service. */
 export type ClaimStore = Pick<PlatformPort, "read" | "compareAndSwap">
@@ -37,6 +40,8 @@
   readonly resolve: (result: OperationResult) => void
 }
 
+type CommitOutcome = "written" | "conflict" | "failed"
+
 /**
  * Writes one shard's operations in groups, one write at a time. Each write is
  * based on a fresh read, so a lost reply is settled by the next round: an
@@ -49,11 +54,17 @@
   private isRunning = false
   private failures = 0
   private conflicts = 0
+  /** Conflicts for each write that went through, and the time of a round, both smoothed. */
+  private contention = 0
+  private roundMs = 0
+  private jitter: number
 
   constructor(
     private readonly key: string,
     private readonly context: ShardContext,
-  ) {}
+  ) {
+    this.jitter = context.phase
+  }
 
   /** Queues an operation. `result` resolves when it is settled for good; it never rejects. */
   submit(operation: ClaimOperation): {
@@ -74,8 +85,8 @@
    */
   withdraw(pending: PendingOperation): boolean {
     if (!this.pending.includes(pending)) return false
-    const { key, id } = pending.operation
-    pending.operation = { kind: "release", key, id }
+    const { key, author, id } = pending.operation
+    pending.operation = { kind: "release", key, author, id }
     if (!pending.isAttempted) {
       this.pending = this.pending.filter((each) => each !== pending)
       pending.resolve({ kind: "applied" })
@@ -86,15 +97,17 @@
   private async run(): Promise<void> {
     this.isRunning = true
     while (this.pending.length > 0) {
-      const isWritten = await this.commit()
-      if (!isWritten) await this.context.wait(this.getBackoffMs())
+      const pauseMs = this.getPauseMs()
+      if (pauseMs > 0) await this.context.wait(pauseMs)
+      if (this.pending.length > 0) this.count(await this.commit())
     }
     this.isRunning = false
   }
 
-  /** Reads the document, applies what is pending, and writes it. Returns false when that has to be tried again. */
-  private async commit(): Promise<boolean> {
+  /** Reads the document, applies what is pending, and writes it. */
+  private async commit(): Promise<CommitOutcome> {
     const { platform, clock, limits } = this.context
+    const start = clock.now()
     try {
       const current = await platform.read(this.key)
       this.lastRead = parseDocument(current?.value)
@@ -105,19 +118,46 @@
         for (const each of batch) each.isAttempted = true
         const value = formatDocument(next.document)
         const isOurs = await platform.compareAndSwap(this.key, current?.revision ?? 0, value)
-        if (!isOurs) return this.countConflict()
+        this.roundMs = smooth(this.roundMs, clock.now() - start)
+        if (!isOurs) return "conflict"
         this.lastRead = next.document
       }
       this.finish(batch, operations, next.results)
-      this.failures = 0
-      this.conflicts = 0
-      return true
+      return "written"
     } catch {
-      this.failures++
-      return false
+      return "failed"
     }
   }
 
+  private count(outcome: CommitOutcome): void {
+    this.failures = outcome === "failed" ? this.failures + 1 : 0
+    if (outcome === "conflict") this.conflicts++
+    if (outcome !== "written") return
+    this.contention = smooth(this.contention, this.conflicts)
+    this.conflicts = 0
+  }
+
+  /**
+   * Returns the pause before the next round. While instances contend for the
+   * shard each lets others go first, the less the more often it has lost, so
+   * that none starves; what comes meanwhile joins the group.
+   */
+  private getPauseMs(): number {
+    if (this.failures > 0) {
+      const backoff = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.failures)
+      return backoff * (0.5 + this.nextJitter() / 2)
+    }
+    if (this.contention < MIN_CONTENTION) return 0
+    const rounds = Math.min(MAX_YIELDED_ROUNDS, 2 * this.contention)
+    return (this.roundMs * rounds * this.nextJitter()) / 2 ** this.conflicts
+  }
+
+  /** Returns shares from 0 to 1, evenly spread, that differ from instance to instance. */
+  private nextJitter(): number {
+    this.jitter = (this.jitter + GOLDEN_RATIO) % 1
+    return this.jitter
+  }
+
   /** Resolves what was written, except operations that were withdrawn meanwhile. */
   private finish(
     batch: readonly PendingOperation[],
@@ -133,17 +173,8 @@
     }
     this.pending = this.pending.filter((each) => !finished.has(each))
   }
+}
 
-  private countConflict(): boolean {
-    this.conflicts++
-    this.failures = 0
-    return false
-  }
-
-  private getBackoffMs(): number {
-    const { phase } = this.context
-    if (this.failures === 0) return phase * Math.min(this.conflicts, MAX_CONFLICT_WAITS)
-    const backoff = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** this.failures)
-    return backoff * (0.5 + phase / 2)
-  }
+function smooth(value: number, sample: number): number {
+  return value + SMOOTHING * (sample - value)
 }
--- a/packages/claims/test/document.test.ts
+++ b/packages/claims/test/document.test.ts
@@ -18,12 +18,12 @@
 }
 
 function makeClaim(name: string, issuedAt?: number): ClaimOperation {
-  return { kind: "claim", key: makeKey(name, issuedAt), id: `id-${name}`, author: "a" }
+  return { kind: "claim", key: makeKey(name, issuedAt), author: "a", id: 1 }
 }
 
 function makeSettlement(name: string, body: string): ClaimOperation {
   const settlement = { state: "done", status: 200, body } as const
-  return { kind: "settle", key: makeKey(name), id: `id-${name}`, settlement }
+  return { kind: "settle", key: makeKey(name), author: "a", id: 1, settlement }
 }
 
 function apply(document: ShardDocument, operations: readonly ClaimOperation[], ageMs = 0) {
@@ -32,7 +32,7 @@
 
 function claimAgain(document: ShardDocument, name: string, issuedAt?: number): string {
   const key = makeKey(name, issuedAt)
-  const again: ClaimOperation = { kind: "claim", key, id: "other", author: "b" }
+  const again: ClaimOperation = { kind: "claim", key, author: "b", id: 2 }
   return apply(document, [again], 2 * limits.retentionMs).results[0]?.kind ?? "none"
 }
 
@@ -58,7 +58,7 @@
 it("never claims a forgotten key with a time again, even under a slow clock", () => {
   const document = forget(apply(EMPTY_DOCUMENT, [makeClaim("k1", START)]).document)
   const key = makeKey("k1", START)
-  const again: ClaimOperation = { kind: "claim", key, id: "other", author: "b" }
+  const again: ClaimOperation = { kind: "claim", key, author: "b", id: 2 }
   expect(apply({ ...document, horizon: 0 }, [again]).results).to.deep.equal([{ kind: "applied" }])
   expect(apply(document, [again]).results).to.deep.equal([{ kind: "expired" }])
   expect(document.past).to.equal("")
@@ -82,7 +82,7 @@
 })
 
 it("writes a release also when there is nothing to take back", () => {
-  const release: ClaimOperation = { kind: "release", key: makeKey("k1"), id: "id-k1" }
+  const release: ClaimOperation = { kind: "release", key: makeKey("k1"), author: "a", id: 1 }
   expect(apply(EMPTY_DOCUMENT, [release]).isChanged).to.equal(true)
 })
 
