--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -1,3 +1,4 @@
+import { request as sendRequest } from "undici"
 import {
   findPorts,
   resolveScript,
@@ -55,6 +56,10 @@
   readonly endpoints: readonly FleetEndpoint[]
   /** Sends a signal to a process by its name. */
   signal(name: string, signal: NodeJS.Signals): void
+  /** Changes fault switches of a stand-in by its name. */
+  setFault(name: string, faults: Readonly<Record<string, unknown>>): Promise<void>
+  /** Returns a process's exit code, or null while it runs or when a signal ended it. */
+  getExitCode(name: string): number | null
   /** Waits until a process has ended. */
   waitForEnd(name: string): Promise<void>
   /** Starts an instance again that has ended, with the same settings. */
@@ -63,6 +68,7 @@
   stop(): Promise<void>
 }
 
+const OK = 200
 const DEFAULT_INSTANCES = 4
 const DEFAULT_ENGINES = 13
 const DEFAULT_BOOKINGS = 3
@@ -101,6 +107,8 @@
     instances,
     endpoints,
     signal: (name, signal) => started.get(name)?.child.kill(signal),
+    setFault: (name, faults) => launcher.setFault(name, faults),
+    getExitCode: (name) => started.get(name)?.child.exitCode ?? null,
     waitForEnd: async (name) => started.get(name)?.ended,
     restartInstance: async (id) => {
       const instance = instances.find((each) => each.id === id)
@@ -112,11 +120,20 @@
 
 function createLauncher(options: FleetOptions, started: Map<string, StartedProcess>) {
   const onLog = (name: string) => (text: string) => options.onLog?.(name, text)
+  const urls = new Map<string, string>()
   const startFake = async (name: string, args: readonly string[]): Promise<string> => {
     const script = resolveScript("fakes", "main.js")
     const child = await startProcess({ name, script, args, onLog: onLog(name) })
     started.set(name, child)
-    return child.ready.replace(/^url=/, "")
+    const url = child.ready.replace(/^url=/, "")
+    urls.set(name, url)
+    return url
+  }
+  const setFault = async (name: string, faults: Readonly<Record<string, unknown>>) => {
+    const options = { method: "POST", body: JSON.stringify(faults) } as const
+    const { statusCode, body } = await sendRequest(`${urls.get(name) ?? name}/faults`, options)
+    await body.dump()
+    if (statusCode !== OK) throw new Error(`${name}: faults answered with ${statusCode}`)
   }
   const startDaemon = async (
     instance: FleetInstance,
@@ -151,7 +168,7 @@
     })
     started.set(instance.id, child)
   }
-  return { startFake, startDaemon }
+  return { startFake, startDaemon, setFault }
 }
 
 async function startEndpoints(
