--- a/packages/cli/src/commands/change.ts
+++ b/packages/cli/src/commands/change.ts
@@ -1,7 +1,6 @@
-import type { InForceReply } from "@galenaway/daemon"
-import type { Context } from "../context.js"
+import type { ChangeResult, InForceReply } from "@galenaway/daemon"
+import { type Context, printResult } from "../context.js"
 import { CommandError } from "../exit.js"
-import { formatJson } from "../table.js"
 import { formatHistory } from "./config.js"
 
 const POLL_MS = 250
@@ -18,23 +17,34 @@
   switch (result.kind) {
     case "conflict":
       throw createConflict(result.revision, formatHistory(result.winners))
-    case "unchanged":
-      print(context, result, `nothing to change, revision ${result.revision} says so already\n`)
-      return
+    case "unchanged": {
+      const message = `nothing to change, revision ${result.revision} says so already`
+      return reportInForce(context, result, result.revision, message, waitSeconds)
+    }
     case "accepted": {
       const { revision } = result.record
-      const inForce = await waitInForce(context, revision, waitSeconds)
-      const laggards = inForce.instances.filter((each) => each.state !== "in-force")
-      const count = inForce.instances.length
-      const message = `revision ${revision} accepted, in force on ${count - laggards.length} of ${count} instances\n`
-      print(context, { ...result, inForce }, message)
-      if (laggards.length === 0) return
-      const names = laggards.map((each) => `${each.instance} (${each.state})`).join(", ")
-      throw new CommandError("lagging", `not in force after ${waitSeconds} s on: ${names}`)
+      return reportInForce(context, result, revision, `revision ${revision} accepted`, waitSeconds)
     }
   }
 }
 
+async function reportInForce(
+  context: Context,
+  result: ChangeResult,
+  revision: number,
+  message: string,
+  waitSeconds: number,
+): Promise<void> {
+  const inForce = await waitInForce(context, revision, waitSeconds)
+  const laggards = inForce.instances.filter((each) => each.state !== "in-force")
+  const count = inForce.instances.length
+  const line = `${message}, in force on ${count - laggards.length} of ${count} instances\n`
+  printResult(context, { ...result, inForce }, () => line)
+  if (laggards.length === 0) return
+  const names = laggards.map((each) => `${each.instance} (${each.state})`).join(", ")
+  throw new CommandError("lagging", `not in force after ${waitSeconds} s on: ${names}`)
+}
+
 async function waitInForce(
   context: Context,
   revision: number,
@@ -74,7 +84,3 @@
   const message = `another change came first; the revision is now ${revision}\n${winners}${advice}`
   return new CommandError("conflict", message, "conflict", "config")
 }
-
-function print(context: Context, value: unknown, message: string): void {
-  context.shell.print(context.isJson ? formatJson(value) : message)
-}
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -128,7 +128,7 @@
   })
   expect([reason, output]).to.deep.equal([
     "done",
-    "nothing to change, revision 1 says so already\n",
+    "nothing to change, revision 1 says so already, in force on 1 of 1 instances\n",
   ])
 })
 
--- a/packages/daemon/test/configuration-writer.test.ts
+++ b/packages/daemon/test/configuration-writer.test.ts
@@ -96,6 +96,15 @@
   expect(result).to.have.nested.property("record.revision", 3)
 })
 
+it("replaces a damaged value from memory", async () => {
+  const platform = new MemoryPlatform()
+  platform.set("damaged")
+  const keeper = createKeeper()
+  keeper.offer(2, buildDocuments(2)[1] ?? "")
+  const result = await createWriter(platform, keeper).change(buildEdited(9, 2), ORIGIN)
+  expect(result).to.have.nested.property("record.revision", 3)
+})
+
 it("overwrites no unreadable value without a configuration of its own", async () => {
   const platform = new MemoryPlatform()
   platform.set("damaged")
