--- a/bench/src/configuration.ts
+++ b/bench/src/configuration.ts
@@ -96,9 +96,10 @@
   for (let change = 1; change <= CHANGES; change++)
     times.recordValue(await changeEverywhere(writer, instances, change))
   const calls = (countCalls(platform) - before) / CHANGES
+  const bytes = Buffer.byteLength(first.keeper.document)
   const [p50, max] = [times.getValueAtPercentile(50), times.maxValue]
   console.log(
-    `${name}, ${instances.length} instances: in force p50=${p50} ms max=${max} ms (target ${TARGET_MS} ms), ${calls.toFixed(1)} calls a change`,
+    `${name}, ${instances.length} instances: in force p50=${p50} ms max=${max} ms (target ${TARGET_MS} ms), ${calls.toFixed(1)} calls a change, ${bytes} bytes with ${first.keeper.stored.history.length} changes of history`,
   )
   return { size: instances.length, calls }
 }
--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -1,4 +1,4 @@
-import { RANKS } from "@galenaway/core"
+import { type ByRank, RANKS } from "@galenaway/core"
 import { type ConfigurationIssue, createIssue } from "./errors.js"
 import { formatMatch, listLeaves, MATCH_FIELDS, resolveSettings, type Subject } from "./resolve.js"
 import type { Configuration, ConfigurationException, FleetSettings, Match } from "./schema.js"
@@ -8,6 +8,8 @@
   readonly endpoints: readonly { readonly id: string; readonly dataCentre: string }[]
 }
 
+const SUM_DIGITS = 9
+
 type Group = keyof FleetSettings
 
 /** The match fields that can change each group of settings. */
@@ -48,8 +50,8 @@
 function checkSettings(settings: FleetSettings, path: string): ConfigurationIssue[] {
   const { floors, targetMs, deadlineMs } = settings
   const issues: ConfigurationIssue[] = []
-  const sum = RANKS.reduce((total, rank) => total + floors[rank], 0)
-  if (sum > 1 + Number.EPSILON)
+  const sum = computeSum(floors)
+  if (sum > 1)
     issues.push(createIssue(`${path}.floors`, floors, `shares whose sum is at most 1, not ${sum}`))
   for (const [name, values] of Object.entries({ targetMs, deadlineMs }))
     if (values.urgent > values.standard || values.standard > values.bulk)
@@ -62,6 +64,12 @@
   return issues
 }
 
+/** Rounds away the error of adding binary fractions. */
+function computeSum(floors: ByRank<number>): number {
+  const sum = RANKS.reduce((total, rank) => total + floors[rank], 0)
+  return Number(sum.toFixed(SUM_DIGITS))
+}
+
 function checkMatch(
   { match }: ConfigurationException,
   path: string,
