Config: bound the history by bytes, so that a change costs each instance little

Cause: the stored value goes to every instance with each change, and a history of up to 900 KB went with it; one change of a very large configuration could exceed the platform's limit of 1 MB. Change: a change keeps 32 KiB of differences and says how many it left out; the history keeps 64 KiB besides the newest change. Tests: 'drops old changes from the history before the value grows too large' bounded a value with made-up records; 'stays below the platform's limit after the largest changes' replaces it with changes made by the code, at about the largest configuration.

--- a/packages/cli/src/commands/config.ts
+++ b/packages/cli/src/commands/config.ts
@@ -70,7 +70,7 @@
     each.revision,
     each.at,
     each.author,
-    each.differences.length,
+    each.differences.length + each.omitted,
     each.reason,
   ])
   return formatTable("Changes", ["REVISION", "AT", "AUTHOR", "PLACES", "REASON"], rows)
--- a/packages/config/src/stored.ts
+++ b/packages/config/src/stored.ts
@@ -8,8 +8,10 @@
 export const CONFIGURATION_KEY = "galenaway/configuration"
 /** The most changes that the history keeps. */
 export const HISTORY_LIMIT = 50
-/** The largest stored value, in bytes; older changes are dropped from the history to stay below it. */
-export const STORED_LIMIT_BYTES = 900 * 1024
+/** The largest history, in bytes, besides its newest change; older changes are dropped to stay below it. */
+export const HISTORY_LIMIT_BYTES = 64 * 1024
+/** The differences that one change keeps, in bytes. With the largest configuration the value stays below the platform's limit. */
+export const DIFFERENCES_LIMIT_BYTES = 32 * 1024
 
 /** What the history keeps of a change. */
 export interface ChangeRecord {
@@ -21,6 +23,8 @@
   /** When it was made, as ISO 8601 text, by the clock of the instance that took it. */
   readonly at: string
   readonly differences: readonly Difference[]
+  /** How many differences were left out to stay below {@link DIFFERENCES_LIMIT_BYTES}. */
+  readonly omitted: number
 }
 
 /** The value under {@link CONFIGURATION_KEY}. Its revision grows by one with each change. */
@@ -57,19 +61,17 @@
   edited: EditedConfiguration,
   origin: ChangeOrigin,
 ): ChangePlan {
-  const record = findChange(current, origin.id)
-  if (record) return { kind: "done", record }
+  const earlier = findChange(current, origin.id)
+  if (earlier) return { kind: "done", record: earlier }
   const base = edited.baseRevision ?? current.revision
   if (base !== current.revision)
     return { kind: "conflict", winners: listChangesSince(current, base) }
   const differences = diffConfigurations(current.configuration, edited.configuration)
   if (differences.length === 0) return { kind: "unchanged" }
   const revision = current.revision + 1
-  const history = [{ ...origin, revision, differences }, ...current.history]
-  return {
-    kind: "write",
-    next: limitSize({ revision, configuration: edited.configuration, history }),
-  }
+  const record = createRecord(revision, origin, differences)
+  const history = limitHistory([record, ...current.history])
+  return { kind: "write", next: { revision, configuration: edited.configuration, history } }
 }
 
 /** Finds a change by its id. */
@@ -100,6 +102,7 @@
       author: z.string(),
       reason: z.string(),
       at: z.string(),
+      omitted: z.int(),
       differences: z.array(
         z.strictObject({
           path: z.string(),
@@ -131,13 +134,31 @@
   return new ConfigurationError([createIssue(path, text, `a value written by galenaway`)])
 }
 
-function limitSize(stored: StoredConfiguration): StoredConfiguration {
-  let history = stored.history.slice(0, HISTORY_LIMIT)
-  while (history.length > 1 && measureBytes({ ...stored, history }) > STORED_LIMIT_BYTES)
-    history = history.slice(0, -1)
-  return { ...stored, history }
+function createRecord(
+  revision: number,
+  origin: ChangeOrigin,
+  differences: readonly Difference[],
+): ChangeRecord {
+  const { id, author, reason, at } = origin
+  const kept = takeWithin(differences, DIFFERENCES_LIMIT_BYTES)
+  const omitted = differences.length - kept.length
+  return { revision, id, author, reason, at, differences: kept, omitted }
+}
+
+/** The newest change always stays, as its author recognises it there. */
+function limitHistory([newest, ...older]: readonly ChangeRecord[]): ChangeRecord[] {
+  if (!newest) return []
+  return [newest, ...takeWithin(older.slice(0, HISTORY_LIMIT - 1), HISTORY_LIMIT_BYTES)]
 }
 
-function measureBytes(stored: StoredConfiguration): number {
-  return Buffer.byteLength(formatStored(stored))
+/** Takes items from the start while their JSON is within a number of bytes. */
+function takeWithin<T>(items: readonly T[], limitBytes: number): T[] {
+  const taken: T[] = []
+  let bytes = 0
+  for (const item of items) {
+    bytes += Buffer.byteLength(JSON.stringify(item))
+    if (bytes > limitBytes) break
+    taken.push(item)
+  }
+  return taken
 }
--- a/packages/config/test/stored.test.ts
+++ b/packages/config/test/stored.test.ts
@@ -1,15 +1,16 @@
 import { expect } from "chai"
 import {
   checkConfiguration,
+  type Configuration,
   EMPTY_CONFIGURATION,
   formatStored,
   HISTORY_LIMIT,
   parseStored,
   planChange,
-  STORED_LIMIT_BYTES,
   type StoredConfiguration,
 } from "@galenaway/config"
 
+const PLATFORM_LIMIT_BYTES = 1024 * 1024
 const AT = "2026-01-31T06:00:00.000Z"
 
 function changeBurst(
@@ -59,13 +60,32 @@
   expect(stored.history[0]?.revision).to.equal(HISTORY_LIMIT + 5)
 })
 
-it("drops old changes from the history before the value grows too large", () => {
-  const origin = { id: "x", author: "maria", reason: "r".repeat(500), at: AT }
-  const record = { ...origin, revision: 1, differences: [{ path: "p".repeat(50_000) }] }
-  const grown = { ...EMPTY_CONFIGURATION, revision: 1, history: Array(40).fill(record) }
-  const next = applyBurst(grown, 4)
-  expect(Buffer.byteLength(formatStored(next))).to.be.below(STORED_LIMIT_BYTES)
-  expect(next.history[0]?.id).to.equal("change-4")
+/** About the largest configuration that an edited text may hold, with every place different in each turn. */
+function buildLargest(turn: number): Configuration {
+  const origin = { reason: "ř".repeat(500), author: "maria", date: "2026-01-31" }
+  const byRank = { urgent: 100 + turn, standard: 100 + turn, bulk: 100 + turn }
+  const set = { targetMs: byRank, deadlineMs: byRank, retryShare: turn / 10 }
+  const exceptions = Array.from({ length: 100 }, (_, index) => {
+    const name = `${turn}-${index}-`.padEnd(63, "x")
+    const match = { base: name, adapter: name, dataCentre: name, endpoint: name }
+    return { match, set, ...origin }
+  })
+  const drains = Array.from({ length: 100 }, (_, index) => {
+    return { kind: "endpoint" as const, id: `engine-${turn}-${index}`, ...origin }
+  })
+  return { ...EMPTY_CONFIGURATION.configuration, exceptions, drains }
+}
+
+it("stays below the platform's limit after the largest changes", () => {
+  let stored = EMPTY_CONFIGURATION
+  for (let turn = 1; turn <= 5; turn++) {
+    const edited = { configuration: buildLargest(turn), baseRevision: stored.revision }
+    const origin = { id: `turn-${turn}`, author: "maria", reason: "season", at: AT }
+    const plan = planChange(stored, edited, origin)
+    if (plan.kind === "write") stored = plan.next
+  }
+  expect(Buffer.byteLength(formatStored(stored))).to.be.below(PLATFORM_LIMIT_BYTES)
+  expect(stored.history[0]).to.deep.include({ id: "turn-5", revision: 5 })
 })
 
 it("reads back what it stored", () => {
