Bench: size, processor time and wire bytes of the messages between instances

Cause: the bound for control (2.8% of a core, 13 KB a second) couldn't be compared with anything measured.

Change: bench/dist/src/messages.js measures each message's encoded size and codec time, its bytes on a connection through a counting relay, and the processor time of both ends at 20 to 200 calls a second, with least-squares slopes.

--- /dev/null
+++ b/bench/src/messages-measure.ts
@@ -0,0 +1,85 @@
+import type { MessageFns } from "@galenaway/daemon/peer"
+import { type Point } from "./capacity-fit.js"
+import { openClient, type PeerCall, type Wire } from "./messages-wire.js"
+
+const CODEC_ROUNDS = 20_000
+const WARM_CALLS = 200
+const HOT_CALLS = 3000
+const COUNTED_CALLS = 500
+const PACED_SECONDS = 3
+const MICROS_PER_MS = 1000
+
+/** Cost of encoding and decoding one message. */
+export interface CodecCost {
+  readonly bytes: number
+  readonly encodeMicros: number
+  readonly decodeMicros: number
+}
+
+/** Measures the encoded size of a message and the time to encode and to decode it. */
+export function measureCodec<T>(codec: MessageFns<T>, message: T): CodecCost {
+  const encoded = codec.encode(message).finish()
+  const encode = () => codec.encode(message).finish()
+  const decode = () => codec.decode(encoded)
+  return {
+    bytes: encoded.length,
+    encodeMicros: measureMicros(encode),
+    decodeMicros: measureMicros(decode),
+  }
+}
+
+/** Measures the time of one run of a function, warm. */
+export function measureMicros(run: () => unknown, rounds = CODEC_ROUNDS): number {
+  for (let round = 0; round < rounds; round++) run()
+  const start = performance.now()
+  for (let round = 0; round < rounds; round++) run()
+  return ((performance.now() - start) * MICROS_PER_MS) / rounds
+}
+
+/** Measures the bytes that a call moves both ways over an open connection, HTTP/2 framing included. */
+export async function measureWireBytes(wire: Wire, call: PeerCall): Promise<number> {
+  const client = openClient(wire.countedAddress)
+  for (let round = 0; round < WARM_CALLS; round++) await call(client)
+  const before = wire.countBytes()
+  for (let round = 0; round < COUNTED_CALLS; round++) await call(client)
+  const bytes = wire.countBytes() - before
+  client.close()
+  return bytes / COUNTED_CALLS
+}
+
+/**
+ * Measures the processor time a second of both ends of a call at several
+ * rates, in microseconds, with calls spread evenly as a node would make them.
+ */
+export async function measurePacedCpu(
+  call: () => Promise<unknown>,
+  rates: readonly number[],
+): Promise<readonly Point[]> {
+  for (let round = 0; round < HOT_CALLS; round++) await call()
+  const points: Point[] = []
+  for (const rate of rates) points.push({ size: rate, value: await runPaced(call, rate) })
+  return points
+}
+
+/** Measures the processor time of both ends of a call that is repeated without a pause, in microseconds. */
+export async function measureHotCpu(call: () => Promise<unknown>): Promise<number> {
+  const before = process.cpuUsage()
+  for (let round = 0; round < HOT_CALLS; round++) await call()
+  const { user, system } = process.cpuUsage(before)
+  return (user + system) / HOT_CALLS
+}
+
+async function runPaced(call: () => Promise<unknown>, rate: number): Promise<number> {
+  const pending: Promise<unknown>[] = []
+  const before = process.cpuUsage()
+  const timer = setInterval(() => pending.push(call()), 1000 / rate)
+  await wait(PACED_SECONDS * 1000)
+  clearInterval(timer)
+  await Promise.all(pending)
+  const { user, system } = process.cpuUsage(before)
+  return ((user + system) * rate) / pending.length
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/bench/src/messages-samples.ts
@@ -0,0 +1,132 @@
+import type {
+  Announcement,
+  EndpointDigest,
+  GrantReply,
+  GrantRequest,
+  Heartbeat,
+  MemberAnswer,
+  ReturnRequest,
+} from "@galenaway/daemon/peer"
+
+/** How much of an endpoint a heartbeat tells: all of it, or no adapters since they didn't change. */
+export type DigestForm = "full" | "counts"
+/** Whether a grant repeats what its holder knows: the request, the adapter and the owner. */
+export type GrantForm = "full" | "lean"
+
+/** Slots of an engine in the samples. */
+export const SLOTS = 8
+
+const TIME = { wall: 1_796_371_200_123, counter: 3 }
+const UUID_TAIL = "-9c1f-4d02-8a77-1f6b2c3d4e5f"
+const EPOCH = 4711
+
+/** Creates an instance's name as the samples use it. */
+export function createInstance(index: number): string {
+  return `entry-${String(index).padStart(3, "0")}`
+}
+
+/** Creates an incarnation: the instance's name and a UUID. */
+export function createIncarnation(index: number): string {
+  return `${createInstance(index)}:${index.toString(16).padStart(8, "0")}${UUID_TAIL}`
+}
+
+/** Creates an adapter's key. */
+export function createAdapter(index: number): string {
+  return `reef-8b/coop-${String(index).padStart(5, "0")}@v12`
+}
+
+/** Creates an endpoint's name. */
+export function createEndpoint(index: number): string {
+  return `engine-${String(index).padStart(3, "0")}`
+}
+
+/** Creates a request's id. */
+export function createRequest(index: number): string {
+  return `${createInstance(index % 330)}-${index.toString(36).padStart(8, "0")}`
+}
+
+/** Creates what an instance asks of an owner. */
+export function createGrantRequest(index: number): GrantRequest {
+  return {
+    time: TIME,
+    holder: createIncarnation(index % 330),
+    request: createRequest(index),
+    adapter: createAdapter(index),
+    rank: "standard",
+    deadlineInMs: 1387.25,
+    waitedMs: 12.75,
+    prefix: 0x9e3779b9,
+    maxTokens: 512,
+  }
+}
+
+/** Creates an owner's grant. */
+export function createGrantReply(index: number, form: GrantForm): GrantReply {
+  const known = {
+    request: createRequest(index),
+    adapter: createAdapter(index),
+    owner: createIncarnation(index % 330),
+  }
+  const repeated = form === "full" ? known : { request: "", adapter: "", owner: "" }
+  const id = `${EPOCH}.${index}`
+  const grant = { ...repeated, id, endpoint: createEndpoint(index), epoch: EPOCH }
+  return { time: TIME, grant, refusalCode: "", refusalMessage: "" }
+}
+
+/** Creates the return of some grants. */
+export function createReturn(count: number, form: GrantForm): ReturnRequest {
+  const grants = createList(count, (index) => ({
+    id: `${EPOCH}.${index}`,
+    endpoint: createEndpoint(index),
+    request: form === "full" ? createRequest(index) : "",
+    result: "done",
+  }))
+  return { time: TIME, grants }
+}
+
+/** Creates the announcement of an eviction. */
+export function createAnnouncement(index: number): Announcement {
+  return {
+    time: TIME,
+    endpoint: createEndpoint(index),
+    adapter: createAdapter(index),
+    epoch: EPOCH,
+  }
+}
+
+/** Creates a witness's acknowledgement. */
+export function createAnswer(): MemberAnswer {
+  return { time: TIME, kind: "accepted", epoch: 0, grants: [], announced: [] }
+}
+
+/** Creates a heartbeat that tells of some endpoints. */
+export function createHeartbeat(rows: number, form: DigestForm): Heartbeat {
+  return {
+    time: TIME,
+    incarnation: createIncarnation(117),
+    instance: createInstance(117),
+    dataCentre: "visayas-1",
+    peerAddress: "10.20.30.117:7946",
+    isLeaving: false,
+    configurationRevision: 184_467,
+    endpoints: createList(rows, (index) => createDigest(index, form)),
+  }
+}
+
+/** Creates a list of some length. */
+export function createList<T>(length: number, create: (index: number) => T): T[] {
+  return Array.from({ length }, (_, index) => create(index))
+}
+
+function createDigest(index: number, form: DigestForm): EndpointDigest {
+  const adapters = createList(SLOTS, (slot) => createAdapter(index * SLOTS + slot))
+  return {
+    endpoint: createEndpoint(index),
+    phase: "live",
+    isReachable: true,
+    running: 24,
+    queuedByRank: [1, 4, 130],
+    resident: form === "full" ? adapters : [],
+    loading: [],
+  }
+}
--- /dev/null
+++ b/bench/src/messages.ts
@@ -0,0 +1,151 @@
+import {
+  Announcement,
+  GrantReply,
+  GrantRequest,
+  Heartbeat,
+  MemberAnswer,
+  ReturnRequest,
+} from "@galenaway/daemon/peer"
+import { printFit } from "./capacity-fit.js"
+import {
+  type CodecCost,
+  measureCodec,
+  measureHotCpu,
+  measurePacedCpu,
+  measureWireBytes,
+} from "./messages-measure.js"
+import {
+  createAnnouncement,
+  createAnswer,
+  createGrantReply,
+  createGrantRequest,
+  createHeartbeat,
+  createReturn,
+  type DigestForm,
+  type GrantForm,
+} from "./messages-samples.js"
+import { openGrantStream } from "./messages-stream.js"
+import { callPeer, openClient, type PeerCall, startWire, type Wire } from "./messages-wire.js"
+
+/**
+ * Measures each message between instances: its encoded size, the time to
+ * encode and decode it, its bytes on a connection, and its processor time.
+ */
+const ROWS = [1, 3, 10, 30, 134]
+const RETURNS = [1, 4, 16, 64]
+const RATES = [20, 50, 100, 200]
+
+printCodecs()
+for (const form of ["full", "lean"] as const) {
+  const wire = await startWire(form)
+  try {
+    await printGrantBytes(wire, form)
+    if (form === "lean") await printOthers(wire)
+  } finally {
+    await wire.close()
+  }
+}
+
+function printCodecs(): void {
+  console.log("message: encoded bytes, encode, decode")
+  printCodec("GrantRequest", measureCodec(GrantRequest, createGrantRequest(1)))
+  printCodec("GrantReply full", measureCodec(GrantReply, createGrantReply(1, "full")))
+  printCodec("GrantReply lean", measureCodec(GrantReply, createGrantReply(1, "lean")))
+  printCodec("Announcement", measureCodec(Announcement, createAnnouncement(1)))
+  printCodec("MemberAnswer", measureCodec(MemberAnswer, createAnswer()))
+  for (const form of ["full", "lean"] as const)
+    printCodec(`ReturnRequest of 16, ${form}`, measureCodec(ReturnRequest, createReturn(16, form)))
+  for (const form of ["full", "counts"] as const) printHeartbeats(form)
+}
+
+function printCodec(name: string, { bytes, encodeMicros, decodeMicros }: CodecCost): void {
+  const [encode, decode] = [encodeMicros.toFixed(2), decodeMicros.toFixed(2)]
+  console.log(`${name}: ${bytes} bytes, ${encode} µs, ${decode} µs`)
+}
+
+function printHeartbeats(form: DigestForm): void {
+  const costs = ROWS.map((size) => ({
+    size,
+    ...measureCodec(Heartbeat, createHeartbeat(size, form)),
+  }))
+  const printCost = (name: string, unit: string, key: keyof CodecCost) =>
+    printFit(
+      `Heartbeat ${form}, ${name}`,
+      unit,
+      costs.map((cost) => ({ size: cost.size, value: cost[key] })),
+    )
+  printCost("bytes", "bytes a row", "bytes")
+  printCost("encode", "µs a row", "encodeMicros")
+  printCost("decode", "µs a row", "decodeMicros")
+}
+
+async function printGrantBytes(wire: Wire, form: GrantForm): Promise<void> {
+  const bytes = await measureWireBytes(wire, callGrant())
+  console.log(`RequestGrant ${form}: ${bytes.toFixed(1)} bytes on the wire, both ways`)
+  const points = []
+  for (const size of RETURNS)
+    points.push({ size, value: await measureWireBytes(wire, callReturn(size, form)) })
+  printFit(`ReturnGrants ${form}, bytes on the wire`, "bytes a grant", points)
+}
+
+async function printOthers(wire: Wire): Promise<void> {
+  const announce = await measureWireBytes(wire, callAnnounce())
+  console.log(`AnnounceEviction: ${announce.toFixed(1)} bytes on the wire, both ways`)
+  for (const form of ["full", "counts"] as const) {
+    const points = []
+    for (const size of ROWS)
+      points.push({ size, value: await measureWireBytes(wire, callExchange(size, form)) })
+    printFit(`Exchange ${form}, bytes on the wire`, "bytes a row of both sides", points)
+  }
+  await printUnaryCpu(wire, "RequestGrant", callGrant())
+  await printUnaryCpu(wire, "Exchange of 3 rows, counts", callExchange(3, "counts"))
+  await printUnaryCpu(wire, "AnnounceEviction", callAnnounce())
+  await printStreamCpu()
+}
+
+async function printUnaryCpu(wire: Wire, name: string, call: PeerCall): Promise<void> {
+  const client = openClient(wire.address)
+  await printCpu(name, () => call(client))
+  client.close()
+}
+
+async function printStreamCpu(): Promise<void> {
+  const stream = await openGrantStream()
+  await printCpu("grant over an open stream", stream.ask)
+  stream.close()
+}
+
+async function printCpu(name: string, call: () => Promise<unknown>): Promise<void> {
+  const points = await measurePacedCpu(call, RATES)
+  printFit(`${name}, processor time of both ends a second`, "µs a call", points)
+  const hot = await measureHotCpu(call)
+  console.log(`${name}, without pauses: ${hot.toFixed(1)} µs a call`)
+}
+
+function callGrant(): PeerCall {
+  return callPeer(
+    (client, request, metadata, done) => client.requestGrant(request, metadata, done),
+    createGrantRequest(1),
+  )
+}
+
+function callReturn(count: number, form: GrantForm): PeerCall {
+  return callPeer(
+    (client, request, metadata, done) => client.returnGrants(request, metadata, done),
+    createReturn(count, form),
+  )
+}
+
+function callAnnounce(): PeerCall {
+  return callPeer(
+    (client, request, metadata, done) => client.announceEviction(request, metadata, done),
+    createAnnouncement(1),
+  )
+}
+
+function callExchange(rows: number, form: DigestForm): PeerCall {
+  return callPeer(
+    (client, request, metadata, done) => client.exchange(request, metadata, done),
+    createHeartbeat(rows, form),
+  )
+}
