--- /dev/null
+++ b/bench/src/capacity-documents.ts
@@ -0,0 +1,114 @@
+import type { ClaimRecord } from "@galenaway/claims"
+import type { Listing } from "@galenaway/core"
+import type { Member, OwnershipDocument } from "@galenaway/coordination"
+import { DEFAULT_POLICY } from "@galenaway/policy"
+import { printFit } from "./capacity-fit.js"
+import { measureMicros } from "./messages-measure.js"
+import {
+  createAdapter,
+  createEndpoint,
+  createIncarnation,
+  createInstance,
+  createList,
+} from "./messages-samples.js"
+
+const MEMBER_SIZES = [4, 12, 47, 110, 330]
+const ENDPOINT_SIZES = [13, 40, 134, 300]
+const EXCEPTION_SIZES = [10, 50, 200, 1000]
+const CLAIM_SIZES = [10, 100, 500, 2000]
+const LISTING_SIZES = [16, 181, 600, 1270]
+const WRITER_ENDPOINTS = 134
+const WRITER_MEMBERS = 47
+const PARSE_ROUNDS = 50
+const ANSWER = JSON.stringify({ booking: "b-1234567", litres: 120, pier: "Iloilo 4" })
+
+/** Whether each ownership names its witnesses, or all share the document's members. */
+type WitnessForm = "named" | "shared"
+
+/** Measures and prints the size of each document at the platform and the time to read and write it. */
+export function printDocuments(): void {
+  for (const form of ["named", "shared"] as const) {
+    printDocument(`ownership, witnesses ${form}, by members`, "member", MEMBER_SIZES, (size) =>
+      createOwnership(size, WRITER_ENDPOINTS, form),
+    )
+    printDocument(
+      `ownership, witnesses ${form}, by endpoints`,
+      "endpoint",
+      ENDPOINT_SIZES,
+      (size) => createOwnership(WRITER_MEMBERS, size, form),
+    )
+  }
+  printDocument("configuration", "exception", EXCEPTION_SIZES, createConfiguration)
+  printDocument("claims", "claim", CLAIM_SIZES, createClaims)
+  printDocument("list of instances and endpoints", "entry", LISTING_SIZES, createListing)
+}
+
+function printDocument(
+  name: string,
+  row: string,
+  sizes: readonly number[],
+  create: (size: number) => unknown,
+): void {
+  const texts = sizes.map((size) => ({ size, text: JSON.stringify(create(size)) }))
+  const sizesOf = texts.map(({ size, text }) => ({ size, value: Buffer.byteLength(text) }))
+  printFit(`${name}, size`, `bytes for each ${row}`, sizesOf)
+  const times = texts.map(({ size, text }) => ({
+    size,
+    value: measureMicros(() => JSON.stringify(JSON.parse(text)), PARSE_ROUNDS),
+  }))
+  printFit(`${name}, parse and format`, `µs for each ${row}`, times)
+}
+
+function createOwnership(members: number, endpoints: number, form: WitnessForm): OwnershipDocument {
+  const witnesses = form === "named" ? createList(members, createIncarnation) : []
+  return {
+    dataCentre: "visayas-1",
+    epoch: 4711,
+    author: createIncarnation(1),
+    members: createList(members, createMember),
+    ownerships: createList(endpoints, (index) => ({
+      endpoint: createEndpoint(index),
+      owner: createIncarnation(index % members),
+      epoch: 4711,
+      witnesses,
+    })),
+  }
+}
+
+function createMember(index: number): Member {
+  return {
+    incarnation: createIncarnation(index),
+    instance: createInstance(index),
+    dataCentre: `visayas-${index % 7}`,
+    peerAddress: `10.20.30.${index % 256}:7946`,
+    phase: "live",
+  }
+}
+
+function createConfiguration(exceptions: number): unknown {
+  return {
+    revision: 184_467,
+    defaults: DEFAULT_POLICY,
+    exceptions: createList(exceptions, (index) => ({
+      adapter: createAdapter(index),
+      set: { targetMs: { urgent: 900 } },
+      reason: "skippers of this cooperative sail before dawn",
+      author: "ops@iloilo",
+    })),
+  }
+}
+
+function createClaims(count: number): unknown {
+  return createList(count, (index): readonly [string, ClaimRecord] => [
+    createIncarnation(index).slice(-36),
+    { state: "done", id: createIncarnation(index), answer: { status: 200, body: ANSWER } },
+  ])
+}
+
+function createListing(count: number): readonly Listing[] {
+  return createList(count, (index) => ({
+    id: createEndpoint(index),
+    dataCentre: "visayas-1",
+    phase: "live",
+  }))
+}
