Recovery of owners: ended processes found at once, questions told apart

Cause: real-process tests on the coordinated router. (1) A lost answer was given back by the request's id and so took the holder's newer question at the successor out of its queue: 2 to 4 probes refused as canceled after a kill. (2) After a kill the successor's share of the load budget was held back for 3.2 s, so that urgent requests on cold adapters were refused. (3) A request whose adapter was missing at a restarted engine was granted there again before the owner had heard of it. Change: each question has a number; an ended process frees its part of the load budget at once and is probed as soon as a call to it fails; a missing adapter is told before the next question; the owner itself refuses a request for which it can make no room. Measured: the three real-process tests failed before; "runs bookings once when their instance is killed" and "ends streams with an error event when their engine restarts" pass now. "runs bookings once when their instance is paused" passes or fails with the moment of the pause and is looked at next.

--- a/bench/src/capacity-documents.ts
+++ b/bench/src/capacity-documents.ts
@@ -20,6 +20,8 @@
 const WRITER_ENDPOINTS = 134
 const WRITER_MEMBERS = 47
 const PARSE_ROUNDS = 50
+const FINGERPRINT = "9f86d081884c7d659a2feaa0c55ad015"
+const CLAIMED_AT = 1_796_372_544_559
 const ANSWER = JSON.stringify({ booking: "b-1234567", litres: 120, pier: "Iloilo 4" })
 
 /** Whether each ownership names its witnesses, or all share the document's members. */
@@ -71,6 +73,7 @@
       owner: createIncarnation(index % members),
       epoch: 4711,
       witnesses,
+      predecessors: [],
     })),
   }
 }
@@ -101,7 +104,7 @@
 function createClaims(count: number): unknown {
   return createList(count, (index): readonly [string, ClaimRecord] => [
     createIncarnation(index).slice(-36),
-    { state: "done", id: createIncarnation(index), answer: { status: 200, body: ANSWER } },
+    { state: "done", fingerprint: FINGERPRINT, claimedAt: CLAIMED_AT, status: 200, body: ANSWER },
   ])
 }
 
--- a/bench/src/capacity-memory.ts
+++ b/bench/src/capacity-memory.ts
@@ -1,7 +1,7 @@
 import { setFlagsFromString } from "node:v8"
 import { runInNewContext } from "node:vm"
 import type { AdapterKey, EndpointInfo, Grant } from "@galenaway/core"
-import type { HeldGrant, OwnerState } from "@galenaway/coordination"
+import { type HeldGrant, type OwnerState, WITNESS_COUNT } from "@galenaway/coordination"
 import { createMetrics, createRecorder } from "@galenaway/observe"
 import type { EndpointView } from "@galenaway/policy"
 import { type Point, printFit } from "./capacity-fit.js"
@@ -147,14 +147,23 @@
   return {
     endpoint,
     fencing: "checked",
-    ownership: { endpoint, owner, epoch: index, witnesses: createList(47, createIncarnation) },
+    ownership: {
+      endpoint,
+      owner,
+      epoch: index,
+      witnesses: createList(WITNESS_COUNT, createIncarnation),
+      predecessors: [],
+    },
     phase: "active",
     awaited: new Set(),
-    predecessorWitnesses: new Set(),
-    isBriefed: true,
-    predecessor: undefined,
+    returned: new Set(),
+    predecessors: new Map(),
+    isFenced: true,
+    unbriefed: new Set(),
     grants: new Map(),
     evictions: new Map(),
+    unresolved: new Map(),
+    announcements: index,
     suspects: new Set(),
   }
 }
--- a/bench/src/messages-samples.ts
+++ b/bench/src/messages-samples.ts
@@ -57,6 +57,7 @@
     waitedMs: 12.75,
     prefix: 0x9e3779b9,
     maxTokens: 512,
+    ask: index,
   }
 }
 
@@ -80,6 +81,7 @@
     endpoint: createEndpoint(index),
     request: form === "full" ? createRequest(index) : "",
     result: "done",
+    ask: 0,
   }))
   return { time: TIME, grants }
 }
@@ -91,6 +93,7 @@
     endpoint: createEndpoint(index),
     adapter: createAdapter(index),
     epoch: EPOCH,
+    announcement: index,
   }
 }
 
--- a/bench/src/messages-wire.ts
+++ b/bench/src/messages-wire.ts
@@ -87,6 +87,7 @@
     },
     announceEviction: accept,
     settleEviction: accept,
+    briefWitness: accept,
     askHoldings: accept,
     sealEpoch: accept,
     exchange: (call, done) => {
--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -152,6 +152,9 @@
       (heartbeat) => {
         this.handleHeartbeat(heartbeat)
       },
+      (address) => {
+        this.membership.handleFailedCall(address)
+      },
     )
     this.configurationPeers = {
       listPeers: () => this.peers.list().map((row) => row.address),
@@ -170,6 +173,9 @@
       recorder,
       handleMember: this.holder.handle,
       getMinimumEpoch: this.holder.getMinimumEpoch,
+      handleFailedCall: (address) => {
+        this.membership.handleFailedCall(address)
+      },
     })
   }
 
@@ -192,6 +198,10 @@
     this.documents.onChange((document) => {
       this.handleDocument(document)
     })
+    this.membership.onEnded((incarnation) => {
+      this.shares.handleEnded(incarnation, this.owned.listOwnerships())
+      this.updateShare()
+    })
     this.membership.onGone((incarnation) => {
       this.dispatcher.handleGone(incarnation)
     })
--- a/packages/daemon/src/ownership/heartbeats.ts
+++ b/packages/daemon/src/ownership/heartbeats.ts
@@ -19,6 +19,7 @@
     private readonly clock: Clock,
     private readonly createHeartbeat: () => Omit<Heartbeat, "time">,
     private readonly handleHeartbeat: (heartbeat: Heartbeat) => void,
+    private readonly handleFailure: (address: string) => void,
   ) {}
 
   /** Starts the rounds. */
@@ -57,7 +58,7 @@
     try {
       this.handleHeartbeat(await this.caller.exchange(row.address, this.createHeartbeat()))
     } catch {
-      // The peer's silence is judged by when it was last heard.
+      this.handleFailure(row.address)
     }
   }
 }
--- a/packages/daemon/src/ownership/membership.ts
+++ b/packages/daemon/src/ownership/membership.ts
@@ -41,6 +41,7 @@
   private readonly goneListeners: ((incarnation: Incarnation) => void)[] = []
   /** Incarnations that ended so long ago that nothing of theirs is on its way. */
   private readonly settled = new Set<Incarnation>()
+  private readonly endedListeners: ((incarnation: Incarnation) => void)[] = []
   /** Endpoints that need a new epoch, with the epoch that is to end. */
   private readonly renewals = new Map<EndpointId, number>()
   private resolutions: readonly Resolution[] = []
@@ -91,10 +92,23 @@
     this.reconcileAll()
   }
 
+  /** Calls a listener as soon as an incarnation's process is found to have ended. */
+  onEnded(listener: (incarnation: Incarnation) => void): void {
+    this.endedListeners.push(listener)
+  }
+
+  /** Finds out at once whether the process at an address that failed a call has ended. */
+  handleFailedCall(address: string): void {
+    for (const { incarnation, peerAddress } of this.listMembers())
+      if (peerAddress === address && !this.peers.isGone(incarnation))
+        void this.probe(incarnation, address)
+  }
+
   /** Records that an incarnation's process has ended. */
   handleGone(incarnation: Incarnation): void {
     if (this.peers.isGone(incarnation)) return
     this.peers.setGone(incarnation)
+    for (const listener of this.endedListeners) listener(incarnation)
     this.recorder.record({ kind: "member-gone", peer: incarnation })
     this.log.info({ step: "peer", peer: incarnation }, "member-gone")
     this.reconcileAll()
@@ -183,6 +197,7 @@
   }
 
   private async probe(incarnation: Incarnation, address: string): Promise<void> {
+    if (this.probing.has(incarnation)) return
     this.probing.add(incarnation)
     const result = await probeProcess(address)
     this.probing.delete(incarnation)
--- a/packages/daemon/src/ownership/owned.ts
+++ b/packages/daemon/src/ownership/owned.ts
@@ -68,6 +68,13 @@
     return [...this.states.values()].filter((state) => state.phase === "active")
   }
 
+  /** Lists the ownerships that this instance has. */
+  listOwnerships(): readonly Ownership[] {
+    return [...this.states.values()]
+      .filter((state) => state.phase !== "deposed")
+      .map((state) => state.ownership)
+  }
+
   /** Returns the state of an owned endpoint. */
   get(endpoint: EndpointId): OwnerState | undefined {
     return this.states.get(endpoint)
@@ -76,7 +83,8 @@
   /** Takes the ownership of an endpoint as its document has it now, with the document's members. */
   handleOwnership(ownership: Ownership, members: readonly Incarnation[]): void {
     const state = this.states.get(ownership.endpoint)
-    if (state?.ownership.epoch !== ownership.epoch) this.shares.handleNewEpoch(ownership.endpoint)
+    if (ownership.owner === this.self && state?.ownership.epoch !== ownership.epoch)
+      this.shares.handleOwnership(ownership)
     if (state && state.phase !== "deposed")
       this.apply(ownership.endpoint, { kind: "ownership-changed", ownership, members })
     else if (ownership.owner === this.self) this.takeOver(ownership, members)
--- a/packages/daemon/src/ownership/shares.ts
+++ b/packages/daemon/src/ownership/shares.ts
@@ -16,6 +16,8 @@
   private readonly tables: ShareTables
   /** Earlier owners that have given their part of an endpoint up, by the endpoint. */
   private readonly yielded = new Map<EndpointId, Set<Incarnation>>()
+  /** Incarnations whose processes have ended, so that they order no more loads. */
+  private readonly ended = new Set<Incarnation>()
 
   constructor(
     private readonly self: Incarnation,
@@ -35,22 +37,35 @@
     applyLoss(this.tables, endpoint, epoch)
   }
 
-  /** Takes a member's answer to the owner of an endpoint. Once all earlier owners have answered, its part counts. */
+  /** Takes a new ownership. Its part counts at once when all earlier owners have ended. */
+  handleOwnership(ownership: Ownership): void {
+    this.yielded.delete(ownership.endpoint)
+    this.confirm(ownership)
+  }
+
+  /** Takes a member's answer to the owner of an endpoint. Once all earlier owners have answered or ended, its part counts. */
   handleAnswer(ownership: Ownership, member: Incarnation): void {
-    const { endpoint, epoch, predecessors } = ownership
-    const yielded = this.yielded.get(endpoint) ?? new Set()
-    this.yielded.set(endpoint, yielded.add(member))
-    const rivals = predecessors.filter(({ owner }) => owner !== this.self)
-    if (rivals.every(({ owner }) => yielded.has(owner))) confirmGain(this.tables, endpoint, epoch)
+    const yielded = this.yielded.get(ownership.endpoint) ?? new Set()
+    this.yielded.set(ownership.endpoint, yielded.add(member))
+    this.confirm(ownership)
   }
 
-  /** Forgets who answered about an endpoint, since another epoch has begun. */
-  handleNewEpoch(endpoint: EndpointId): void {
-    this.yielded.delete(endpoint)
+  /** Takes note that an incarnation's process has ended. */
+  handleEnded(incarnation: Incarnation, owned: readonly Ownership[]): void {
+    this.ended.add(incarnation)
+    for (const ownership of owned) this.confirm(ownership)
   }
 
   /** Computes the share as of now. */
   compute(limits: LoadLimits): LoadShare {
     return computeLoadShare(this.tables, limits, this.clock.now())
   }
+
+  private confirm({ endpoint, epoch, predecessors }: Ownership): void {
+    const yielded = this.yielded.get(endpoint)
+    const isOpen = predecessors.some(
+      ({ owner }) => owner !== this.self && yielded?.has(owner) !== true && !this.ended.has(owner),
+    )
+    if (!isOpen) confirmGain(this.tables, endpoint, epoch)
+  }
 }
--- a/packages/daemon/src/router/coordinated.ts
+++ b/packages/daemon/src/router/coordinated.ts
@@ -25,8 +25,6 @@
 const RETRY_PAUSE_MS = 50
 const MAX_ROUNDS = 40
 const MAX_ASKED_A_ROUND = 3
-const MIN_PATIENCE_MS = 200
-const MAX_PATIENCE_MS = 2000
 
 /** The parts that a coordinated router works with. */
 export interface RouterParts {
@@ -44,6 +42,8 @@
   readonly handleMember: (event: MemberEvent) => MemberReply
   /** The lowest epoch of an endpoint that this member still takes. */
   readonly getMinimumEpoch: (endpoint: EndpointId) => number
+  /** Finds out whether the process at an address that failed a call has ended. */
+  readonly handleFailedCall: (address: string) => void
 }
 
 /** Asks the owner of a well-chosen endpoint for a grant, and the next one when that fails without a grant. */
@@ -72,6 +72,8 @@
     handleMember({ kind: "grant-ended", endpoint, grant: id })
     ownerless.release(grant)
     returns.add({ id, ask: 0, endpoint, request, result }, () => getMinimumEpoch(endpoint))
+    // The owner must learn of a missing adapter before it is asked for it again.
+    if (result === "adapter-missing") void returns.flush()
   }
 
   /** Asks the best owners in turn until one answers for certain. */
@@ -89,7 +91,7 @@
       if (owner === undefined || asked.has(owner)) continue
       if (asked.size >= MAX_ASKED_A_ROUND) break
       asked.add(owner)
-      const answer = await this.askPatiently(owner, endpoint, request, signal)
+      const answer = await this.ask(owner, endpoint, request, signal)
       if (answer.kind === "granted" || isFinal(answer)) return answer
       last = answer
     }
@@ -101,32 +103,6 @@
     return table.find((view) => view.info.id === endpoint)?.owner
   }
 
-  /**
-   * Asks an owner for a part of the time that is left, so that one that can't
-   * make room doesn't use it all up. The request keeps its place by its
-   * arrival and deadline wherever it waits.
-   */
-  private async askPatiently(
-    owner: Incarnation,
-    endpoint: EndpointId,
-    request: RouteRequest,
-    signal: AbortSignal,
-  ): Promise<GrantAnswer> {
-    const left = (request.deadline - this.parts.clock.now()) / MAX_ASKED_A_ROUND
-    const patience = new AbortController()
-    const timer = setTimeout(
-      () => {
-        patience.abort()
-      },
-      Math.min(Math.max(left, MIN_PATIENCE_MS), MAX_PATIENCE_MS),
-    )
-    const either = AbortSignal.any([signal, patience.signal])
-    const answer = await this.ask(owner, endpoint, request, either)
-    clearTimeout(timer)
-    if (answer.kind === "granted" || signal.aborted || !patience.signal.aborted) return answer
-    return { kind: "refused", code: "no-endpoint", message: `${owner} made no room in time` }
-  }
-
   private async ask(
     owner: Incarnation,
     endpoint: EndpointId,
@@ -164,6 +140,7 @@
     } catch (error) {
       // The owner may have granted it all the same: it is given back by the question.
       const { id } = request
+      if (!signal.aborted) this.parts.handleFailedCall(address)
       returns.add({ id: "", ask, endpoint, request: id, result: "canceled" }, () => 0)
       return { kind: "refused", code: "peer-down", message: describeError(error) }
     }
--- a/packages/daemon/src/router/dispatcher.ts
+++ b/packages/daemon/src/router/dispatcher.ts
@@ -9,6 +9,7 @@
   type Grant,
   type Incarnation,
   type RequestId,
+  type RouteRequest,
 } from "@galenaway/core"
 import type { OwnerState } from "@galenaway/coordination"
 import type { Log, Metrics, Recorder } from "@galenaway/observe"
@@ -31,6 +32,9 @@
 
 const TICK_INTERVAL_MS = 20
 const REPORT_INTERVAL_MS = 200
+const PATIENCE_SHARE = 1 / 3
+const MIN_PATIENCE_MS = 200
+const MAX_PATIENCE_MS = 2000
 
 interface Waiting extends GrantQuestion {
   readonly settle: (answer: GrantAnswer) => void
@@ -97,6 +101,9 @@
       }
       signal.addEventListener("abort", cancel, { once: true })
       this.update({ kind: "submitted", request })
+      setTimeout(() => {
+        this.refuseWithoutRoom(question)
+      }, this.computePatience(request)).unref()
     })
   }
 
@@ -171,6 +178,33 @@
     waiting?.settle({ kind: "refused", code: "canceled", message: "canceled by its holder" })
   }
 
+  /** A part of the time that is left, so that another owner can still be asked. */
+  private computePatience(request: RouteRequest): number {
+    const left = (request.deadline - this.clock.now()) * PATIENCE_SHARE
+    return Math.min(Math.max(left, MIN_PATIENCE_MS), MAX_PATIENCE_MS)
+  }
+
+  /**
+   * Refuses a request for whose adapter no room could be made, as when all
+   * evictions are blocked. The request keeps its place by its arrival and
+   * deadline wherever it waits next.
+   */
+  private refuseWithoutRoom({ request, ask }: GrantQuestion): void {
+    const waiting = this.waiting.get(request.id)
+    if (waiting?.ask !== ask || this.hasRoom(request.adapter)) return
+    this.waiting.delete(request.id)
+    this.update({ kind: "canceled", request: request.id })
+    const message = `${this.self} could make no room for ${request.adapter}`
+    waiting.settle({ kind: "refused", code: "no-endpoint", message })
+  }
+
+  private hasRoom(adapter: AdapterKey): boolean {
+    return this.owned.listActive().some(({ endpoint }) => {
+      const load = this.readLoad(endpoint)
+      return load?.resident.has(adapter) === true || load?.loading.has(adapter) === true
+    })
+  }
+
   /** A holder that asks anew for a request holds nothing of its earlier questions. */
   private dropEarlier(request: RequestId): void {
     const earlier = this.granted.get(request)
