Test of paused bookings: an unconfirmed claim may be refused as not run

Cause: the test wanted the same status from the paused instance as from a later retry; it failed when the pause fell between the claim's write and its reply. Ruled out: a fault of the code. The trace shows keys 3 to 5 answered 503 with outcome not-run by the paused instance, whose platform call timed out over the pause, and run once by the retry through another instance. Both are true. Change: each answer of the paused instance must equal the recorded one to the letter (before: only the status), or be a refusal that says not run; every retry must be answered.

--- a/packages/demo/test/failures.test.ts
+++ b/packages/demo/test/failures.test.ts
@@ -123,7 +123,9 @@
     const again = await bookAll(fleet, "entry-3")
     expect(await findDoubled(fleet)).to.deep.equal([])
     expect(retried.filter(({ outcome }) => outcome === "not-run")).to.deep.equal([])
-    expect(answered.map(({ status }) => status)).to.deep.equal(again.map(({ status }) => status))
+    expect(again.map(({ status }) => status)).to.deep.equal(again.map(() => 200))
+    const late = answered.filter(({ text }, index) => text !== again[index]?.text)
+    expect(late.filter(({ outcome }) => outcome !== "not-run")).to.deep.equal([])
   }))
 
 it("refuses bookings without the platform, and settles when it is back", () =>
