Policy: aged loads and evictions, bulk work goes to the shortest backlog

Change: all bulk requests of an owner count in its reported bulk queue; a load's worth grows as the time left shrinks (not for urgent work); a resident with waiting requests can be evicted for a wanted adapter of the same or a higher rank that is worth more; one place that can't be made no longer stops the search.

--- a/packages/policy/src/evict.ts
+++ b/packages/policy/src/evict.ts
@@ -1,5 +1,5 @@
 import { type AdapterKey, getRankOrder, type Millis, type Rank, RANKS } from "@galenaway/core"
-import type { Wanted } from "./load.js"
+import { computeScore, findRank, type Wanted } from "./load.js"
 import { estimateArrivals } from "./popularity.js"
 import type { SchedulerOrder } from "./scheduler.js"
 import { countCopies, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
@@ -7,7 +7,7 @@
 /**
  * Orders the eviction of the adapter that is worth least, and less than the
  * wanted one, on an endpoint that doesn't hold that. It never takes an adapter
- * that is granted, suspect, on its way, or waited for by as urgent a rank.
+ * that is granted, suspect, on its way, or waited for by a more urgent rank.
  * Returns whether there was one.
  */
 export function orderEviction(
@@ -25,7 +25,7 @@
     for (const adapter of row.residents.keys()) {
       if (!canEvict(tables, row, adapter, wanted.rank, now)) continue
       // Copies share the requests of their adapter.
-      const worth = estimateArrivals(tables, adapter, now) / countCopies(tables, adapter)
+      const worth = computeWorth(tables, adapter, now) / countCopies(tables, adapter)
       if (worth >= lowest) continue
       lowest = worth
       place = row
@@ -38,6 +38,13 @@
   return true
 }
 
+function computeWorth(tables: SchedulerTables, adapter: AdapterKey, now: Millis): number {
+  const group = tables.queue.byAdapter.get(adapter)
+  const rank = group && findRank(group)
+  if (!group || rank === undefined) return estimateArrivals(tables, adapter, now)
+  return computeScore(tables, group, rank, now)
+}
+
 function canEvict(
   tables: SchedulerTables,
   row: EndpointRow,
@@ -50,7 +57,5 @@
   if (row.evicting.has(adapter) || row.suspects.has(adapter)) return false
   if ((row.blockedUntil.get(adapter) ?? 0) > now) return false
   const waiting = tables.queue.byAdapter.get(adapter)
-  return (
-    !waiting || !RANKS.slice(0, getRankOrder(rank) + 1).some((one) => waiting.byRank[one].length)
-  )
+  return !waiting || !RANKS.slice(0, getRankOrder(rank)).some((one) => waiting.byRank[one].length)
 }
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -11,7 +11,13 @@
 const SCAN_EVERY_MS = 5
 /** Spacing of bulk loads against that of the budget, while urgent loads are needed too. */
 const BULK_SPACING = 2
+/** Adapters for which a place is looked for in one tick. */
+const TRY_LIMIT = 8
 const FEW_LOADS = 0.5
+/** Slack, as a share of the target, below which a request gains no more weight. */
+const SHORTEST_SLACK = 0.05
+/** Waiting bulk requests up to which there is no need for gaps. */
+const FEW_BULK_REQUESTS = 16
 /** Loads are counted for the ranks' floors over about this many. */
 const LOAD_MEMORY = 16
 
@@ -37,7 +43,7 @@
   let spare = budget - countAll(tables, (row) => row.evicting.size)
   const wanted = listWanted(tables, now)
   tables.loadBudget.scanAt = now + SCAN_EVERY_MS
-  while (budget > 0) {
+  for (let tries = 0; budget > 0 && tries < TRY_LIMIT; tries++) {
     const next = chooseNext(tables, wanted)
     if (!next) return
     wanted.delete(next)
@@ -47,8 +53,8 @@
       orderLoad(tables, row, next, now, orders)
       budget--
       spare--
-    } else if (spare > 0 && orderEviction(tables, next, now, orders)) spare--
-    else return
+    } else if (spare <= 0) return
+    else if (orderEviction(tables, next, now, orders)) spare--
   }
 }
 
@@ -69,7 +75,7 @@
   const wanted = new Set<Wanted>()
   const isBulkAllowed = canLoadBulk(tables, now)
   for (const group of tables.queue.byAdapter.values()) {
-    const rank = RANKS.find((one) => group.byRank[one].length > 0)
+    const rank = findRank(group)
     if (rank === undefined || (rank === "bulk" && !isBulkAllowed)) continue
     if (isWanted(tables, group, rank, now))
       wanted.add({ group, rank, score: computeScore(tables, group, rank, now) })
@@ -77,9 +83,15 @@
   return wanted
 }
 
+/** Finds the most urgent rank that waits for an adapter. */
+export function findRank({ byRank }: AdapterQueue): Rank | undefined {
+  return RANKS.find((rank) => byRank[rank].length > 0)
+}
+
 /** Bulk loads leave gaps, in which an urgent request finds the budget unused. */
-function canLoadBulk({ loadBudget, loadsByRank, share }: SchedulerTables, now: Millis): boolean {
-  if (loadsByRank.urgent < FEW_LOADS) return true
+function canLoadBulk(tables: SchedulerTables, now: Millis): boolean {
+  const { loadBudget, loadsByRank, queue, share } = tables
+  if (loadsByRank.urgent < FEW_LOADS || queue.byRank.bulk.length <= FEW_BULK_REQUESTS) return true
   return now - loadBudget.usedAt >= (BULK_SPACING * MS_PER_SECOND) / share.ratePerSecond
 }
 
@@ -105,13 +117,19 @@
   return isRoomElsewhere && waitedMs > tables.settings.loads.loadMs
 }
 
-function computeScore(
+/** Estimates what a place for a waiting adapter is worth: more, the less time is left. */
+export function computeScore(
   tables: SchedulerTables,
   { adapter, byRank }: AdapterQueue,
   rank: Rank,
   now: Millis,
 ): number {
-  return byRank[rank].length + estimateArrivals(tables, adapter, now)
+  const list = byRank[rank]
+  const served = list.length + estimateArrivals(tables, adapter, now)
+  if (rank === "urgent") return served
+  const targetMs = tables.settings.targetMs[rank]
+  const slackMs = (list[0]?.deadline ?? now) - now
+  return (served * targetMs) / Math.max(SHORTEST_SLACK * targetMs, slackMs)
 }
 
 /** Ranks whose loads are below their floor come first, then the most urgent; in a rank the highest score. */
--- a/packages/policy/src/tables.ts
+++ b/packages/policy/src/tables.ts
@@ -144,7 +144,8 @@
 /**
  * Reads what the owner tells others of an endpoint. Requests wait at the owner
  * and not at an endpoint; those whose adapter it holds or loads count for it,
- * in equal parts for each endpoint that does.
+ * in equal parts for each endpoint that does. All bulk requests count, in equal
+ * parts for all endpoints, so that bulk work goes where the backlog is shortest.
  */
 export function readEndpoint(
   tables: SchedulerTables,
@@ -170,6 +171,7 @@
     const copies = countCopies(tables, adapter)
     for (const rank of RANKS) queued[rank] += group.byRank[rank].length / copies
   }
+  queued.bulk = tables.queue.byRank.bulk.length / tables.endpoints.size
   for (const rank of RANKS) queued[rank] = Math.ceil(queued[rank])
   return queued
 }
