Policy: urgent loads evict what only lower ranks wait for; short waits aren't sent on

Change: a victim's waiting requests count only if they are of the wanted rank; a request is sent on only if the next load is more than 150 ms away.

--- a/packages/policy/src/evict.ts
+++ b/packages/policy/src/evict.ts
@@ -1,5 +1,5 @@
 import { type AdapterKey, getRankOrder, type Millis, type Rank, RANKS } from "@galenaway/core"
-import { computeScore, findRank, type Wanted } from "./load.js"
+import { computeScore, type Wanted } from "./load.js"
 import { estimateArrivals } from "./popularity.js"
 import type { SchedulerOrder } from "./scheduler.js"
 import { countCopies, type EndpointRow, isOpen, type SchedulerTables } from "./tables.js"
@@ -25,7 +25,7 @@
     for (const adapter of row.residents.keys()) {
       if (!canEvict(tables, row, adapter, wanted.rank, now)) continue
       // Copies share the requests of their adapter.
-      const worth = computeWorth(tables, adapter, now) / countCopies(tables, adapter)
+      const worth = computeWorth(tables, adapter, wanted.rank, now) / countCopies(tables, adapter)
       if (worth >= lowest) continue
       lowest = worth
       place = row
@@ -38,10 +38,15 @@
   return true
 }
 
-function computeWorth(tables: SchedulerTables, adapter: AdapterKey, now: Millis): number {
+/** Requests that wait for the victim count when they are as urgent as the wanted ones. */
+function computeWorth(
+  tables: SchedulerTables,
+  adapter: AdapterKey,
+  rank: Rank,
+  now: Millis,
+): number {
   const group = tables.queue.byAdapter.get(adapter)
-  const rank = group && findRank(group)
-  if (!group || rank === undefined) return estimateArrivals(tables, adapter, now)
+  if (!group || group.byRank[rank].length === 0) return estimateArrivals(tables, adapter, now)
   return computeScore(tables, group, rank, now)
 }
 
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -84,7 +84,7 @@
 }
 
 /** Finds the most urgent rank that waits for an adapter. */
-export function findRank({ byRank }: AdapterQueue): Rank | undefined {
+function findRank({ byRank }: AdapterQueue): Rank | undefined {
   return RANKS.find((rank) => byRank[rank].length > 0)
 }
 
--- a/packages/policy/src/refuse.ts
+++ b/packages/policy/src/refuse.ts
@@ -7,6 +7,9 @@
 /** Time from a grant to the first token on an idle engine, and what a full batch adds. */
 const FIRST_TOKEN_MS = 40
 const FULL_BATCH_MS = 60
+/** A wait for the load budget that isn't worth asking another owner. */
+const SHORT_WAIT_MS = 150
+const MS_PER_SECOND = 1000
 
 /** Refuses what can't be on time any more, and what the bounded queues can't hold. */
 export function runRefusals(tables: SchedulerTables, now: Millis, orders: SchedulerOrder[]): void {
@@ -18,16 +21,19 @@
 
 /**
  * Sends cold requests that just came on to another owner when no load starts
- * here now. It runs after the loads. Requests join those that wait already.
+ * here soon. It runs after the loads. Requests join those that wait already.
  */
 export function runRedirects(tables: SchedulerTables, orders: SchedulerOrder[]): void {
   const fresh = tables.redirectable.splice(0)
   if (orders.some(({ kind }) => kind === "load" || kind === "evict")) return
+  const { loadBudget, share } = tables
+  const waitMs = ((1 - loadBudget.tokens) * MS_PER_SECOND) / share.ratePerSecond
+  if (waitMs > 0 && waitMs < SHORT_WAIT_MS) return
   for (const request of fresh) {
     const group = tables.queue.byAdapter.get(request.adapter)
     if (!tables.queue.byId.has(request.id) || group?.count !== 1 || !isCold(tables, request))
       continue
-    refuseQueued(tables, orders, request, "overloaded", "no load can start here now")
+    refuseQueued(tables, orders, request, "overloaded", "no load can start here soon")
   }
 }
 
