Policy: load shares leave out endpoints that load no adapters

Cause: the ownership documents also name plain services, whose owners would have held a part of the store's budget without using it.

--- a/packages/policy/src/share.ts
+++ b/packages/policy/src/share.ts
@@ -41,6 +41,7 @@
   readonly self: Incarnation
   /** Endpoints that the settings name, whose documents may not have been seen yet. */
   readonly endpointCount: number
+  readonly isCounted: (endpoint: EndpointId) => boolean
   readonly documents: Map<DataCentre, SeenDocument>
   /** Number of endpoints in all documents, with the time at which the number was last seen. */
   readonly totals: Map<number, Millis>
@@ -60,9 +61,16 @@
   readonly isContested: boolean
 }
 
-/** Creates the tables of an instance that has seen nothing yet. */
-export function createShareTables(self: Incarnation, endpointCount: number): ShareTables {
-  return { self, endpointCount, documents: new Map(), totals: new Map() }
+/**
+ * Creates the tables of an instance that has seen nothing yet. Endpoints that
+ * load no adapters, such as plain services, are left out by the filter.
+ */
+export function createShareTables(
+  self: Incarnation,
+  endpointCount: number,
+  isCounted: (endpoint: EndpointId) => boolean = () => true,
+): ShareTables {
+  return { self, endpointCount, isCounted, documents: new Map(), totals: new Map() }
 }
 
 /** Takes in a document that was read at this time. It is called for each read or watch, also when nothing changed. */
@@ -71,7 +79,7 @@
   const hasSuspect = view.members.some((member) => member.phase === "suspect")
   const gains = new Map<EndpointId, Gain>()
   for (const { endpoint, owner, epoch } of view.ownerships) {
-    if (owner !== tables.self) continue
+    if (owner !== tables.self || !tables.isCounted(endpoint)) continue
     const gain = before?.gains.get(endpoint)
     const isKept = gain?.epoch === epoch
     const isContested = hasSuspect && (!isKept || gain.isContested)
@@ -117,7 +125,8 @@
 
 function countEndpoints(tables: ShareTables): number {
   let count = 0
-  for (const { view } of tables.documents.values()) count += view.ownerships.length
+  for (const { view } of tables.documents.values())
+    for (const { endpoint } of view.ownerships) if (tables.isCounted(endpoint)) count++
   return count
 }
 
--- a/packages/policy/test/share.test.ts
+++ b/packages/policy/test/share.test.ts
@@ -119,6 +119,13 @@
   expect(computeRate(tables, 4000)).to.equal(loads.ratePerSecond)
 })
 
+it("gives no load share for endpoints that load nothing", () => {
+  const tables = createShareTables("i1", 1, (endpoint) => endpoint !== "s1")
+  const ownerships = ["e1", "s1"].map((endpoint) => ({ endpoint, owner: "i1", epoch: 1 }))
+  applyOwnership(tables, { dataCentre: "x", epoch: 1, members: [], ownerships }, 0)
+  expect(computeRate(tables, 0)).to.equal(loads.ratePerSecond)
+})
+
 it("halves the load share while a predecessor may be paused", () => {
   const tables = createShareTables("i1", 1)
   const members = [{ phase: "suspect" as const }]
