Bench: batch fill of the disturbed time

Cause: over the whole run the fill fell with the long tail of bulk work that waits for loads; a router that refuses that work looked fuller.

--- a/bench/src/policy/figures.ts
+++ b/bench/src/policy/figures.ts
@@ -18,6 +18,7 @@
   readonly stallMs: number
   readonly urgentStalls: number
   readonly urgentStallMs: number
+  /** Tokens that the steps of the disturbed time made, against full batches. */
   readonly batchFill: number
   readonly refused: number
   readonly loads: number
@@ -28,7 +29,7 @@
 }
 
 /** Computes the figures of a finished run. */
-export function computeFigures(world: World): Figures {
+export function computeFigures(world: World, batchFill: number): Figures {
   const records = [...world.records.values()]
   for (const record of records) closeRecord(record, world.simulation.now)
   const stalled = records.filter(({ stalledMs }) => stalledMs !== undefined)
@@ -46,8 +47,7 @@
     stallMs: computeMean(stalled),
     urgentStalls: urgentStalled.length,
     urgentStallMs: computeMean(urgentStalled),
-    batchFill:
-      (PERCENT * sum((count) => count.tokens)) / (BATCH_LIMIT * sum((count) => count.steps)),
+    batchFill,
     refused: records.filter(
       ({ refusedAt, doneAt }) => refusedAt !== undefined && doneAt === undefined,
     ).length,
@@ -58,6 +58,28 @@
   }
 }
 
+/** What all engines have made so far. */
+export interface Output {
+  readonly tokens: number
+  readonly steps: number
+}
+
+/** Reads what all engines have made so far. */
+export function readOutput(world: World): Output {
+  let tokens = 0
+  let steps = 0
+  for (const { counts } of world.engines.values()) {
+    tokens += counts.tokens
+    steps += counts.steps
+  }
+  return { tokens, steps }
+}
+
+/** Computes how full the batches were between two points in time, in percent. */
+export function computeFill(start: Output, end: Output): number {
+  return (PERCENT * (end.tokens - start.tokens)) / (BATCH_LIMIT * (end.steps - start.steps))
+}
+
 /** What was never sent waited for an adapter until it was refused, or to the end. */
 function closeRecord(record: RequestRecord, end: number): void {
   if (record.sentAt === undefined)
--- a/bench/src/policy/runner.ts
+++ b/bench/src/policy/runner.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_POLICY, hashText, rankEndpoints } from "@galenaway/policy"
 import { CoordinatedStrategy, type Placement } from "./coordinated.js"
 import type { EngineModel } from "./engine.js"
-import { computeFigures, type Figures } from "./figures.js"
+import { computeFigures, computeFill, type Figures, readOutput } from "./figures.js"
 import { NaiveStrategy } from "./naive.js"
 import { Simulation } from "./simulation.js"
 import {
@@ -31,11 +31,6 @@
 
 /** Runs one case with one strategy and one seed. The same arguments give the same figures. */
 export function runCase(name: CaseName, strategyName: StrategyName, seed: number): Figures {
-  return computeFigures(runWorld(name, strategyName, seed))
-}
-
-/** Runs one case and returns the world as it is at the end. */
-export function runWorld(name: CaseName, strategyName: StrategyName, seed: number): World {
   const simulation = new Simulation()
   const world = createWorld(simulation, createRandom(seed + 1_000_000))
   addPopular(world)
@@ -55,8 +50,12 @@
       sendRequest(world, strategy, request)
     })
   addFaults(world, strategy, name)
+  simulation.runUntil(DURING_MS.start)
+  const before = readOutput(world)
+  simulation.runUntil(DURING_MS.end)
+  const fill = computeFill(before, readOutput(world))
   simulation.runUntil(END_MS + DRAIN_MS)
-  return world
+  return computeFigures(world, fill)
 }
 
 /** Fills every slot with the most popular adapters, so that a run begins warm. */
