--- a/bench/src/policy/runner.ts
+++ b/bench/src/policy/runner.ts
@@ -2,7 +2,7 @@
 import { DEFAULT_POLICY, hashText, rankEndpoints } from "@galenaway/policy"
 import { CoordinatedStrategy, type Placement } from "./coordinated.js"
 import type { EngineModel } from "./engine.js"
-import { computeFigures, type Figures } from "./figures.js"
+import { computeFigures, computeFill, type Figures, readOutput } from "./figures.js"
 import { NaiveStrategy } from "./naive.js"
 import { Simulation } from "./simulation.js"
 import {
@@ -14,7 +14,7 @@
   END_MS,
   formatIndex,
 } from "./workload.js"
-import { createWorld, deliverRequest, loseSite, SLOTS, type Strategy, type World } from "./world.js"
+import { createWorld, sendRequest, stopSite, SLOTS, type Strategy, type World } from "./world.js"
 
 const COLD_START_MS = 3000
 const RESTART_EVERY_MS = 4000
@@ -31,14 +31,9 @@
 
 /** Runs one case with one strategy and one seed. The same arguments give the same figures. */
 export function runCase(name: CaseName, strategyName: StrategyName, seed: number): Figures {
-  return computeFigures(runWorld(name, strategyName, seed))
-}
-
-/** Runs one case and returns the world as it is at the end. */
-export function runWorld(name: CaseName, strategyName: StrategyName, seed: number): World {
   const simulation = new Simulation()
   const world = createWorld(simulation, createRandom(seed + 1_000_000))
-  placePopular(world)
+  addPopular(world)
   const strategy = createStrategy(world, strategyName)
   for (const request of buildWorkload(name, seed))
     simulation.after(request.arrivedAt, () => {
@@ -52,15 +47,19 @@
         stalledMs: undefined,
         attempts: 0,
       })
-      deliverRequest(world, strategy, request)
+      sendRequest(world, strategy, request)
     })
-  scheduleFaults(world, strategy, name)
+  addFaults(world, strategy, name)
+  simulation.runUntil(DURING_MS.start)
+  const before = readOutput(world)
+  simulation.runUntil(DURING_MS.end)
+  const fill = computeFill(before, readOutput(world))
   simulation.runUntil(END_MS + DRAIN_MS)
-  return world
+  return computeFigures(world, fill)
 }
 
 /** Fills every slot with the most popular adapters, so that a run begins warm. */
-function placePopular(world: World): void {
+function addPopular(world: World): void {
   const engines = [...world.engines.values()]
   for (let index = 0; index < engines.length * SLOTS; index++)
     engines[index % engines.length]?.place(formatIndex(index))
@@ -71,7 +70,7 @@
     case "naive":
       return new NaiveStrategy(world)
     case "owners":
-      return new CoordinatedStrategy(world, NO_FLOORS, placeByHash)
+      return new CoordinatedStrategy(world, NO_FLOORS, rankByHash)
     case "placement":
       return new CoordinatedStrategy(world, NO_FLOORS, rankEndpoints)
     case "floors":
@@ -80,7 +79,7 @@
 }
 
 /** Sends every adapter to its own endpoints, whatever they hold and however loaded they are. */
-const placeByHash: Placement = (views, request) => {
+const rankByHash: Placement = (views, request) => {
   const weigh = (id: string) => hashText(request.adapter, hashText(id))
   return views
     .filter(({ isReachable }) => isReachable)
@@ -88,7 +87,7 @@
     .sort((a, b) => weigh(a) - weigh(b))
 }
 
-function scheduleFaults(world: World, strategy: Strategy, name: CaseName): void {
+function addFaults(world: World, strategy: Strategy, name: CaseName): void {
   const { simulation } = world
   const engines = [...world.engines.values()]
   switch (name) {
@@ -98,13 +97,13 @@
     case "instance-loss":
       simulation.after(DURING_MS.start, () => {
         const site = world.sites[LOST_SITE]
-        if (site) loseSite(world, strategy, site)
+        if (site) stopSite(world, strategy, site)
       })
       return
     case "engine-restarts":
       engines.slice(0, 10).forEach((engine, index) => {
         simulation.after(DURING_MS.start + index * RESTART_EVERY_MS, () => {
-          restartEngine(world, engine)
+          runRestart(world, engine)
         })
       })
       return
@@ -126,7 +125,7 @@
   }
 }
 
-function restartEngine(world: World, engine: EngineModel): void {
+function runRestart(world: World, engine: EngineModel): void {
   engine.stop()
   world.simulation.after(COLD_START_MS, () => {
     engine.start()
--- a/packages/policy/src/share.ts
+++ b/packages/policy/src/share.ts
@@ -48,6 +48,7 @@
   readonly self: Incarnation
   /** Endpoints that the settings name, whose documents may not have been seen yet. */
   readonly endpointCount: number
+  readonly isCounted: (endpoint: EndpointId) => boolean
   readonly documents: Map<DataCentre, SeenDocument>
   /** Endpoints that a successor has asked for, with its epoch. */
   readonly losses: Map<EndpointId, number>
@@ -69,9 +70,23 @@
   readonly isContested: boolean
 }
 
-/** Creates the tables of an instance that has seen nothing yet. */
-export function createShareTables(self: Incarnation, endpointCount: number): ShareTables {
-  return { self, endpointCount, documents: new Map(), losses: new Map(), totals: new Map() }
+/**
+ * Creates the tables of an instance that has seen nothing yet. Endpoints that
+ * load no adapters, such as plain services, are left out by the filter.
+ */
+export function createShareTables(
+  self: Incarnation,
+  endpointCount: number,
+  isCounted: (endpoint: EndpointId) => boolean = () => true,
+): ShareTables {
+  return {
+    self,
+    endpointCount,
+    isCounted,
+    documents: new Map(),
+    losses: new Map(),
+    totals: new Map(),
+  }
 }
 
 /** Takes in a document that was read at this time. It is called for each read or watch, also when nothing changed. */
@@ -81,13 +96,14 @@
   const gains = new Map<EndpointId, Gain>()
   for (const ownership of view.ownerships) {
     const { endpoint, owner, epoch } = ownership
-    if (owner !== tables.self || epoch < (tables.losses.get(endpoint) ?? 0)) continue
+    if (owner !== tables.self || !tables.isCounted(endpoint)) continue
+    if (epoch < (tables.losses.get(endpoint) ?? 0)) continue
     const gain = before?.gains.get(endpoint)
     const next = gain?.epoch === epoch ? gain : createGain(tables, ownership, gain, now)
     gains.set(endpoint, { ...next, isContested: next.isContested && hasSuspect })
   }
   tables.documents.set(view.dataCentre, { view, confirmedAt: now, gains })
-  markSeen(tables.totals, countEndpoints(tables), now)
+  updateSeen(tables.totals, countEndpoints(tables), now)
 }
 
 /** Gives an endpoint's part up at once, since a successor with this epoch has asked. It is called before the answer leaves. */
@@ -155,7 +171,8 @@
 
 function countEndpoints(tables: ShareTables): number {
   let count = 0
-  for (const { view } of tables.documents.values()) count += view.ownerships.length
+  for (const { view } of tables.documents.values())
+    for (const { endpoint } of view.ownerships) if (tables.isCounted(endpoint)) count++
   return count
 }
 
@@ -164,7 +181,7 @@
   return Math.max(endpointCount, ...totals.keys())
 }
 
-function markSeen(seen: Map<number, Millis>, value: number, now: Millis): void {
+function updateSeen(seen: Map<number, Millis>, value: number, now: Millis): void {
   for (const [old, at] of seen) if (now - at > SHARE_HOLD_BACK_MS) seen.delete(old)
   seen.set(value, now)
 }
