Count no acknowledgement of a witness that is gone

A witness sealed the epoch for a member without an owner and died; the owner took its end for an acknowledgement and evicted. Change: the loss of a witness gives up what is announced and asks for a new epoch, in which all members report what they hold.

--- a/packages/coordination/src/create-owner.ts
+++ b/packages/coordination/src/create-owner.ts
@@ -24,6 +24,7 @@
     predecessors: createPredecessors(ownership.predecessors),
     isFenced: false,
     unbriefed: new Set(listWitnesses(ownership)),
+    isWitnessLost: false,
     grants: new Map(),
     evictions: new Map(),
     unresolved: new Map(),
@@ -55,6 +56,7 @@
     ),
     isFenced: false,
     unbriefed: new Set(listWitnesses(ownership)),
+    isWitnessLost: false,
     evictions,
   }
   return { state, effects: [...blocked, ...listOpening(state)] }
--- a/packages/coordination/src/evictions.ts
+++ b/packages/coordination/src/evictions.ts
@@ -10,8 +10,8 @@
   isPinned: boolean,
 ): OwnerTransaction {
   if (state.evictions.has(adapter)) return { state, effects: [] }
-  if (state.phase !== "active" || state.unbriefed.size > 0 || isPinned)
-    return { state, effects: [{ kind: "eviction-blocked", adapter }] }
+  const isReady = state.phase === "active" && state.unbriefed.size === 0 && !state.isWitnessLost
+  if (!isReady || isPinned) return { state, effects: [{ kind: "eviction-blocked", adapter }] }
   const { epoch } = state.ownership
   const announcement = state.announcements + 1
   const awaited = new Set(listWitnesses(state.ownership))
@@ -38,20 +38,28 @@
 ): OwnerTransaction {
   const eviction = findAnnounced(state, event)
   if (!eviction) return { state, effects: [] }
-  return removeAwaited(state, eviction, event.witness)
+  const awaited = new Set(eviction.awaited)
+  awaited.delete(event.witness)
+  if (awaited.size > 0) return { state: setEviction(state, { ...eviction, awaited }), effects: [] }
+  const { adapter, announcement, epoch } = eviction
+  return {
+    state: setEviction(state, { ...eviction, step: "ordered", awaited }),
+    effects: [{ kind: "unload", adapter, announcement, fencingNumber: epoch }],
+  }
 }
 
-/** A witness that is gone can't tell a successor anything, so nobody has to wait for it. */
+/**
+ * A witness that is gone may have sealed the epoch, and nobody can ask it any
+ * more. So its end is no acknowledgement, and the epoch evicts nothing more.
+ */
 export function removeWitness(state: OwnerState, witness: Incarnation): OwnerTransaction {
-  return [...state.evictions.values()]
-    .filter(({ awaited }) => awaited.has(witness))
-    .reduce<OwnerTransaction>(
-      (transaction, eviction) => {
-        const next = removeAwaited(transaction.state, eviction, witness)
-        return { state: next.state, effects: [...transaction.effects, ...next.effects] }
-      },
-      { state, effects: [] },
-    )
+  if (!listWitnesses(state.ownership).includes(witness) || state.phase === "deposed")
+    return { state, effects: [] }
+  const { evictions, blocked } = removeAnnounced(state)
+  return {
+    state: { ...state, evictions, isWitnessLost: true },
+    effects: [...blocked, { kind: "renewal-wanted" }],
+  }
 }
 
 /** A sealed epoch evicts nothing more; a witness that only takes later epochs has read a newer document. */
@@ -156,21 +164,6 @@
   return isSame ? eviction : undefined
 }
 
-function removeAwaited(
-  state: OwnerState,
-  eviction: Eviction,
-  witness: Incarnation,
-): OwnerTransaction {
-  const awaited = new Set(eviction.awaited)
-  awaited.delete(witness)
-  if (awaited.size > 0) return { state: setEviction(state, { ...eviction, awaited }), effects: [] }
-  const { adapter, announcement, epoch } = eviction
-  return {
-    state: setEviction(state, { ...eviction, step: "ordered", awaited }),
-    effects: [{ kind: "unload", adapter, announcement, fencingNumber: epoch }],
-  }
-}
-
 function setEviction(state: OwnerState, eviction: Eviction): OwnerState {
   return {
     ...state,
--- a/packages/coordination/src/owner.ts
+++ b/packages/coordination/src/owner.ts
@@ -29,6 +29,8 @@
   readonly isFenced: boolean
   /** Witnesses that don't yet know the suspects of this epoch. While there is one, nothing is announced. */
   readonly unbriefed: ReadonlySet<Incarnation>
+  /** Whether a witness of this epoch is gone. Then nothing more is announced until the ownership is renewed. */
+  readonly isWitnessLost: boolean
   readonly grants: ReadonlyMap<string, HeldGrant>
   readonly evictions: ReadonlyMap<AdapterKey, Eviction>
   /** Own orders without a reply, by their announcement. */
@@ -168,7 +170,7 @@
   | { readonly kind: "evicted"; readonly adapter: AdapterKey }
   | { readonly kind: "eviction-blocked"; readonly adapter: AdapterKey }
   | { readonly kind: "suspects-changed"; readonly suspects: ReadonlySet<AdapterKey> }
-  /** A witness has sealed the epoch; nothing can be evicted until the ownership is renewed. */
+  /** A witness has sealed the epoch or is gone; nothing can be evicted until the ownership is renewed. */
   | { readonly kind: "renewal-wanted" }
   /** An earlier ownership can do no more harm; the document may drop it. */
   | { readonly kind: "predecessor-resolved"; readonly epoch: number }
