--- /dev/null
+++ b/packages/coordination/test/support/world.ts
@@ -0,0 +1,512 @@
+import { formatAdapter, type AdapterKey, type Fencing, type Grant } from "@galenaway/core"
+import {
+  addMember,
+  canGrant,
+  createDocument,
+  createMember,
+  createOwner,
+  planOwnership,
+  removeMember,
+  removePredecessors,
+  setMemberPhase,
+  updateMember,
+  updateOwner,
+  type MemberEvent,
+  type MemberReply,
+  type MemberState,
+  type OwnerEffect,
+  type OwnerEvent,
+  type OwnerState,
+  type OwnerTransaction,
+  type OwnershipDocument,
+  type Resolution,
+} from "@galenaway/coordination"
+
+export const ENDPOINT = "engine-0"
+export const X = formatAdapter({ base: "reef-8b", adapter: "x", version: "v1" })
+
+/** The package's transactions; a broken variant replaces some of them. */
+export interface Rules {
+  readonly canGrant: typeof canGrant
+  readonly createOwner: typeof createOwner
+  readonly updateMember: typeof updateMember
+  readonly updateOwner: typeof updateOwner
+}
+export const RULES: Rules = { canGrant, createOwner, updateMember, updateOwner }
+
+/** One step of a history. `message` picks one by its place, or by its label. */
+export type Step =
+  | { readonly kind: "deliver" | "repeat" | "lose"; readonly message: number | string }
+  | {
+      readonly kind:
+        | "grant"
+        | "load"
+        | "evict"
+        | "end"
+        | "read"
+        | "retry"
+        | "time-out"
+        | "report"
+        | "seal"
+        | "suspect"
+        | "recover"
+        | "lose-member"
+        | "join"
+      readonly who: string
+    }
+  | { readonly kind: "restart" | "renew" | "resolve" }
+
+type Message =
+  | {
+      readonly kind: "member"
+      readonly from: string
+      readonly to: string
+      readonly event: MemberEvent
+    }
+  | {
+      readonly kind: "owner"
+      readonly from: string
+      readonly to: string
+      readonly event: OwnerEvent
+    }
+  | { readonly kind: "use"; readonly from: string; readonly to: string; readonly epoch: number }
+  | {
+      readonly kind: "order"
+      readonly from: string
+      readonly to: "endpoint"
+      readonly order: Order
+      readonly isSent: boolean
+    }
+type Order = Extract<OwnerEffect, { kind: "unload" | "fence" }>
+
+interface Instance {
+  readonly member: MemberState
+  readonly owner?: OwnerState
+  readonly isGone: boolean
+  readonly endpointProcess: number
+}
+
+/** A few instances, one endpoint and the messages between them, under the package's own transactions. */
+export class World {
+  document: OwnershipDocument
+  readonly instances = new Map<string, Instance>()
+  messages: Message[] = []
+  violations = 0
+  evictions = 0
+  uses = 0
+  private resident = new Set<AdapterKey>([X])
+  private seenNumber = 0
+  private process = 0
+  private grantCount = 0
+  private resolutions: Resolution[] = []
+
+  constructor(
+    names: readonly string[],
+    private readonly fencing: Fencing,
+    private readonly rules: Rules = RULES,
+  ) {
+    this.document = createDocument("dc-1")
+    for (const name of names) this.join(name)
+    for (const name of names) this.read(name)
+    while (this.messages.length > 0) this.run({ kind: "deliver", message: 0 })
+  }
+
+  get owner(): string {
+    return this.document.ownerships[0]?.owner ?? ""
+  }
+
+  /** Delivers the messages whose label starts so, and those that they bring about. */
+  drain(label: string): void {
+    while (this.find(label)) this.deliver(label, true)
+  }
+
+  /** Takes a step. The name "owner" stands for the document's present owner. */
+  run(step: Step): void {
+    switch (step.kind) {
+      case "deliver": {
+        this.deliver(step.message, true)
+        return
+      }
+      case "repeat": {
+        this.deliver(step.message, false)
+        return
+      }
+      case "lose": {
+        this.remove(this.find(step.message))
+        return
+      }
+      case "restart": {
+        this.restart()
+        return
+      }
+      case "renew": {
+        this.plan(this.document, new Set([ENDPOINT]))
+        return
+      }
+      case "resolve":
+        this.document = removePredecessors(this.document, this.resolutions, "writer")
+        return
+      default:
+        this.runAt(step.kind, step.who === "owner" ? this.owner : step.who)
+    }
+  }
+
+  private runAt(kind: Extract<Step, { who: string }>["kind"], who: string): void {
+    if (kind === "join") this.join(who)
+    else if (this.instances.get(who)?.isGone === false) this.act(kind, who)
+  }
+
+  private act(kind: Exclude<Extract<Step, { who: string }>["kind"], "join">, who: string): void {
+    const { owner, member } = this.get(who)
+    switch (kind) {
+      case "grant":
+        for (const [holder] of this.instances) this.grant(who, holder)
+        return
+      case "load":
+        if (owner && this.rules.canGrant(owner, X) && this.isTaken(owner.ownership.epoch))
+          this.resident.add(X)
+        return
+      case "evict": {
+        this.updateOwner(who, { kind: "eviction-wanted", adapter: X })
+        return
+      }
+      case "end": {
+        this.endUse(who, member)
+        return
+      }
+      case "read": {
+        this.read(who)
+        return
+      }
+      case "retry": {
+        this.updateOwner(who, { kind: "retry-due" })
+        return
+      }
+      case "time-out": {
+        this.timeOut(who)
+        return
+      }
+      case "report": {
+        this.report(who)
+        return
+      }
+      case "seal": {
+        this.seal(who)
+        return
+      }
+      case "suspect":
+      case "recover": {
+        this.plan(
+          setMemberPhase(this.document, who, kind === "suspect" ? "suspect" : "live", "writer"),
+        )
+        return
+      }
+      case "lose-member": {
+        this.loseMember(who)
+        return
+      }
+    }
+  }
+
+  private get(name: string): Instance {
+    const instance = this.instances.get(name)
+    if (!instance) throw new Error(`no instance ${name}`)
+    return instance
+  }
+
+  /** A member reads the document that it joined before it takes part. */
+  private join(name: string): void {
+    if (this.instances.has(name)) return
+    const entry = { incarnation: name, instance: name, dataCentre: "dc-1", peerAddress: name }
+    this.instances.set(name, {
+      member: createMember(name),
+      isGone: false,
+      endpointProcess: this.process,
+    })
+    this.plan(addMember(this.document, { ...entry, phase: "live" }))
+    this.read(name)
+  }
+
+  private plan(document: OwnershipDocument, renewals = new Set<string>()): void {
+    this.document = planOwnership(document, [ENDPOINT], "writer", renewals)
+  }
+
+  private find(pick: number | string): Message | undefined {
+    if (typeof pick === "number") return this.messages[pick % Math.max(1, this.messages.length)]
+    return this.messages.find((message) => describeMessage(message).startsWith(pick))
+  }
+
+  private remove(message: Message | undefined): void {
+    this.messages = this.messages.filter((other) => other !== message)
+  }
+
+  private deliver(pick: number | string, isLast: boolean): void {
+    const message = this.find(pick)
+    if (!message) return
+    if (message.kind === "order") {
+      this.advanceOrder(message)
+      return
+    }
+    if (isLast || isReplyOnce(message)) this.remove(message)
+    if (this.get(message.to).isGone) return
+    if (message.kind === "owner") this.updateOwner(message.to, message.event)
+    else if (message.kind === "member") this.tellMember(message.from, message.to, message.event)
+    else this.use(message.to, message.epoch)
+  }
+
+  private updateOwner(name: string, event: OwnerEvent): void {
+    const { owner } = this.get(name)
+    if (owner) this.applyTransaction(name, this.rules.updateOwner(owner, event))
+  }
+
+  private applyTransaction(name: string, { state, effects }: OwnerTransaction): void {
+    this.instances.set(name, { ...this.get(name), owner: state })
+    for (const effect of effects) this.carryOut(name, effect)
+  }
+
+  private carryOut(from: string, effect: OwnerEffect): void {
+    const endpoint = ENDPOINT
+    switch (effect.kind) {
+      case "ask-holdings": {
+        const { to, epoch } = effect
+        this.send({
+          kind: "member",
+          from,
+          to,
+          event: { kind: "holdings-asked", endpoint, epoch },
+        })
+        return
+      }
+      case "announce": {
+        this.send({
+          kind: "member",
+          from,
+          to: effect.to,
+          event: { ...effect, kind: "eviction-announced", endpoint },
+        })
+        return
+      }
+      case "settle": {
+        this.send({
+          kind: "member",
+          from,
+          to: effect.to,
+          event: { ...effect, kind: "eviction-settled", endpoint },
+        })
+        return
+      }
+      case "brief-witness": {
+        this.send({
+          kind: "member",
+          from,
+          to: effect.to,
+          event: { ...effect, kind: "witness-briefed", endpoint },
+        })
+        return
+      }
+      case "unload":
+      case "fence": {
+        this.send({ kind: "order", from, to: "endpoint", order: effect, isSent: false })
+        return
+      }
+      case "predecessor-resolved":
+        this.resolutions.push({ endpoint, epoch: effect.epoch })
+        return
+      default:
+        return
+    }
+  }
+
+  private send(message: Message): void {
+    this.messages.push(message)
+  }
+
+  private tellMember(from: string, to: string, event: MemberEvent): void {
+    const { member } = this.get(to)
+    const { state, reply } = this.rules.updateMember(member, event)
+    this.instances.set(to, { ...this.get(to), member: state })
+    if (event.kind === "grant-arrived" && reply.kind === "accepted") this.uses++
+    if (event.kind === "seal-asked" && reply.kind === "sealed") {
+      if (!reply.announced.some(({ adapter }) => adapter === X))
+        this.send({ kind: "use", from: to, to: from, epoch: event.epoch })
+      return
+    }
+    const answer = createAnswer(to, event, reply)
+    if (answer) this.send({ kind: "owner", from: to, to: from, event: answer })
+  }
+
+  private grant(who: string, holder: string): void {
+    const { owner } = this.get(who)
+    if (!owner || !this.rules.canGrant(owner, X)) return
+    const grant = this.createGrant(who, owner.ownership.epoch)
+    this.updateOwner(who, { kind: "granted", grant, holder })
+    this.send({ kind: "member", from: who, to: holder, event: { kind: "grant-arrived", grant } })
+  }
+
+  private createGrant(owner: string, epoch: number): Grant {
+    const id = `grant-${++this.grantCount}`
+    return { id, request: id, endpoint: ENDPOINT, adapter: X, owner, epoch }
+  }
+
+  private use(holder: string, epoch: number): void {
+    const grant = this.createGrant(holder, epoch)
+    this.tellMember(holder, holder, { kind: "grant-arrived", grant })
+  }
+
+  private endUse(holder: string, member: MemberState): void {
+    const [grant] = member.endpoints.get(ENDPOINT)?.held.keys() ?? []
+    if (grant === undefined) return
+    this.tellMember(holder, holder, { kind: "grant-ended", endpoint: ENDPOINT, grant })
+    for (const [to] of this.instances)
+      this.send({ kind: "owner", from: holder, to, event: { kind: "grant-returned", grant } })
+  }
+
+  private read(who: string): void {
+    const [ownership] = this.document.ownerships
+    if (!ownership) return
+    this.tellMember(who, who, { kind: "ownership-seen", ownership })
+    const members = this.document.members.map(({ incarnation }) => incarnation)
+    if (this.get(who).owner)
+      this.updateOwner(who, { kind: "ownership-changed", ownership, members })
+    else if (ownership.owner === who)
+      this.applyTransaction(who, this.rules.createOwner(ownership, this.fencing, members))
+  }
+
+  private seal(who: string): void {
+    const [ownership] = this.document.ownerships
+    for (const to of ownership?.witnesses ?? [])
+      this.send({
+        kind: "member",
+        from: who,
+        to,
+        event: { kind: "seal-asked", endpoint: ENDPOINT, epoch: ownership?.epoch ?? 0 },
+      })
+  }
+
+  private timeOut(who: string): void {
+    const { owner } = this.get(who)
+    for (const { adapter, announcement, step } of owner?.evictions.values() ?? []) {
+      const isUnsent = this.messages.some(
+        (message) =>
+          message.kind === "order" &&
+          message.from === who &&
+          !message.isSent &&
+          message.order.kind === "unload",
+      )
+      if (step === "ordered" && !isUnsent)
+        this.updateOwner(who, {
+          kind: "unload-answered",
+          adapter,
+          announcement,
+          result: "unresolved",
+        })
+    }
+  }
+
+  private report(who: string): void {
+    const isSame = this.get(who).endpointProcess === this.process
+    this.instances.set(who, { ...this.get(who), endpointProcess: this.process })
+    this.updateOwner(who, { kind: isSame ? "endpoint-confirmed" : "endpoint-restarted" })
+  }
+
+  private loseMember(who: string): void {
+    const others = [...this.instances].filter(([name, { isGone }]) => name !== who && !isGone)
+    if (others.length < 2) return
+    this.instances.set(who, { ...this.get(who), isGone: true })
+    this.messages = this.messages.filter(({ from }) => from !== who)
+    this.plan(removeMember(this.document, who, "writer"))
+    for (const [to] of others)
+      this.send({
+        kind: "owner",
+        from: "platform",
+        to,
+        event: { kind: "member-gone", member: who },
+      })
+  }
+
+  private restart(): void {
+    this.process++
+    this.resident.clear()
+    this.seenNumber = 0
+    this.messages = this.messages.filter((message) => message.kind !== "order" || !message.isSent)
+  }
+
+  private isTaken(number: number): boolean {
+    if (this.fencing === "ignored") return true
+    if (number < this.seenNumber) return false
+    this.seenNumber = number
+    return true
+  }
+
+  /** An order is first sent to the endpoint's present process, then executed there. */
+  private advanceOrder(message: Extract<Message, { kind: "order" }>): void {
+    const { from, order } = message
+    this.remove(message)
+    if (!message.isSent) {
+      this.send({ ...message, isSent: true })
+      return
+    }
+    const { fencingNumber } = order
+    const isTaken = this.isTaken(fencingNumber)
+    const result = isTaken ? "done" : "fenced"
+    if (order.kind === "fence") {
+      this.send({
+        kind: "owner",
+        from,
+        to: from,
+        event: { kind: "fence-answered", fencingNumber, result },
+      })
+      return
+    }
+    if (isTaken) this.unload()
+    const { adapter, announcement } = order
+    this.send({
+      kind: "owner",
+      from,
+      to: from,
+      event: { kind: "unload-answered", adapter, announcement, result },
+    })
+  }
+
+  private unload(): void {
+    if (!this.resident.delete(X)) return
+    this.evictions++
+    const isUsed = [...this.instances.values()].some(
+      ({ member, isGone }) => !isGone && (member.endpoints.get(ENDPOINT)?.held.size ?? 0) > 0,
+    )
+    if (isUsed) this.violations++
+  }
+}
+
+function describeMessage(message: Message): string {
+  const kind =
+    message.kind === "order"
+      ? message.order.kind
+      : message.kind === "use"
+        ? "use"
+        : message.event.kind
+  return `${kind} ${message.from}>${message.to}`
+}
+
+/** A grant answers one call, so it arrives at most once. */
+function isReplyOnce(message: Message): boolean {
+  return (
+    message.kind === "use" || (message.kind === "member" && message.event.kind === "grant-arrived")
+  )
+}
+
+function createAnswer(
+  witness: string,
+  event: MemberEvent,
+  reply: MemberReply,
+): OwnerEvent | undefined {
+  if (reply.kind === "holdings") return { ...reply, kind: "holdings-reported", member: witness }
+  if (event.kind === "grant-arrived" && reply.kind === "refused")
+    return { kind: "grant-returned", grant: event.grant.id }
+  if (event.kind === "witness-briefed" && reply.kind === "accepted")
+    return { kind: "witness-briefed", witness, epoch: event.epoch }
+  if (event.kind !== "eviction-announced") return undefined
+  return reply.kind === "refused"
+    ? { ...event, kind: "announcement-refused", minimumEpoch: reply.minimumEpoch }
+    : { ...event, kind: "acknowledged", witness }
+}
