--- a/packages/coordination/test/history.test.ts
+++ b/packages/coordination/test/history.test.ts
@@ -2,7 +2,8 @@
 import fc from "fast-check"
 import type { Fencing } from "@galenaway/core"
 import { NAIVE, VARIANTS } from "./support/variants.js"
-import { RULES, World, type Rules, type Step } from "./support/world.js"
+import { RULES, type Rules, type Step } from "./support/steps.js"
+import { World } from "./support/world.js"
 
 const SEED = 20261204
 const RUNS = 3000
--- /dev/null
+++ b/packages/coordination/test/support/messages.ts
@@ -0,0 +1,85 @@
+import type { MemberEvent, MemberReply, OwnerEffect, OwnerEvent } from "@galenaway/coordination"
+import { ENDPOINT } from "./steps.js"
+
+/** A message on its way, or an order that is decided or sent. */
+export type Message =
+  | {
+      readonly kind: "member"
+      readonly from: string
+      readonly to: string
+      readonly event: MemberEvent
+    }
+  | {
+      readonly kind: "owner"
+      readonly from: string
+      readonly to: string
+      readonly event: OwnerEvent
+    }
+  | { readonly kind: "use"; readonly from: string; readonly to: string; readonly epoch: number }
+  | {
+      readonly kind: "order"
+      readonly from: string
+      readonly to: "endpoint"
+      readonly order: Order
+      readonly isSent: boolean
+    }
+type Order = Extract<OwnerEffect, { kind: "unload" | "fence" }>
+
+/** Turns an owner's effect into a message, if it is one. */
+export function createMessage(from: string, effect: OwnerEffect): Message | undefined {
+  if (effect.kind === "unload" || effect.kind === "fence")
+    return { kind: "order", from, to: "endpoint", order: effect, isSent: false }
+  const event = createMemberEvent(effect)
+  return event && "to" in effect ? { kind: "member", from, to: effect.to, event } : undefined
+}
+
+function createMemberEvent(effect: OwnerEffect): MemberEvent | undefined {
+  const endpoint = ENDPOINT
+  switch (effect.kind) {
+    case "ask-holdings":
+      return { ...effect, kind: "holdings-asked", endpoint }
+    case "announce":
+      return { ...effect, kind: "eviction-announced", endpoint }
+    case "settle":
+      return { ...effect, kind: "eviction-settled", endpoint }
+    case "brief-witness":
+      return { ...effect, kind: "witness-briefed", endpoint }
+    default:
+      return undefined
+  }
+}
+
+/** Formats what a step can pick the message by. */
+export function describeMessage(message: Message): string {
+  const kind =
+    message.kind === "order"
+      ? message.order.kind
+      : message.kind === "use"
+        ? "use"
+        : message.event.kind
+  return `${kind} ${message.from}>${message.to}`
+}
+
+/** A grant answers one call, so it arrives at most once. */
+export function isReplyOnce(message: Message): boolean {
+  return (
+    message.kind === "use" || (message.kind === "member" && message.event.kind === "grant-arrived")
+  )
+}
+
+/** The answer that goes back to the owner, if there is one. */
+export function createAnswer(
+  witness: string,
+  event: MemberEvent,
+  reply: MemberReply,
+): OwnerEvent | undefined {
+  if (reply.kind === "holdings") return { ...reply, kind: "holdings-reported", member: witness }
+  if (event.kind === "grant-arrived" && reply.kind === "refused")
+    return { kind: "grant-returned", grant: event.grant.id }
+  if (event.kind === "witness-briefed" && reply.kind === "accepted")
+    return { kind: "witness-briefed", witness, epoch: event.epoch }
+  if (event.kind !== "eviction-announced") return undefined
+  return reply.kind === "refused"
+    ? { ...event, kind: "announcement-refused", minimumEpoch: reply.minimumEpoch }
+    : { ...event, kind: "acknowledged", witness }
+}
--- a/packages/coordination/test/support/variants.ts
+++ b/packages/coordination/test/support/variants.ts
@@ -1,5 +1,5 @@
 import type { OwnerEvent, OwnerState, OwnerTransaction, Ownership } from "@galenaway/coordination"
-import { RULES, X, type Rules } from "./world.js"
+import { RULES, X, type Rules } from "./steps.js"
 
 /** Feeds an owner what it should have waited for. */
 function answerAtOnce(
--- a/packages/coordination/test/support/world.ts
+++ b/packages/coordination/test/support/world.ts
@@ -1,18 +1,13 @@
-import { formatAdapter, type AdapterKey, type Fencing, type Grant } from "@galenaway/core"
+import type { Fencing, Grant } from "@galenaway/core"
 import {
   addMember,
-  canGrant,
   createDocument,
   createMember,
-  createOwner,
   planOwnership,
   removeMember,
   removePredecessors,
   setMemberPhase,
-  updateMember,
-  updateOwner,
   type MemberEvent,
-  type MemberReply,
   type MemberState,
   type OwnerEffect,
   type OwnerEvent,
@@ -21,63 +16,15 @@
   type OwnershipDocument,
   type Resolution,
 } from "@galenaway/coordination"
-
-export const ENDPOINT = "engine-0"
-export const X = formatAdapter({ base: "reef-8b", adapter: "x", version: "v1" })
-
-/** The package's transactions; a broken variant replaces some of them. */
-export interface Rules {
-  readonly canGrant: typeof canGrant
-  readonly createOwner: typeof createOwner
-  readonly updateMember: typeof updateMember
-  readonly updateOwner: typeof updateOwner
-}
-export const RULES: Rules = { canGrant, createOwner, updateMember, updateOwner }
-
-/** One step of a history. `message` picks one by its place, or by its label. */
-export type Step =
-  | { readonly kind: "deliver" | "repeat" | "lose"; readonly message: number | string }
-  | {
-      readonly kind:
-        | "grant"
-        | "load"
-        | "evict"
-        | "end"
-        | "read"
-        | "retry"
-        | "time-out"
-        | "report"
-        | "seal"
-        | "suspect"
-        | "recover"
-        | "lose-member"
-        | "join"
-      readonly who: string
-    }
-  | { readonly kind: "restart" | "renew" | "resolve" }
-
-type Message =
-  | {
-      readonly kind: "member"
-      readonly from: string
-      readonly to: string
-      readonly event: MemberEvent
-    }
-  | {
-      readonly kind: "owner"
-      readonly from: string
-      readonly to: string
-      readonly event: OwnerEvent
-    }
-  | { readonly kind: "use"; readonly from: string; readonly to: string; readonly epoch: number }
-  | {
-      readonly kind: "order"
-      readonly from: string
-      readonly to: "endpoint"
-      readonly order: Order
-      readonly isSent: boolean
-    }
-type Order = Extract<OwnerEffect, { kind: "unload" | "fence" }>
+import { Endpoint } from "./endpoint.js"
+import {
+  createAnswer,
+  createMessage,
+  describeMessage,
+  isReplyOnce,
+  type Message,
+} from "./messages.js"
+import { ENDPOINT, RULES, X, type Rules, type Step } from "./steps.js"
 
 interface Instance {
   readonly member: MemberState
@@ -94,9 +41,7 @@
   violations = 0
   evictions = 0
   uses = 0
-  private resident = new Set<AdapterKey>([X])
-  private seenNumber = 0
-  private process = 0
+  private readonly endpoint: Endpoint
   private grantCount = 0
   private resolutions: Resolution[] = []
 
@@ -106,6 +51,7 @@
     private readonly rules: Rules = RULES,
   ) {
     this.document = createDocument("dc-1")
+    this.endpoint = new Endpoint(fencing)
     for (const name of names) this.join(name)
     for (const name of names) this.read(name)
     while (this.messages.length > 0) this.run({ kind: "deliver", message: 0 })
@@ -163,8 +109,7 @@
         for (const [holder] of this.instances) this.grant(who, holder)
         return
       case "load":
-        if (owner && this.rules.canGrant(owner, X) && this.isTaken(owner.ownership.epoch))
-          this.resident.add(X)
+        if (owner && this.rules.canGrant(owner, X)) this.endpoint.load(owner.ownership.epoch)
         return
       case "evict": {
         this.updateOwner(who, { kind: "eviction-wanted", adapter: X })
@@ -221,7 +166,7 @@
     this.instances.set(name, {
       member: createMember(name),
       isGone: false,
-      endpointProcess: this.process,
+      endpointProcess: this.endpoint.process,
     })
     this.plan(addMember(this.document, { ...entry, phase: "live" }))
     this.read(name)
@@ -265,56 +210,10 @@
   }
 
   private carryOut(from: string, effect: OwnerEffect): void {
-    const endpoint = ENDPOINT
-    switch (effect.kind) {
-      case "ask-holdings": {
-        const { to, epoch } = effect
-        this.send({
-          kind: "member",
-          from,
-          to,
-          event: { kind: "holdings-asked", endpoint, epoch },
-        })
-        return
-      }
-      case "announce": {
-        this.send({
-          kind: "member",
-          from,
-          to: effect.to,
-          event: { ...effect, kind: "eviction-announced", endpoint },
-        })
-        return
-      }
-      case "settle": {
-        this.send({
-          kind: "member",
-          from,
-          to: effect.to,
-          event: { ...effect, kind: "eviction-settled", endpoint },
-        })
-        return
-      }
-      case "brief-witness": {
-        this.send({
-          kind: "member",
-          from,
-          to: effect.to,
-          event: { ...effect, kind: "witness-briefed", endpoint },
-        })
-        return
-      }
-      case "unload":
-      case "fence": {
-        this.send({ kind: "order", from, to: "endpoint", order: effect, isSent: false })
-        return
-      }
-      case "predecessor-resolved":
-        this.resolutions.push({ endpoint, epoch: effect.epoch })
-        return
-      default:
-        return
-    }
+    const message = createMessage(from, effect)
+    if (message) this.send(message)
+    if (effect.kind === "predecessor-resolved")
+      this.resolutions.push({ endpoint: ENDPOINT, epoch: effect.epoch })
   }
 
   private send(message: Message): void {
@@ -404,8 +303,8 @@
   }
 
   private report(who: string): void {
-    const isSame = this.get(who).endpointProcess === this.process
-    this.instances.set(who, { ...this.get(who), endpointProcess: this.process })
+    const isSame = this.get(who).endpointProcess === this.endpoint.process
+    this.instances.set(who, { ...this.get(who), endpointProcess: this.endpoint.process })
     this.updateOwner(who, { kind: isSame ? "endpoint-confirmed" : "endpoint-restarted" })
   }
 
@@ -425,19 +324,10 @@
   }
 
   private restart(): void {
-    this.process++
-    this.resident.clear()
-    this.seenNumber = 0
+    this.endpoint.restart()
     this.messages = this.messages.filter((message) => message.kind !== "order" || !message.isSent)
   }
 
-  private isTaken(number: number): boolean {
-    if (this.fencing === "ignored") return true
-    if (number < this.seenNumber) return false
-    this.seenNumber = number
-    return true
-  }
-
   /** An order is first sent to the endpoint's present process, then executed there. */
   private advanceOrder(message: Extract<Message, { kind: "order" }>): void {
     const { from, order } = message
@@ -447,7 +337,7 @@
       return
     }
     const { fencingNumber } = order
-    const isTaken = this.isTaken(fencingNumber)
+    const isTaken = this.endpoint.isTaken(fencingNumber)
     const result = isTaken ? "done" : "fenced"
     if (order.kind === "fence") {
       this.send({
@@ -469,7 +359,7 @@
   }
 
   private unload(): void {
-    if (!this.resident.delete(X)) return
+    if (!this.endpoint.unload()) return
     this.evictions++
     const isUsed = [...this.instances.values()].some(
       ({ member, isGone }) => !isGone && (member.endpoints.get(ENDPOINT)?.held.size ?? 0) > 0,
@@ -477,36 +367,3 @@
     if (isUsed) this.violations++
   }
 }
-
-function describeMessage(message: Message): string {
-  const kind =
-    message.kind === "order"
-      ? message.order.kind
-      : message.kind === "use"
-        ? "use"
-        : message.event.kind
-  return `${kind} ${message.from}>${message.to}`
-}
-
-/** A grant answers one call, so it arrives at most once. */
-function isReplyOnce(message: Message): boolean {
-  return (
-    message.kind === "use" || (message.kind === "member" && message.event.kind === "grant-arrived")
-  )
-}
-
-function createAnswer(
-  witness: string,
-  event: MemberEvent,
-  reply: MemberReply,
-): OwnerEvent | undefined {
-  if (reply.kind === "holdings") return { ...reply, kind: "holdings-reported", member: witness }
-  if (event.kind === "grant-arrived" && reply.kind === "refused")
-    return { kind: "grant-returned", grant: event.grant.id }
-  if (event.kind === "witness-briefed" && reply.kind === "accepted")
-    return { kind: "witness-briefed", witness, epoch: event.epoch }
-  if (event.kind !== "eviction-announced") return undefined
-  return reply.kind === "refused"
-    ? { ...event, kind: "announcement-refused", minimumEpoch: reply.minimumEpoch }
-    : { ...event, kind: "acknowledged", witness }
-}
--- a/packages/coordination/test/trace.test.ts
+++ b/packages/coordination/test/trace.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai"
 import type { Fencing } from "@galenaway/core"
 import { VARIANTS } from "./support/variants.js"
-import { RULES, World, type Rules } from "./support/world.js"
+import { RULES, type Rules } from "./support/steps.js"
+import { World } from "./support/world.js"
 
 /** The steps of a counterexample that the model checker gives for the variant of the same name. */
 interface Trace {
