--- a/packages/coordination/test/support/endpoint.ts
+++ b/packages/coordination/test/support/endpoint.ts
@@ -1,4 +1,6 @@
 import type { AdapterKey, Fencing } from "@galenaway/core"
+import type { OwnerEvent } from "@galenaway/coordination"
+import type { Order } from "./messages.js"
 import { X } from "./steps.js"
 
 /** An endpoint that executes one order at a time, and forgets all when it restarts. */
@@ -10,7 +12,7 @@
   constructor(private readonly fencing: Fencing) {}
 
   /** Checks an order's number, where the endpoint does. */
-  isTaken(number: number): boolean {
+  private isTaken(number: number): boolean {
     if (this.fencing === "ignored") return true
     if (number < this.seenNumber) return false
     this.seenNumber = number
@@ -21,9 +23,16 @@
     if (this.isTaken(number)) this.resident.add(X)
   }
 
-  /** Evicts the adapter. Returns false when it wasn't resident. */
-  unload(): boolean {
-    return this.resident.delete(X)
+  /** Executes an order, and tells its answer and whether it evicted a resident adapter. */
+  execute(order: Order): { readonly event: OwnerEvent; readonly isEvicted: boolean } {
+    const { fencingNumber } = order
+    const isTaken = this.isTaken(fencingNumber)
+    const result = isTaken ? "done" : "fenced"
+    if (order.kind === "fence")
+      return { event: { kind: "fence-answered", fencingNumber, result }, isEvicted: false }
+    const { adapter, announcement } = order
+    const event: OwnerEvent = { kind: "unload-answered", adapter, announcement, result }
+    return { event, isEvicted: isTaken && this.resident.delete(X) }
   }
 
   restart(): void {
--- a/packages/coordination/test/support/messages.ts
+++ b/packages/coordination/test/support/messages.ts
@@ -23,7 +23,8 @@
       readonly order: Order
       readonly isSent: boolean
     }
-type Order = Extract<OwnerEffect, { kind: "unload" | "fence" }>
+/** An order to the endpoint. */
+export type Order = Extract<OwnerEffect, { kind: "unload" | "fence" }>
 
 /** Turns an owner's effect into a message, if it is one. */
 export function createMessage(from: string, effect: OwnerEffect): Message | undefined {
@@ -67,6 +68,12 @@
   )
 }
 
+/** Tells whether an owner has decided an eviction and not sent it. */
+export function isUnsentUnload(message: Message, owner: string): boolean {
+  if (message.kind !== "order" || message.from !== owner) return false
+  return message.order.kind === "unload" && !message.isSent
+}
+
 /** The answer that goes back to the owner, if there is one. */
 export function createAnswer(
   witness: string,
--- a/packages/coordination/test/support/world.ts
+++ b/packages/coordination/test/support/world.ts
@@ -22,6 +22,7 @@
   createMessage,
   describeMessage,
   isReplyOnce,
+  isUnsentUnload,
   type Message,
 } from "./messages.js"
 import { ENDPOINT, RULES, X, type Rules, type Step } from "./steps.js"
@@ -69,29 +70,24 @@
   /** Takes a step. The name "owner" stands for the document's present owner. */
   run(step: Step): void {
     switch (step.kind) {
-      case "deliver": {
+      case "deliver":
         this.deliver(step.message, true)
-        return
-      }
-      case "repeat": {
+        break
+      case "repeat":
         this.deliver(step.message, false)
-        return
-      }
-      case "lose": {
+        break
+      case "lose":
         this.remove(this.find(step.message))
-        return
-      }
-      case "restart": {
+        break
+      case "restart":
         this.restart()
-        return
-      }
-      case "renew": {
+        break
+      case "renew":
         this.plan(this.document, new Set([ENDPOINT]))
-        return
-      }
+        break
       case "resolve":
         this.document = removePredecessors(this.document, this.resolutions, "writer")
-        return
+        break
       default:
         this.runAt(step.kind, step.who === "owner" ? this.owner : step.who)
     }
@@ -111,45 +107,36 @@
       case "load":
         if (owner && this.rules.canGrant(owner, X)) this.endpoint.load(owner.ownership.epoch)
         return
-      case "evict": {
+      case "evict":
         this.updateOwner(who, { kind: "eviction-wanted", adapter: X })
-        return
-      }
-      case "end": {
+        break
+      case "end":
         this.endUse(who, member)
-        return
-      }
-      case "read": {
+        break
+      case "read":
         this.read(who)
-        return
-      }
-      case "retry": {
+        break
+      case "retry":
         this.updateOwner(who, { kind: "retry-due" })
-        return
-      }
-      case "time-out": {
+        break
+      case "time-out":
         this.timeOut(who)
-        return
-      }
-      case "report": {
+        break
+      case "report":
         this.report(who)
-        return
-      }
-      case "seal": {
+        break
+      case "seal":
         this.seal(who)
-        return
-      }
+        break
       case "suspect":
-      case "recover": {
+      case "recover":
         this.plan(
           setMemberPhase(this.document, who, kind === "suspect" ? "suspect" : "live", "writer"),
         )
-        return
-      }
-      case "lose-member": {
+        break
+      case "lose-member":
         this.loseMember(who)
-        return
-      }
+        break
     }
   }
 
@@ -216,6 +203,10 @@
       this.resolutions.push({ endpoint: ENDPOINT, epoch: effect.epoch })
   }
 
+  private tellOwner(from: string, to: string, event: OwnerEvent): void {
+    this.send({ kind: "owner", from, to, event })
+  }
+
   private send(message: Message): void {
     this.messages.push(message)
   }
@@ -231,7 +222,7 @@
       return
     }
     const answer = createAnswer(to, event, reply)
-    if (answer) this.send({ kind: "owner", from: to, to: from, event: answer })
+    if (answer) this.tellOwner(to, from, answer)
   }
 
   private grant(who: string, holder: string): void {
@@ -256,8 +247,7 @@
     const [grant] = member.endpoints.get(ENDPOINT)?.held.keys() ?? []
     if (grant === undefined) return
     this.tellMember(holder, holder, { kind: "grant-ended", endpoint: ENDPOINT, grant })
-    for (const [to] of this.instances)
-      this.send({ kind: "owner", from: holder, to, event: { kind: "grant-returned", grant } })
+    for (const [to] of this.instances) this.tellOwner(holder, to, { kind: "grant-returned", grant })
   }
 
   private read(who: string): void {
@@ -284,14 +274,8 @@
 
   private timeOut(who: string): void {
     const { owner } = this.get(who)
+    const isUnsent = this.messages.some((message) => isUnsentUnload(message, who))
     for (const { adapter, announcement, step } of owner?.evictions.values() ?? []) {
-      const isUnsent = this.messages.some(
-        (message) =>
-          message.kind === "order" &&
-          message.from === who &&
-          !message.isSent &&
-          message.order.kind === "unload",
-      )
       if (step === "ordered" && !isUnsent)
         this.updateOwner(who, {
           kind: "unload-answered",
@@ -314,13 +298,7 @@
     this.instances.set(who, { ...this.get(who), isGone: true })
     this.messages = this.messages.filter(({ from }) => from !== who)
     this.plan(removeMember(this.document, who, "writer"))
-    for (const [to] of others)
-      this.send({
-        kind: "owner",
-        from: "platform",
-        to,
-        event: { kind: "member-gone", member: who },
-      })
+    for (const [to] of others) this.tellOwner("platform", to, { kind: "member-gone", member: who })
   }
 
   private restart(): void {
@@ -336,30 +314,12 @@
       this.send({ ...message, isSent: true })
       return
     }
-    const { fencingNumber } = order
-    const isTaken = this.endpoint.isTaken(fencingNumber)
-    const result = isTaken ? "done" : "fenced"
-    if (order.kind === "fence") {
-      this.send({
-        kind: "owner",
-        from,
-        to: from,
-        event: { kind: "fence-answered", fencingNumber, result },
-      })
-      return
-    }
-    if (isTaken) this.unload()
-    const { adapter, announcement } = order
-    this.send({
-      kind: "owner",
-      from,
-      to: from,
-      event: { kind: "unload-answered", adapter, announcement, result },
-    })
+    const { event, isEvicted } = this.endpoint.execute(order)
+    if (isEvicted) this.countEviction()
+    this.tellOwner(from, from, event)
   }
 
-  private unload(): void {
-    if (!this.endpoint.unload()) return
+  private countEviction(): void {
     this.evictions++
     const isUsed = [...this.instances.values()].some(
       ({ member, isGone }) => !isGone && (member.endpoints.get(ENDPOINT)?.held.size ?? 0) > 0,
