Daemon: check a drain's result before it is stored

Cause, found by reading: drains were added without the checks of a whole configuration, so one drain too many would have been accepted and then refused by every instance. Change: an edit passes the checks that every instance makes. The new test fails without them (1 of 21 of its file) and passes with them; 135 tests pass in one run.

--- a/packages/daemon/src/operator/handlers.ts
+++ b/packages/daemon/src/operator/handlers.ts
@@ -8,6 +8,7 @@
   createIssue,
   type Drain,
   type Inventory,
+  parseConfiguration,
   resolveSettings,
 } from "@galenaway/config"
 import {
@@ -188,7 +189,10 @@
     origin: Omit<ChangeOrigin, "at">,
     makeNext: (current: Configuration) => Configuration,
   ): Promise<Reply> {
-    return createChangeReply(await this.parts.writer.edit(makeNext, this.stamp(origin)))
+    // Every instance checks what it reads, so an edit must pass the same checks before it is stored.
+    const makeChecked = (current: Configuration) =>
+      parseConfiguration(JSON.stringify(makeNext(current))).configuration
+    return createChangeReply(await this.parts.writer.edit(makeChecked, this.stamp(origin)))
   }
 
   private stamp(origin: Omit<ChangeOrigin, "at">): ChangeOrigin {
--- a/packages/daemon/test/operator-server.test.ts
+++ b/packages/daemon/test/operator-server.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai"
+import { DEFAULT_CONFIGURATION, DRAIN_LIMIT, formatStored } from "@galenaway/config"
 import type { ConfigurationPeers } from "@galenaway/daemon"
 import { buildDocuments, MemoryPlatform } from "./configuration-support.js"
 import {
@@ -132,6 +133,19 @@
   expect(await readStatus("/v1/drain", buildDrain("c1", "engine-9"))).to.equal(400)
 })
 
+it("refuses one drain too many, which no instance would put in force", async () => {
+  const origin = { reason: "new card", author: "maria", date: "2026-01-31" }
+  const drains = Array.from({ length: DRAIN_LIMIT }, (_, index) => {
+    return { kind: "instance" as const, id: `entry-${index}`, ...origin }
+  })
+  const configuration = { ...DEFAULT_CONFIGURATION, drains }
+  const platform = new MemoryPlatform()
+  platform.set(formatStored({ revision: 1, configuration, history: [] }))
+  const act = async ({ url }: TestServer) =>
+    (await callOperator(url, "/v1/drain", buildDrain("c1", "engine-1"))).text
+  expect(await useServer(act, { platform })).to.contain(`at most ${DRAIN_LIMIT} drains`)
+})
+
 it("explains that a drained endpoint is left out, and what decides", async () => {
   const reply = await useServer(async ({ url }) => {
     await callOperator(url, "/v1/drain", buildDrain("c1", "engine-1"))
