--- a/bench/src/capacity-plan.ts
+++ b/bench/src/capacity-plan.ts
@@ -21,17 +21,17 @@
 
 /** Slopes of calls: microseconds of both ends, and bytes of both directions. */
 const UNARY = {
-  grant: { micros: 1265, bytes: 407 },
-  returns: { micros: 1265, bytes: 151, bytesEach: 49 },
-  exchange: { micros: 1613, bytes: 349, rowBytes: 60, fullRowBytes: 446 },
-  announce: { micros: 1481, bytes: 213 },
+  grant: { micros: 1523, bytes: 407 },
+  returns: { micros: 1475, bytes: 151, bytesEach: 49 },
+  exchange: { micros: 1665, bytes: 349, rowBytes: 60, fullRowBytes: 446 },
+  announce: { micros: 1123, bytes: 213 },
 }
-/** The same over one open stream for each pair. Only the processor time of a grant is measured. */
+/** The same over one open stream for each pair. Announcements are calculated. */
 const STREAM = {
-  grant: { micros: 578, bytes: 166 },
-  returns: { micros: 289, bytes: 60 },
-  exchange: { micros: 578, bytes: 250, rowBytes: 60 },
-  announce: { micros: 578, bytes: 109 },
+  grant: { micros: 552, bytes: 166 },
+  returns: { micros: 349, bytes: 55 },
+  exchange: { micros: 417, bytes: 250, rowBytes: 60 },
+  announce: { micros: 552, bytes: 109 },
 }
 const BASE64 = 4 / 3
 const EXCEPTIONS = 100
--- a/bench/src/messages-measure.ts
+++ b/bench/src/messages-measure.ts
@@ -3,6 +3,8 @@
 import { openClient, type PeerCall, type Wire } from "./messages-wire.js"
 
 const CODEC_ROUNDS = 20_000
+const SETTLE_MS = 100
+const DRAIN_MS = 1000
 const WARM_CALLS = 200
 const HOT_CALLS = 3000
 const COUNTED_CALLS = 500
@@ -39,12 +41,22 @@
 /** Measures the bytes that a call moves both ways over an open connection, HTTP/2 framing included. */
 export async function measureWireBytes(wire: Wire, call: PeerCall): Promise<number> {
   const client = openClient(wire.countedAddress)
-  for (let round = 0; round < WARM_CALLS; round++) await call(client)
-  const before = wire.countBytes()
-  for (let round = 0; round < COUNTED_CALLS; round++) await call(client)
-  const bytes = wire.countBytes() - before
+  const bytes = await measureBytes(() => call(client), wire.countBytes)
   client.close()
-  return bytes / COUNTED_CALLS
+  return bytes
+}
+
+/** Measures the bytes of one message and its answer, from a counter of bytes so far. */
+export async function measureBytes(
+  send: () => Promise<unknown>,
+  countBytes: () => number,
+): Promise<number> {
+  for (let round = 0; round < WARM_CALLS; round++) await send()
+  await wait(SETTLE_MS)
+  const before = countBytes()
+  for (let round = 0; round < COUNTED_CALLS; round++) await send()
+  await wait(SETTLE_MS)
+  return (countBytes() - before) / COUNTED_CALLS
 }
 
 /**
@@ -55,7 +67,7 @@
   call: () => Promise<unknown>,
   rates: readonly number[],
 ): Promise<readonly Point[]> {
-  for (let round = 0; round < HOT_CALLS; round++) await call()
+  await runHot(call)
   const points: Point[] = []
   for (const rate of rates) points.push({ size: rate, value: await runPaced(call, rate) })
   return points
@@ -64,11 +76,17 @@
 /** Measures the processor time of both ends of a call that is repeated without a pause, in microseconds. */
 export async function measureHotCpu(call: () => Promise<unknown>): Promise<number> {
   const before = process.cpuUsage()
-  for (let round = 0; round < HOT_CALLS; round++) await call()
+  await runHot(call)
   const { user, system } = process.cpuUsage(before)
   return (user + system) / HOT_CALLS
 }
 
+/** Waits afterwards, since the far end may still have messages that get no answer. */
+async function runHot(call: () => Promise<unknown>): Promise<void> {
+  for (let round = 0; round < HOT_CALLS; round++) await call()
+  await wait(DRAIN_MS)
+}
+
 async function runPaced(call: () => Promise<unknown>, rate: number): Promise<number> {
   const pending: Promise<unknown>[] = []
   const before = process.cpuUsage()
--- a/bench/src/messages-wire.ts
+++ b/bench/src/messages-wire.ts
@@ -99,7 +99,8 @@
   }
 }
 
-function bindServer(server: Server): Promise<number> {
+/** Binds a server to a free port of the loopback address. */
+export function bindServer(server: Server): Promise<number> {
   return new Promise((resolve, reject) => {
     server.bindAsync(`${HOST}:0`, ServerCredentials.createInsecure(), (error, port) => {
       if (error) reject(error)
@@ -108,13 +109,15 @@
   })
 }
 
-interface Relay {
+/** A relay that counts the bytes of both directions. */
+export interface Relay {
   readonly server: TcpServer
   readonly port: number
   readonly countBytes: () => number
 }
 
-function startRelay(target: number): Promise<Relay> {
+/** Starts a relay before a port of the loopback address. */
+export function startRelay(target: number): Promise<Relay> {
   let bytes = 0
   const server = createTcpServer((near) => {
     const far = connect(target, HOST)
--- a/bench/src/messages.ts
+++ b/bench/src/messages.ts
@@ -9,6 +9,7 @@
 import { printFit } from "./capacity-fit.js"
 import {
   type CodecCost,
+  measureBytes,
   measureCodec,
   measureHotCpu,
   measurePacedCpu,
@@ -24,25 +25,31 @@
   type DigestForm,
   type GrantForm,
 } from "./messages-samples.js"
-import { openGrantStream } from "./messages-stream.js"
+import { openPeerStream, type StreamKind } from "./messages-stream.js"
 import { callPeer, openClient, type PeerCall, startWire, type Wire } from "./messages-wire.js"
 
 /**
  * Measures each message between instances: its encoded size, the time to
  * encode and decode it, its bytes on a connection, and its processor time.
+ * With the argument `streams` only what goes over open streams.
  */
 const ROWS = [1, 3, 10, 30, 134]
 const RETURNS = [1, 4, 16, 64]
 const RATES = [20, 50, 100, 200]
 
-printCodecs()
-for (const form of ["full", "lean"] as const) {
-  const wire = await startWire(form)
-  try {
-    await printGrantBytes(wire, form)
-    if (form === "lean") await printOthers(wire)
-  } finally {
-    await wire.close()
+for (const kind of ["grant", "return", "exchange"] as const) await printStream(kind)
+if (process.argv[2] !== "streams") await printCalls()
+
+async function printCalls(): Promise<void> {
+  printCodecs()
+  for (const form of ["full", "lean"] as const) {
+    const wire = await startWire(form)
+    try {
+      await printGrantBytes(wire, form)
+      if (form === "lean") await printOthers(wire)
+    } finally {
+      await wire.close()
+    }
   }
 }
 
@@ -98,9 +105,9 @@
     printFit(`Exchange ${form}, bytes on the wire`, "bytes a row of both sides", points)
   }
   await printUnaryCpu(wire, "RequestGrant", callGrant())
+  await printUnaryCpu(wire, "ReturnGrants of 1", callReturn(1, "lean"))
   await printUnaryCpu(wire, "Exchange of 3 rows, counts", callExchange(3, "counts"))
   await printUnaryCpu(wire, "AnnounceEviction", callAnnounce())
-  await printStreamCpu()
 }
 
 async function printUnaryCpu(wire: Wire, name: string, call: PeerCall): Promise<void> {
@@ -109,10 +116,14 @@
   client.close()
 }
 
-async function printStreamCpu(): Promise<void> {
-  const stream = await openGrantStream()
-  await printCpu("grant over an open stream", stream.ask)
-  stream.close()
+async function printStream(kind: StreamKind): Promise<void> {
+  const counted = await openPeerStream(kind, "counted")
+  const bytes = await measureBytes(counted.send, counted.countBytes)
+  counted.close()
+  console.log(`${kind} over an open stream: ${bytes.toFixed(1)} bytes on the wire, both ways`)
+  const direct = await openPeerStream(kind, "direct")
+  await printCpu(`${kind} over an open stream`, direct.send)
+  direct.close()
 }
 
 async function printCpu(name: string, call: () => Promise<unknown>): Promise<void> {
