--- a/packages/observe/src/dependency.ts
+++ b/packages/observe/src/dependency.ts
@@ -3,7 +3,6 @@
 
 /** Where a request went: its places in the merged events, its adapter and its endpoints. */
 interface RequestPath {
-  readonly request: RequestId
   readonly first: number
   readonly last: number
   readonly adapters: ReadonlySet<AdapterKey>
@@ -38,7 +37,7 @@
   const own = events.filter((event) => event.request === request)
   const adapters = new Set(own.flatMap(({ adapter }) => adapter ?? []))
   const endpoints = new Set(own.flatMap(({ endpoint }) => endpoint ?? []))
-  return { request, first, last, adapters, endpoints }
+  return { first, last, adapters, endpoints }
 }
 
 function isRelated(event: TimelineEvent, path: RequestPath): boolean {
