Search the end of a witness too

Cause: random histories had found a fault that the specification could not show, since its witness never ended. Change: LOSE_WITNESS, which holds, and GONE_COUNTS, which gives the counterexample that the histories had found.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -10,10 +10,11 @@
  *
  * CHECKED: the endpoint refuses orders below the highest number that it has seen.
  * SEAL: the holder may use the adapter without an owner.
+ * LOSE_WITNESS: the witness may end for good.
  * LONE: the first owner has no witness but itself.
  * Broken variants: NO_FENCE, NO_ANNOUNCE, NO_ACK, LATE_GRANT, ANY_WITNESS,
  * TIME_FREES, LONE_OWNER, RESTART_CLEARS, FENCE_ALONE, FENCE_EARLY, NO_NUMBER,
- * LOAD_SUSPECT, NO_SEAL, FORGET_OLDER.
+ * LOAD_SUSPECT, NO_SEAL, FORGET_OLDER, GONE_COUNTS.
  * REACH_EVICT, REACH_GRANT, REACH_SEAL: assertions that must fail.
  */
 #ifndef OWNERS
@@ -62,6 +63,7 @@
 bool mayUse[4];                 /* the seal's answer named no eviction */
 
 /* The witness; announced numbers are stored plus one. */
+bool isWitnessGone = false;
 byte witnessMinimum = 0;
 byte sealedEpoch = 0;
 byte briefedEpoch = 1;
@@ -130,7 +132,12 @@
 #else
 #define HAS_WITNESS(e) true
 #endif
-#define IS_ACKED(e, n) (!HAS_WITNESS(e) || (witnessAcks[e] & (1 << (n))))
+#ifdef GONE_COUNTS
+#define COUNTS_GONE isWitnessGone
+#else
+#define COUNTS_GONE false
+#endif
+#define IS_ACKED(e, n) (COUNTS_GONE || !HAS_WITNESS(e) || (witnessAcks[e] & (1 << (n))))
 
 /* With three owners, the middle one gives no grants and none abandons an eviction, to keep the search small. */
 #if OWNERS > 2
@@ -204,7 +211,7 @@
 #ifdef NO_ANNOUNCE
   false -> skip
 #else
-  n <= number[e] && HAS_WITNESS(e) && e >= witnessMinimum && e > sealedEpoch ->
+  n <= number[e] && HAS_WITNESS(e) && !isWitnessGone && e >= witnessMinimum && e > sealedEpoch ->
   if
   :: announced[e] < n + 1 -> announced[e] = n + 1
   :: else -> skip
@@ -386,7 +393,7 @@
 }
 
 inline askWitness(e) {
-  IS_OWNER(e) && (witnessMinimum < e || (witnessMinimum == e && IS_NEWS(e))) ->
+  IS_OWNER(e) && !isWitnessGone && (witnessMinimum < e || (witnessMinimum == e && IS_NEWS(e))) ->
   witnessMinimum = e;
   for (i : 1 .. e - 1) {
     if
@@ -446,7 +453,8 @@
 
 inline brief(e) {
   if
-  :: IS_OWNER(e) && IS_ACTIVE(e) && isUnbriefed[e] && e >= witnessMinimum && e > briefedEpoch ->
+  :: IS_OWNER(e) && IS_ACTIVE(e) && isUnbriefed[e] && !isWitnessGone && e >= witnessMinimum &&
+     e > briefedEpoch ->
     briefedEpoch = e;
     announced[e] = (HAS_SUSPECT(e) && announced[e] == 0 -> 1 : announced[e])
   :: IS_OWNER(e) && isUnbriefed[e] && briefedEpoch >= e -> isUnbriefed[e] = false
@@ -455,7 +463,7 @@
 
 /* Without an owner. */
 inline seal(e) {
-  e >= witnessMinimum && e == briefedEpoch ->
+  !isWitnessGone && e >= witnessMinimum && e == briefedEpoch ->
 #ifndef NO_SEAL
   sealedEpoch = (sealedEpoch > e -> sealedEpoch : e);
 #endif
@@ -548,6 +556,9 @@
 #endif
 #if RESTARTS > 0
   :: d_step { restart() }
+#endif
+#ifdef LOSE_WITNESS
+  :: d_step { !isWitnessGone -> isWitnessGone = true }
 #endif
   :: d_step { succeed() }
   od
