--- a/bench/src/capacity-memory.ts
+++ b/bench/src/capacity-memory.ts
@@ -159,6 +159,7 @@
     returned: new Set(),
     predecessors: new Map(),
     isFenced: true,
+    isWitnessLost: false,
     unbriefed: new Set(),
     grants: new Map(),
     evictions: new Map(),
--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -109,6 +109,7 @@
       this.membership,
       this.holder.handle,
       this.shares,
+      clock,
       recorder,
       log,
     )
--- a/packages/daemon/src/ownership/heartbeats.ts
+++ b/packages/daemon/src/ownership/heartbeats.ts
@@ -6,7 +6,7 @@
 
 const INTERVAL_MS = 500
 /** Peers that are called in one round. With more, the rounds take turns. */
-const FANOUT = 8
+const FANOUT = 3
 
 /** Exchanges heartbeats with the other instances. Each exchange tells both sides of each other. */
 export class Heartbeats {
@@ -47,17 +47,21 @@
     }
   }
 
+  /** Those whose turn it is, and every one that left its last call unanswered. */
   private chooseRound(): readonly PeerRow[] {
     const rows = this.peers.list()
     if (rows.length <= FANOUT) return rows
     const start = (this.turn++ * FANOUT) % rows.length
-    return [...rows.slice(start), ...rows.slice(0, start)].slice(0, FANOUT)
+    const due = [...rows.slice(start), ...rows.slice(0, start)].slice(0, FANOUT)
+    return [...new Set([...due, ...rows.filter((row) => row.failedAt !== undefined)])]
   }
 
   private async callOne(row: PeerRow): Promise<void> {
+    const startedAt = this.clock.now()
     try {
       this.handleHeartbeat(await this.caller.exchange(row.address, this.createHeartbeat()))
     } catch {
+      this.peers.setFailed(row, startedAt)
       this.handleFailure(row.address)
     }
   }
--- a/packages/daemon/src/ownership/membership.ts
+++ b/packages/daemon/src/ownership/membership.ts
@@ -191,7 +191,7 @@
       if (incarnation === this.self.incarnation || this.probing.has(incarnation)) continue
       if (this.peers.isGone(incarnation)) continue
       const row = this.peers.list().find((each) => each.address === peerAddress)
-      if (row && this.clock.now() - row.heardAt < CHECK_INTERVAL_MS * 2) continue
+      if (row && row.failedAt === undefined) continue
       void this.probe(incarnation, peerAddress)
     }
   }
@@ -298,13 +298,13 @@
   private mayTakeOver(dataCentre: DataCentre): boolean {
     if (dataCentre === this.self.dataCentre) return true
     const document = this.documents.get(dataCentre)
-    const hasLive = document?.members.some(
-      (member) => member.dataCentre === dataCentre && member.phase === "live",
-    )
-    if (hasLive === true) {
+    const isNear = (member: Member) => member.dataCentre === dataCentre
+    if (document?.members.some((member) => isNear(member) && member.phase === "live") === true) {
       this.unownedSince.delete(dataCentre)
       return false
     }
+    // Owners that have ended or leave are replaced at once. The grace is for a data centre that is starting.
+    if (document && document.ownerships.length > 0) return true
     const now = this.clock.now()
     const since = this.unownedSince.get(dataCentre) ?? now
     this.unownedSince.set(dataCentre, since)
--- a/packages/daemon/src/ownership/owned.ts
+++ b/packages/daemon/src/ownership/owned.ts
@@ -1,11 +1,13 @@
 import {
   type AdapterKey,
+  type Clock,
   describeError,
   type EndpointId,
   type EndpointInfo,
   type EnginePort,
   type Grant,
   type Incarnation,
+  type Millis,
 } from "@galenaway/core"
 import {
   canGrant,
@@ -32,6 +34,9 @@
 /** An adapter name that no engine holds: an order about it has no effect but to show its fencing number. */
 const FENCE_ADAPTER = "galenaway/fence@0" as AdapterKey
 
+/** A load report is at most this old. */
+const REPORT_AGE_MS = 5000
+
 /** What others are told of an owned endpoint. */
 export interface OwnedListener {
   onActivated(endpoint: EndpointId, state: OwnerState): void
@@ -44,6 +49,8 @@
 /** Runs the owner's transactions for each endpoint that this instance owns, and carries out their effects. */
 export class OwnedEndpoints {
   private readonly states = new Map<EndpointId, OwnerState>()
+  /** When the last eviction was ordered at an endpoint whose process isn't confirmed since. */
+  private readonly orderedAt = new Map<EndpointId, Millis>()
   private listener: OwnedListener | undefined
 
   constructor(
@@ -54,6 +61,7 @@
     private readonly membership: Membership,
     private readonly handleOwnMember: (event: MemberEvent) => MemberReply,
     private readonly shares: LoadShares,
+    private readonly clock: Clock,
     private readonly recorder: Recorder,
     private readonly log: Log,
   ) {}
@@ -111,6 +119,14 @@
     return state !== undefined && canGrant(state, adapter)
   }
 
+  /** Takes a report of the same process as before. It confirms the process for orders older than a report may be. */
+  confirm(endpoint: EndpointId, now: Millis): void {
+    const orderedAt = this.orderedAt.get(endpoint)
+    if (orderedAt === undefined || now - orderedAt < REPORT_AGE_MS) return
+    this.orderedAt.delete(endpoint)
+    this.apply(endpoint, { kind: "endpoint-confirmed" })
+  }
+
   /** Applies an event and carries out what follows from it. */
   apply(endpoint: EndpointId, event: OwnerEvent): void {
     const state = this.states.get(endpoint)
@@ -234,6 +250,7 @@
   private async unload(endpoint: EndpointId, effect: EffectOf<"unload">): Promise<void> {
     const { adapter, announcement, fencingNumber } = effect
     this.recorder.record({ kind: "eviction-ordered", endpoint, adapter })
+    this.orderedAt.set(endpoint, this.clock.now())
     const result = await this.engines.get(endpoint)?.unload({ adapter, fencingNumber })
     this.apply(endpoint, {
       kind: "unload-answered",
--- a/packages/daemon/src/ownership/peers.ts
+++ b/packages/daemon/src/ownership/peers.ts
@@ -11,6 +11,8 @@
   configurationRevision: number
   /** When it last answered or called. */
   heardAt: Millis
+  /** When the first call began that it has not answered since it was heard; undefined while it answers. */
+  failedAt: Millis | undefined
   /** How long it may be silent before it is suspected. It grows when a suspicion was wrong. */
   patienceMs: Millis
 }
@@ -46,6 +48,7 @@
       isLeaving: false,
       configurationRevision: 0,
       heardAt: this.clock.now(),
+      failedAt: undefined,
       patienceMs: isNear ? PATIENCE_MS : FOREIGN_PATIENCE_MS,
     })
   }
@@ -67,6 +70,7 @@
     row.isLeaving = heartbeat.isLeaving
     row.configurationRevision = heartbeat.configurationRevision
     row.heardAt = this.clock.now()
+    row.failedAt = undefined
     return previous !== undefined && previous !== heartbeat.incarnation ? previous : undefined
   }
 
@@ -88,9 +92,17 @@
     return row !== undefined && !this.isSilent(row)
   }
 
-  /** Tells whether a row has been silent beyond its patience. */
+  /** Records a call that a peer has not answered, with the time at which it began. */
+  setFailed(row: PeerRow, startedAt: Millis): void {
+    if (row.heardAt < startedAt) row.failedAt ??= startedAt
+  }
+
+  /**
+   * Tells whether a peer has left calls unanswered beyond its patience. Not
+   * being called is no silence, so this holds for any number of peers.
+   */
   isSilent(row: PeerRow): boolean {
-    return this.clock.now() - row.heardAt > row.patienceMs
+    return row.failedAt !== undefined && this.clock.now() - row.failedAt > row.patienceMs
   }
 
   /** Waits longer before the next suspicion of an incarnation, since the last one was wrong. */
--- a/packages/daemon/src/router/dispatcher.ts
+++ b/packages/daemon/src/router/dispatcher.ts
@@ -292,6 +292,11 @@
 
   private async load(endpoint: EndpointId, adapter: AdapterKey): Promise<void> {
     const epoch = this.owned.get(endpoint)?.ownership.epoch ?? 0
+    // An adapter that an older order may still evict isn't loaded either.
+    if (!this.owned.canGrant(endpoint, adapter)) {
+      this.update({ kind: "load-failed", endpoint, adapter })
+      return
+    }
     const startedAt = this.clock.now()
     this.recorder.record({ kind: "load-ordered", endpoint, adapter })
     const result = await this.engines.get(endpoint)?.load({ adapter, fencingNumber: epoch })
@@ -323,6 +328,7 @@
       this.incarnations.set(endpoint, report.incarnation)
       if (previous !== undefined && previous !== report.incarnation)
         this.owned.apply(endpoint, { kind: "endpoint-restarted" })
+      else this.owned.confirm(endpoint, this.clock.now())
       this.update({ kind: "reported", report })
     } catch (error) {
       if (this.reachable.has(endpoint)) {
--- a/packages/daemon/src/router/ownerless.ts
+++ b/packages/daemon/src/router/ownerless.ts
@@ -78,7 +78,8 @@
     if (ownership.owner === this.self) return false
     if (this.peers.isGone(ownership.owner)) return true
     const row = this.peers.findRow(ownership.owner)
-    return row === undefined || this.clock.now() - row.heardAt > OWNER_SILENCE_MS
+    if (row === undefined) return true
+    return row.failedAt !== undefined && this.clock.now() - row.failedAt > OWNER_SILENCE_MS
   }
 
   private async isUsable(
--- a/packages/demo/test/ownership.test.ts
+++ b/packages/demo/test/ownership.test.ts
@@ -6,6 +6,24 @@
 const OWNER_SILENCE_MS = 4000
 const CHURN = { calls: 90, concurrency: 12, adapters: 12 }
 
+const LONG_TOKENS = 100
+const POLL_MS = 20
+
+interface EvictionCase {
+  readonly evictionsInUse: number
+  readonly right: number
+  readonly longTokens: number
+}
+
+/** Returns the number of tokens that a long answer had. */
+async function sendLong(url: string): Promise<number> {
+  const messages = [{ role: "user", content: "a long report" }]
+  const body = JSON.stringify({ model: "reef-8b/report@v1", messages, max_tokens: LONG_TOKENS })
+  const reply = await fetch(`${url}/v1/chat/completions`, { method: "POST", body })
+  const { usage } = (await reply.json()) as { usage?: { completion_tokens: number } }
+  return usage?.completion_tokens ?? 0
+}
+
 function waitMs(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
@@ -23,12 +41,29 @@
   }
 }
 
-it("the naive router evicts adapters in use", () =>
-  withFleet("naive", async (fleet) => {
-    await runChurn(fleet.url, CHURN)
+/** Runs a long answer, and beside it a call for another adapter, on one engine with one slot. */
+async function runBesideLongAnswer(router: "naive" | "coordinated"): Promise<EvictionCase> {
+  const fleet = await launchFleet({ ...SMALL, router, engines: 1, slots: 1 })
+  try {
+    const long = sendLong(fleet.url)
+    while ((await readEngineTotals(fleet)).completions === 0) await waitMs(POLL_MS)
+    const { right } = await runChurn(fleet.url, { calls: 1, concurrency: 1, adapters: 1 })
     const { evictionsInUse } = await readEngineTotals(fleet)
-    expect(evictionsInUse).to.be.above(0)
-  }))
+    return { evictionsInUse, right, longTokens: await long }
+  } finally {
+    await fleet.stop()
+  }
+}
+
+it("the naive router evicts an adapter in use", async () => {
+  const { evictionsInUse } = await runBesideLongAnswer("naive")
+  expect(evictionsInUse).to.equal(1)
+})
+
+it("waits for an adapter in use before it evicts", async () => {
+  const result = await runBesideLongAnswer("coordinated")
+  expect(result).to.deep.equal({ evictionsInUse: 0, right: 1, longTokens: LONG_TOKENS })
+})
 
 it("evicts no adapter in use under churn", () =>
   withFleet("coordinated", async (fleet) => {
--- a/packages/policy/test/share.test.ts
+++ b/packages/policy/test/share.test.ts
@@ -129,7 +129,12 @@
 
 it("gives no load share for endpoints that load nothing", () => {
   const tables = createShareTables("i1", 1, (endpoint) => endpoint !== "s1")
-  const ownerships = ["e1", "s1"].map((endpoint) => ({ endpoint, owner: "i1", epoch: 1 }))
+  const ownerships = ["e1", "s1"].map((endpoint) => ({
+    endpoint,
+    owner: "i1",
+    epoch: 1,
+    predecessors: [],
+  }))
   applyOwnership(tables, { dataCentre: "x", epoch: 1, members: [], ownerships }, 0)
   expect(computeRate(tables, 0)).to.equal(loads.ratePerSecond)
 })
