Wire deadlines, drains of services, redirects and the time line into the daemon

Cause: parts built side by side were not connected: deadlines of the configuration, leaving service endpoints, dead authors of claims, early redirects of urgent cold work, the command line's time line. Change: they are. A grant whose cancel is not confirmed is kept until the engine answers; it was released after five tries, and its adapter could then be evicted in use. The demo prints the operators' URLs and key.

--- a/bench/src/messages-samples.ts
+++ b/bench/src/messages-samples.ts
@@ -58,6 +58,7 @@
     prefix: 0x9e3779b9,
     maxTokens: 512,
     ask: index,
+    canRedirect: false,
   }
 }
 
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -1,12 +1,13 @@
+import { type AdapterKey, parseAdapterKey } from "@galenaway/core"
 import type { EventsReply } from "@galenaway/daemon"
 import { type Context, printResult, refuseUsage } from "../context.js"
 import {
-  type EventFilter,
   filterEvents,
   formatTimeline,
   mergeEvents,
   renderTimelinePage,
-} from "../timeline.js"
+  type TimelineFilter,
+} from "@galenaway/observe"
 
 /** Options of the time line. */
 export interface TimelineOptions {
@@ -22,9 +23,10 @@
 /** Shows the events of all instances in one order that respects causes. */
 export async function runTimeline(context: Context, options: TimelineOptions): Promise<void> {
   const { client, shell } = context
-  const { request, adapter, endpoint, since } = options
+  const { request, endpoint, since } = options
   const after = since === undefined ? undefined : parseSince(since, shell.now())
-  const filter: EventFilter = { request, adapter, endpoint, since: after }
+  const adapter = options.adapter === undefined ? undefined : parseModel(options.adapter)
+  const filter: TimelineFilter = { request, adapter, endpoint, since: after }
   const { answers, failures } = await client.readAll<EventsReply>("/v1/events")
   for (const failure of failures) shell.printError(`left out: ${failure}\n`)
   const events = filterEvents(mergeEvents(answers.map((each) => each.events)), filter)
@@ -32,6 +34,12 @@
   else printResult(context, events, () => formatTimeline(events))
 }
 
+function parseModel(text: string): AdapterKey {
+  const adapter = parseAdapterKey(text)
+  if (adapter !== undefined) return adapter
+  throw refuseUsage(`--adapter: got ${text}; allowed: base/adapter@version`)
+}
+
 /** Parses a duration as 30s, 10m or 2h before now, or a time as ISO 8601 text, to wall time in milliseconds. */
 function parseSince(text: string, now: number): number {
   const [, count, unit] = /^(\d+)([smh])$/.exec(text) ?? []
--- a/packages/daemon/src/caller/completions.ts
+++ b/packages/daemon/src/caller/completions.ts
@@ -12,20 +12,21 @@
 import { type AnswerTarget, streamAnswer } from "./answer.js"
 import { RetryBudget } from "./budget.js"
 import { sendError, wrapError } from "./errors.js"
-import { type ParsedCompletion, parseCompletion } from "./parse.js"
+import { type DeadlineSource, type ParsedCompletion, parseCompletion } from "./parse.js"
 import { readLimitedBody, readRequestIds } from "./request.js"
 import type { Timing } from "./silence.js"
 import { type Observers, RequestTracker } from "./tracker.js"
 import { type AnswerWriter, StreamWriter, WholeWriter } from "./writer.js"
 
 const MAX_ATTEMPTS = 3
-const CANCEL_TRIES = 5
 const CANCEL_RETRY_MS = 200
+const MAX_CANCEL_RETRY_MS = 5000
 
 /** What the handler works with. */
 export interface CompletionParts extends Timing, Observers {
   readonly router: Router
   readonly engines: ReadonlyMap<EndpointId, EnginePort>
+  readonly getDeadlineMs: DeadlineSource
 }
 
 interface Exchange {
@@ -52,7 +53,8 @@
       response.setHeader("x-request-id", ids.caller)
       const body = await readLimitedBody(request)
       const now = this.parts.clock.now()
-      const parsed = parseCompletion(ids.own, body, request.headers, now)
+      const { getDeadlineMs } = this.parts
+      const parsed = parseCompletion(ids.own, body, request.headers, now, getDeadlineMs)
       const writer = parsed.isStreamed
         ? new StreamWriter(response, this.parts)
         : new WholeWriter(response)
@@ -128,10 +130,8 @@
   /** Cancels a run and then releases its grant. The run uses its adapter until the engine has answered. */
   private async cancelRun(engine: EnginePort, grant: Grant, result: GrantResult): Promise<void> {
     const { router, wait } = this.parts
-    for (let tries = 0; tries < CANCEL_TRIES; tries++) {
-      if (tries > 0) await wait(CANCEL_RETRY_MS * 2 ** tries)
-      if (await hasCanceled(engine, grant)) break
-    }
+    for (let tries = 1; !(await hasCanceled(engine, grant)); tries++)
+      await wait(Math.min(CANCEL_RETRY_MS * 2 ** tries, MAX_CANCEL_RETRY_MS))
     router.release(grant, result)
   }
 
--- a/packages/daemon/src/caller/parse.ts
+++ b/packages/daemon/src/caller/parse.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http"
 import { z } from "zod"
 import {
+  type AdapterKey,
   type ChatMessage,
   isRank,
   parseAdapterKey,
@@ -10,7 +11,6 @@
 } from "@galenaway/core"
 import { hashText } from "@galenaway/policy"
 
-const DEFAULT_DEADLINE_MS = { urgent: 1400, standard: 10_000, bulk: 300_000 } as const
 const MAX_DEADLINE_MS = 3_600_000
 const DEFAULT_TOKENS = 16
 const MAX_TOKENS = 8192
@@ -27,6 +27,9 @@
   max_tokens: z.number().int().min(1).max(MAX_TOKENS).default(DEFAULT_TOKENS),
 })
 
+/** Tells the time to the first token that a request gets which names no deadline, in milliseconds. */
+export type DeadlineSource = (adapter: AdapterKey, rank: Rank) => number
+
 /** A checked completion request. */
 export interface ParsedCompletion {
   readonly route: RouteRequest
@@ -40,12 +43,13 @@
   body: string,
   headers: IncomingHttpHeaders,
   now: number,
+  getDeadlineMs: DeadlineSource,
 ): ParsedCompletion {
   const { model, messages, stream, max_tokens } = checkBody(body)
   const adapter = parseAdapterKey(model)
   if (adapter === undefined) throw refuseInput("model: expected base/adapter@version")
   const rank = parseRank(headers["x-galenaway-rank"])
-  const deadlineMs = parseDeadline(headers["x-galenaway-deadline-ms"], DEFAULT_DEADLINE_MS[rank])
+  const deadlineMs = parseDeadline(headers["x-galenaway-deadline-ms"], getDeadlineMs(adapter, rank))
   const route: RouteRequest = {
     id,
     adapter,
--- a/packages/daemon/src/configuration/stored.ts
+++ b/packages/daemon/src/configuration/stored.ts
@@ -6,7 +6,13 @@
   type StoredConfiguration,
   type Subject,
 } from "@galenaway/config"
-import { describeError } from "@galenaway/core"
+import {
+  type AdapterKey,
+  type DataCentre,
+  describeError,
+  parseAdapter,
+  type Rank,
+} from "@galenaway/core"
 import type { Log, Recorder } from "@galenaway/observe"
 import { DEFAULT_POLICY, type PolicySettings } from "@galenaway/policy"
 import type { ConfigurationKeeper } from "./keeper.js"
@@ -18,6 +24,7 @@
   document = ""
   private refusedRevision = 0
   private readonly policies = new Map<string, PolicySettings>()
+  private readonly deadlines = new Map<string, number>()
 
   constructor(
     private readonly log: Pick<Log, "info" | "warn">,
@@ -35,6 +42,7 @@
     this.stored = stored
     this.document = document
     this.policies.clear()
+    this.deadlines.clear()
     this.log.info({ revision, author: stored.history[0]?.author }, "configuration in force")
     this.recorder.record({ kind: "configuration-applied", note: `revision ${revision}` })
     return true
@@ -51,6 +59,19 @@
     return policy
   }
 
+  /** Returns the time to the first token for a request that names no deadline, in milliseconds. */
+  getDeadlineMs(adapter: AdapterKey, rank: Rank, dataCentre: DataCentre): number {
+    const ref = parseAdapter(adapter)
+    const subject = { base: ref?.base, adapter: ref?.adapter, rank, dataCentre }
+    const key = `deadline ${adapter} ${rank} ${dataCentre}`
+    const known = this.deadlines.get(key)
+    if (known !== undefined) return known
+    const { settings } = resolveSettings(this.stored.configuration, subject)
+    if (this.deadlines.size >= CACHED_POLICIES) this.deadlines.clear()
+    this.deadlines.set(key, settings.deadlineMs[rank])
+    return settings.deadlineMs[rank]
+  }
+
   /** Tells whether an endpoint or instance is to take no new work. */
   isDrained(kind: Drain["kind"], id: string): boolean {
     const { drains } = this.stored.configuration
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -14,7 +14,8 @@
 import type { NaiveRow } from "@galenaway/policy"
 import { CompletionHandler } from "./caller/completions.js"
 import { createTiming } from "./caller/request.js"
-import { ServiceHandler } from "./caller/services.js"
+import type { DeadlineSource } from "./caller/parse.js"
+import { ServiceHandler, type ServiceParts } from "./caller/services.js"
 import { systemClock } from "./clock.js"
 import type { ConfigurationKeeper } from "./configuration/keeper.js"
 import { CONFIGURATION_PEERS, registerConfiguration } from "./configuration/parts.js"
@@ -91,6 +92,7 @@
       new CompletionHandler({
         router: c.resolve(TOKENS.router),
         engines: c.resolve(TOKENS.engines),
+        getDeadlineMs: createDeadlineSource(settings, c),
         recorder: c.resolve(TOKENS.recorder),
         metrics: c.resolve(TOKENS.metrics),
         log: c.resolve(TOKENS.log),
@@ -106,6 +108,7 @@
         dataCentre: settings.dataCentre,
         platform: c.resolve(TOKENS.platform),
         incarnation: c.resolve(TOKENS.incarnation),
+        ...createServicePredicates(settings, c),
         agent: c.resolve(TOKENS.agent),
         recorder: c.resolve(TOKENS.recorder),
         metrics: c.resolve(TOKENS.metrics),
@@ -124,6 +127,25 @@
   parts.register<T>(token as symbol, { useFactory: instanceCachingFactory(create) })
 }
 
+/** Deadlines of requests that name none, from the configuration in force. */
+function createDeadlineSource(settings: Settings, parts: DependencyContainer): DeadlineSource {
+  const keeper = parts.resolve(StoredConfigurationKeeper)
+  return (adapter, rank) => keeper.getDeadlineMs(adapter, rank, settings.dataCentre)
+}
+
+/** What the coordination knows of service endpoints and of the authors of claims. */
+function createServicePredicates(
+  settings: Settings,
+  parts: DependencyContainer,
+): Pick<ServiceParts, "isUsable" | "isAlive"> {
+  if (settings.router === "naive") return {}
+  const { views, peers } = parts.resolve(Coordination)
+  return {
+    isUsable: (endpoint) => views.getPhase(endpoint) === "live",
+    isAlive: (author) => !peers.isGone(author),
+  }
+}
+
 /** Registers the recorder and the metrics, which operators read. */
 function registerObservers(parts: DependencyContainer, settings: Settings): void {
   const { id: instance, dataCentre } = settings
--- a/packages/daemon/src/peer/client.ts
+++ b/packages/daemon/src/peer/client.ts
@@ -5,13 +5,7 @@
   type ServiceError,
   status,
 } from "@grpc/grpc-js"
-import {
-  type EndpointId,
-  GalenawayError,
-  type Grant,
-  type Incarnation,
-  type RouteRequest,
-} from "@galenaway/core"
+import { type EndpointId, GalenawayError, type Grant, type Incarnation } from "@galenaway/core"
 import type { AnnouncedEviction, MemberReply } from "@galenaway/coordination"
 import type { HybridTime, Recorder } from "@galenaway/observe"
 import {
@@ -25,6 +19,7 @@
 import {
   formatGrantRequest,
   type GrantAnswer,
+  type GrantQuestion,
   type GrantReturn,
   parseGrantAnswer,
   parseMemberReply,
@@ -70,13 +65,15 @@
   /** Asks an owner for a grant; waits in its queue until the deadline. Aborting takes the request out of the queue. */
   async requestGrant(
     address: string,
-    request: RouteRequest,
-    ask: number,
+    question: GrantQuestion,
     now: number,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
-    const message = formatGrantRequest(request, ask, this.self, now, this.recorder.stamp())
-    const timeout = Math.max(MIN_GRANT_TIMEOUT_MS, request.deadline - now + GRANT_MARGIN_MS)
+    const message = formatGrantRequest(question, now, this.recorder.stamp())
+    const timeout = Math.max(
+      MIN_GRANT_TIMEOUT_MS,
+      question.request.deadline - now + GRANT_MARGIN_MS,
+    )
     const reply = await this.call<GrantReply>(
       address,
       (client, options, done) => client.requestGrant(message, this.metadata, options, done),
--- a/packages/daemon/src/peer/codec.ts
+++ b/packages/daemon/src/peer/codec.ts
@@ -26,6 +26,8 @@
   readonly holder: Incarnation
   /** Tells this question from earlier ones of the same holder for the same request. */
   readonly ask: number
+  /** Whether another owner can be asked: then a cold request that can't be loaded soon is refused at once. */
+  readonly canRedirect: boolean
 }
 
 /** How an owner answered a request for a grant. */
@@ -46,9 +48,7 @@
 
 /** Formats a request for a grant. Times go as durations, since clocks differ. */
 export function formatGrantRequest(
-  request: RouteRequest,
-  ask: number,
-  holder: string,
+  { request, ask, holder, canRedirect }: GrantQuestion,
   now: Millis,
   time: HybridTime,
 ): GrantRequest {
@@ -63,6 +63,7 @@
     prefix: request.prefix,
     maxTokens: request.maxTokens,
     ask,
+    canRedirect,
   }
 }
 
--- a/packages/daemon/src/peer/server.ts
+++ b/packages/daemon/src/peer/server.ts
@@ -107,8 +107,9 @@
       call.on("cancelled", () => {
         abort.abort()
       })
-      const { holder, ask } = call.request
-      const answer = await handlers.grant({ request, holder, ask }, abort.signal)
+      const { holder, ask, canRedirect } = call.request
+      const question = { request, holder, ask, canRedirect }
+      const answer = await handlers.grant(question, abort.signal)
       return formatGrantAnswer(answer, recorder.stamp())
     }),
     returnGrants: reply((call) => {
--- a/packages/daemon/src/router/coordinated.ts
+++ b/packages/daemon/src/router/coordinated.ts
@@ -15,7 +15,7 @@
 import { type EndpointView, rankEndpoints } from "@galenaway/policy"
 import type { OwnershipDocuments } from "../ownership/documents.js"
 import type { PeerCaller } from "../peer/client.js"
-import type { GrantAnswer } from "../peer/codec.js"
+import type { GrantAnswer, GrantQuestion } from "../peer/codec.js"
 import { waitFor } from "../wait.js"
 import type { Dispatcher } from "./dispatcher.js"
 import type { OwnerlessRouter } from "./ownerless.js"
@@ -46,6 +46,13 @@
   readonly handleFailedCall: (address: string) => void
 }
 
+/** An owner to ask, and the endpoint for which it is asked. */
+interface Candidate {
+  readonly owner: Incarnation
+  readonly endpoint: EndpointId
+  readonly canRedirect: boolean
+}
+
 /** Asks the owner of a well-chosen endpoint for a grant, and the next one when that fails without a grant. */
 export class CoordinatedRouter implements Router {
   private asks = 0
@@ -84,29 +91,41 @@
     const { views, home, clock } = this.parts
     const table = views.list()
     const ranked = rankEndpoints(table, request, home, clock.now())
-    const asked = new Set<Incarnation>()
     let last: GrantAnswer | undefined
-    for (const endpoint of ranked) {
-      const owner = this.findOwner(table, endpoint)
-      if (owner === undefined || asked.has(owner)) continue
-      if (asked.size >= MAX_ASKED_A_ROUND) break
-      asked.add(owner)
-      const answer = await this.ask(owner, endpoint, request, signal)
-      if (answer.kind === "granted" || isFinal(answer)) return answer
+    for (const { owner, endpoint, canRedirect } of this.listOwners(ranked, table, request)) {
+      const answer = await this.ask(owner, endpoint, { request, canRedirect }, signal)
+      if (answer.kind === "granted") return answer
+      const isRedirected = canRedirect && answer.code === "overloaded"
+      if (isFinal(answer) && !isRedirected) return answer
       last = answer
     }
     const grant = await this.parts.ownerless.acquire(request, table)
     return grant ? { kind: "granted", grant } : last
   }
 
-  private findOwner(table: readonly EndpointView[], endpoint: EndpointId): Incarnation | undefined {
-    return table.find((view) => view.info.id === endpoint)?.owner
+  /** Lists whom to ask, each owner once. Only the last one may keep urgent work waiting for a load. */
+  private listOwners(
+    ranked: readonly EndpointId[],
+    table: readonly EndpointView[],
+    request: RouteRequest,
+  ): readonly Candidate[] {
+    const endpoints = new Map<Incarnation, EndpointId>()
+    for (const endpoint of ranked) {
+      const owner = table.find((view) => view.info.id === endpoint)?.owner
+      if (owner !== undefined && !endpoints.has(owner)) endpoints.set(owner, endpoint)
+    }
+    const asked = [...endpoints].slice(0, MAX_ASKED_A_ROUND)
+    return asked.map(([owner, endpoint], index) => ({
+      owner,
+      endpoint,
+      canRedirect: request.rank === "urgent" && index < asked.length - 1,
+    }))
   }
 
   private async ask(
     owner: Incarnation,
     endpoint: EndpointId,
-    request: RouteRequest,
+    { request, canRedirect }: Pick<GrantQuestion, "request" | "canRedirect">,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
     this.parts.recorder.record({
@@ -116,19 +135,18 @@
       endpoint,
       peer: owner,
     })
-    const ask = ++this.asks
+    const question = { request, holder: this.parts.self, ask: ++this.asks, canRedirect }
     const answer =
       owner === this.parts.self
-        ? await this.parts.dispatcher.submit({ request, holder: owner, ask }, signal)
-        : await this.askPeer(owner, endpoint, request, ask, signal)
+        ? await this.parts.dispatcher.submit(question, signal)
+        : await this.askPeer(owner, endpoint, question, signal)
     return answer.kind === "granted" ? this.accept(answer.grant) : answer
   }
 
   private async askPeer(
     owner: Incarnation,
     endpoint: EndpointId,
-    request: RouteRequest,
-    ask: number,
+    question: GrantQuestion,
     signal: AbortSignal,
   ): Promise<GrantAnswer> {
     const { documents, caller, clock, returns } = this.parts
@@ -136,10 +154,11 @@
     if (address === undefined)
       return { kind: "refused", code: "no-owner", message: `${owner} has no address` }
     try {
-      return await caller.requestGrant(address, request, ask, clock.now(), signal)
+      return await caller.requestGrant(address, question, clock.now(), signal)
     } catch (error) {
       // The owner may have granted it all the same: it is given back by the question.
-      const { id } = request
+      const { id } = question.request
+      const { ask } = question
       if (!signal.aborted) this.parts.handleFailedCall(address)
       returns.add({ id: "", ask, endpoint, request: id, result: "canceled" }, () => 0)
       return { kind: "refused", code: "peer-down", message: describeError(error) }
--- a/packages/daemon/src/router/dispatcher.ts
+++ b/packages/daemon/src/router/dispatcher.ts
@@ -92,7 +92,7 @@
 
   /** Queues a request until it is granted or refused. Aborting takes it out. */
   submit(question: GrantQuestion, signal: AbortSignal): Promise<GrantAnswer> {
-    const { request } = question
+    const { request, canRedirect } = question
     this.dropEarlier(request.id)
     return new Promise((settle) => {
       this.waiting.set(request.id, { ...question, settle })
@@ -100,7 +100,7 @@
         if (this.waiting.get(request.id)?.ask === question.ask) this.cancel(request.id)
       }
       signal.addEventListener("abort", cancel, { once: true })
-      this.update({ kind: "submitted", request })
+      this.update({ kind: "submitted", request, canRedirect })
       setTimeout(() => {
         this.refuseWithoutRoom(question)
       }, this.computePatience(request)).unref()
--- a/packages/daemon/src/router/views.ts
+++ b/packages/daemon/src/router/views.ts
@@ -94,7 +94,7 @@
   }
 
   private changePhases(change: () => void): readonly EndpointId[] {
-    const ids = this.engines.map((info) => info.id)
+    const ids = [...new Set([...this.engines.map((info) => info.id), ...this.phases.keys()])]
     const before = ids.map((id) => this.getPhase(id))
     change()
     return ids.filter((id, index) => this.getPhase(id) !== before[index])
--- a/packages/daemon/test/caller.test.ts
+++ b/packages/daemon/test/caller.test.ts
@@ -22,6 +22,7 @@
 type Script = (call: CompletionCall, signal: AbortSignal) => AsyncIterable<StreamPart>
 
 const adapter = "base/a@1" as AdapterKey
+const DEADLINE_MS = 10_000
 
 function makePart(call: CompletionCall, sequence: number): StreamPart {
   const source = { request: call.request, adapter: call.adapter, run: `run ${call.request}` }
@@ -91,6 +92,7 @@
   }
   const recorder = { ...silentRecorder, record: (event: EventDetails) => events.push(event) }
   const handler = new CompletionHandler({
+    getDeadlineMs: () => DEADLINE_MS,
     router,
     engines: new Map([["e1", engine]]),
     clock,
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,5 +1,5 @@
 import { Command } from "commander"
-import { launchFleet } from "./fleet.js"
+import { launchFleet, OPERATOR_KEY } from "./fleet.js"
 import { formatSample, sendSample } from "./sample.js"
 
 const DEFAULT_PORT = "8080"
@@ -22,6 +22,10 @@
 
 const onLog = (name: string, text: string) => process.stderr.write(`${name}: ${text}`)
 const fleet = await launchFleet({ port: Number(port), router, ...(verbose ? { onLog } : {}) })
+const operators = fleet.instances.map(({ operatorUrl }) => operatorUrl).join(",")
+process.stdout.write(
+  `operators: export GALENAWAY_OPERATOR_URLS=${operators} GALENAWAY_OPERATOR_KEY=${OPERATOR_KEY}\n`,
+)
 process.stdout.write(`ready url=${fleet.url}\n`)
 if (once) {
   const rows = await sendSample(fleet.url)
