--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -22,6 +22,8 @@
   readonly bookings?: number
   readonly slots?: number
   readonly router?: "naive" | "coordinated"
+  /** Whether each instance reaches the platform over a link of its own, a process `link-entry-1` and so on, that a test can pause. */
+  readonly hasPlatformLinks?: boolean
   /** Settings for every daemon, besides the launcher's own. */
   readonly env?: Readonly<Record<string, string>>
   /** Called with each piece of log of any process. */
@@ -94,8 +96,11 @@
   const storeUrl = await launcher.startFake("store", ["store"])
   const endpoints = await startEndpoints(options, launcher, storeUrl)
   const instances = await planInstances(options.instances ?? DEFAULT_INSTANCES)
+  const links = new Map<string, string>()
+  if (options.hasPlatformLinks === true)
+    for (const { id } of instances) links.set(id, await launcher.startLink(id, platformUrl))
   const startInstance = (instance: FleetInstance) =>
-    launcher.startDaemon(instance, instances, endpoints, platformUrl)
+    launcher.startDaemon(instance, instances, endpoints, links.get(instance.id) ?? platformUrl)
   await Promise.all(instances.map(startInstance))
   const targets = instances.map((instance) => new URL(instance.url).host).join(",")
   const balancerArgs = ["balancer", "--port", String(options.port), "--targets", targets]
@@ -129,6 +134,8 @@
     urls.set(name, url)
     return url
   }
+  const startLink = (id: string, url: string): Promise<string> =>
+    startFake(`link-${id}`, ["balancer", "--targets", new URL(url).host])
   const setFault = async (name: string, faults: Readonly<Record<string, unknown>>) => {
     const options = { method: "POST", body: JSON.stringify(faults) } as const
     const { statusCode, body } = await sendRequest(`${urls.get(name) ?? name}/faults`, options)
@@ -168,7 +175,7 @@
     })
     started.set(instance.id, child)
   }
-  return { startFake, startDaemon, setFault }
+  return { startFake, startLink, startDaemon, setFault }
 }
 
 async function startEndpoints(
