--- a/packages/coordination/src/ownership.ts
+++ b/packages/coordination/src/ownership.ts
@@ -5,7 +5,7 @@
 
 /** How many members must acknowledge an eviction, where there are as many. */
 export const WITNESS_COUNT = 2
-/** An owner holds at most this many times the mean number of endpoints, rounded up. */
+/** An owner holds at most this many times the mean number of endpoints, or the mean rounded up. */
 const LOAD_FACTOR = 1.25
 
 /**
@@ -119,7 +119,8 @@
 ): ReadonlyMap<EndpointId, Incarnation> {
   const near = live.filter(({ dataCentre }) => dataCentre === document.dataCentre)
   const candidates = near.length > 0 ? near : live
-  const bound = Math.ceil((LOAD_FACTOR * endpoints.length) / candidates.length)
+  const mean = endpoints.length / candidates.length
+  const bound = Math.max(Math.ceil(mean), Math.floor(LOAD_FACTOR * mean))
   const owners = keepOwners(document, endpoints, candidates, bound)
   const loads = new Map<Incarnation, number>()
   for (const owner of owners.values()) loads.set(owner, (loads.get(owner) ?? 0) + 1)
--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -177,6 +177,7 @@
       handleFailedCall: (address) => {
         this.membership.handleFailedCall(address)
       },
+      isAnswering: (address) => this.heartbeats.isAnswering(address),
     })
   }
 
--- a/packages/daemon/src/ownership/heartbeats.ts
+++ b/packages/daemon/src/ownership/heartbeats.ts
@@ -5,6 +5,8 @@
 import type { PeerRow, PeerTable } from "./peers.js"
 
 const INTERVAL_MS = 500
+const CALL_TIMEOUT_MS = 1000
+const PING_TIMEOUT_MS = 300
 /** Peers that are called in one round. With more, the rounds take turns. */
 const FANOUT = 3
 
@@ -37,6 +39,12 @@
     await Promise.all(this.peers.list().map((row) => this.callOne(row)))
   }
 
+  /** Tells whether the peer at an address answers at once. */
+  async isAnswering(address: string): Promise<boolean> {
+    const row = this.peers.list().find((each) => each.address === address)
+    return row !== undefined && (await this.callOne(row, PING_TIMEOUT_MS))
+  }
+
   private async loop(): Promise<void> {
     const { signal } = this.stopped
     while (!signal.aborted) {
@@ -56,13 +64,17 @@
     return [...new Set([...due, ...rows.filter((row) => row.failedAt !== undefined)])]
   }
 
-  private async callOne(row: PeerRow): Promise<void> {
+  private async callOne(row: PeerRow, timeoutMs = CALL_TIMEOUT_MS): Promise<boolean> {
     const startedAt = this.clock.now()
     try {
-      this.handleHeartbeat(await this.caller.exchange(row.address, this.createHeartbeat()))
+      this.handleHeartbeat(
+        await this.caller.exchange(row.address, this.createHeartbeat(), timeoutMs),
+      )
+      return true
     } catch {
       this.peers.setFailed(row, startedAt)
       this.handleFailure(row.address)
+      return false
     }
   }
 }
--- a/packages/daemon/src/ownership/peers.ts
+++ b/packages/daemon/src/ownership/peers.ts
@@ -17,7 +17,7 @@
   patienceMs: Millis
 }
 
-const PATIENCE_MS = 2000
+const PATIENCE_MS = 1500
 const FOREIGN_PATIENCE_MS = 5000
 const MAX_PATIENCE_MS = 60_000
 
--- a/packages/daemon/src/peer/client.ts
+++ b/packages/daemon/src/peer/client.ts
@@ -140,10 +140,16 @@
   }
 
   /** Exchanges heartbeats. */
-  exchange(address: string, heartbeat: Omit<Heartbeat, "time">): Promise<Heartbeat> {
+  exchange(
+    address: string,
+    heartbeat: Omit<Heartbeat, "time">,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<Heartbeat> {
     const message = { ...heartbeat, time: this.recorder.stamp() }
-    return this.call(address, (client, options, done) =>
-      client.exchange(message, this.metadata, options, done),
+    return this.call(
+      address,
+      (client, options, done) => client.exchange(message, this.metadata, options, done),
+      timeoutMs,
     )
   }
 
--- a/packages/daemon/src/router/coordinated.ts
+++ b/packages/daemon/src/router/coordinated.ts
@@ -25,6 +25,8 @@
 const RETRY_PAUSE_MS = 50
 const MAX_ROUNDS = 40
 const MAX_ASKED_A_ROUND = 3
+const MIN_PATIENCE_MS = 200
+const MAX_PATIENCE_MS = 1000
 
 /** The parts that a coordinated router works with. */
 export interface RouterParts {
@@ -44,6 +46,8 @@
   readonly getMinimumEpoch: (endpoint: EndpointId) => number
   /** Finds out whether the process at an address that failed a call has ended. */
   readonly handleFailedCall: (address: string) => void
+  /** Tells whether the peer at an address answers at once. */
+  readonly isAnswering: (address: string) => Promise<boolean>
 }
 
 /** An owner to ask, and the endpoint for which it is asked. */
@@ -153,8 +157,10 @@
     const address = documents.findMember(owner)?.peerAddress
     if (address === undefined)
       return { kind: "refused", code: "no-owner", message: `${owner} has no address` }
+    const guard = this.guardQuestion(address, question.request)
+    const either = AbortSignal.any([signal, guard.signal])
     try {
-      return await caller.requestGrant(address, question, clock.now(), signal)
+      return await caller.requestGrant(address, question, clock.now(), either)
     } catch (error) {
       // The owner may have granted it all the same: it is given back by the question.
       const { id } = question.request
@@ -162,9 +168,26 @@
       if (!signal.aborted) this.parts.handleFailedCall(address)
       returns.add({ id: "", ask, endpoint, request: id, result: "canceled" }, () => 0)
       return { kind: "refused", code: "peer-down", message: describeError(error) }
+    } finally {
+      guard.abort()
     }
   }
 
+  /** Gives a question up when its owner has not answered for a while and doesn't answer a heartbeat either, as when it is paused. */
+  private guardQuestion(address: string, request: RouteRequest): AbortController {
+    const guard = new AbortController()
+    const left = (request.deadline - this.parts.clock.now()) / MAX_ASKED_A_ROUND
+    const patience = Math.min(Math.max(left, MIN_PATIENCE_MS), MAX_PATIENCE_MS)
+    const check = async () => {
+      await waitFor(patience, guard.signal)
+      while (!guard.signal.aborted && (await this.parts.isAnswering(address)))
+        await waitFor(patience, guard.signal)
+      guard.abort()
+    }
+    void check()
+    return guard
+  }
+
   /** Takes a grant as a holder. One of an epoch that this member has been asked to forget is given back. */
   private accept(grant: Grant): GrantAnswer {
     const { handleMember, returns, views } = this.parts
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -119,8 +119,11 @@
 
   private describeEndpoint(info: EndpointInfo, view: EndpointView | undefined): EndpointStatus {
     const { id, kind, dataCentre, slots } = info
-    if (!view)
-      return { id, kind, dataCentre, state: "unknown", running: 0, waiting: 0, resident: 0, slots }
+    if (!view) {
+      const isLive = this.coordination.views.getPhase(id) === "live"
+      const state = isLive ? "unknown" : "draining"
+      return { id, kind, dataCentre, state, running: 0, waiting: 0, resident: 0, slots }
+    }
     const owner = view.owner === undefined ? undefined : this.findInstance(view.owner)
     return {
       id,
