Phase of an endpoint told to its next owner; upkeep split from coordination

Change: the dispatcher asks for the phase when it gains an endpoint; the repeated work stands in ownership/upkeep.ts.

--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -1,7 +1,6 @@
 import type { Server } from "@grpc/grpc-js"
 import {
   type Clock,
-  describeError,
   type EndpointId,
   type EndpointInfo,
   type Incarnation,
@@ -21,6 +20,7 @@
 import { OwnedEndpoints } from "./ownership/owned.js"
 import { LoadShares } from "./ownership/shares.js"
 import { PeerTable } from "./ownership/peers.js"
+import { Upkeep } from "./ownership/upkeep.js"
 import { PeerCaller } from "./peer/client.js"
 import { type PeerHandlers, startPeerServer } from "./peer/server.js"
 import { CoordinatedRouter } from "./router/coordinated.js"
@@ -31,10 +31,6 @@
 import type { Settings } from "./settings.js"
 import { waitFor } from "./wait.js"
 
-const LIST_INTERVAL_MS = 1000
-const SHARE_INTERVAL_MS = 500
-const RETRY_INTERVAL_MS = 200
-const CONFIGURATION_INTERVAL_MS = 100
 const READY_POLL_MS = 20
 const HANDOVER_LIMIT_MS = 5000
 const FINISH_LIMIT_MS = 2000
@@ -71,11 +67,10 @@
   readonly holder: Holder
   private readonly returns: ReturnQueue
   private readonly heartbeats: Heartbeats
-  private readonly stopped = new AbortController()
+  private readonly upkeep: Upkeep
   private readonly shares: LoadShares
   private server: Server | undefined
   private isLeaving = false
-  private appliedRevision = -1
   private handleRevision: (peer: string, revision: number) => void = () => undefined
 
   constructor(private readonly parts: CoordinationParts) {
@@ -120,6 +115,7 @@
       infos,
       engines,
       clock,
+      (endpoint) => this.views.getPhase(endpoint),
       recorder,
       metrics,
       log,
@@ -132,6 +128,16 @@
       clock,
       (endpoint) => this.dispatcher.readLoad(endpoint),
     )
+    const { documents, membership, owned, shares, dispatcher, views } = this
+    this.upkeep = new Upkeep({
+      ...parts,
+      documents,
+      membership,
+      owned,
+      shares,
+      dispatcher,
+      views,
+    })
     this.returns = new ReturnQueue(incarnation, this.documents, this.caller, (returns) => {
       this.dispatcher.takeReturns(returns)
     })
@@ -202,7 +208,7 @@
     })
     this.membership.onEnded((incarnation) => {
       this.shares.handleEnded(incarnation, this.owned.listOwnerships())
-      this.updateShare()
+      this.upkeep.updateShare()
     })
     this.membership.onGone((incarnation) => {
       this.dispatcher.handleGone(incarnation)
@@ -211,16 +217,7 @@
     this.documents.start()
     this.membership.start()
     this.heartbeats.start()
-    void this.repeat(LIST_INTERVAL_MS, () => this.readList())
-    void this.repeat(SHARE_INTERVAL_MS, () => {
-      this.updateShare()
-    })
-    void this.repeat(CONFIGURATION_INTERVAL_MS, () => {
-      this.applyConfiguration()
-    })
-    void this.repeat(RETRY_INTERVAL_MS, () => {
-      this.owned.retry()
-    })
+    this.upkeep.start()
   }
 
   /** Waits until every engine of this data centre can be reached, or until the limit, in milliseconds. */
@@ -251,7 +248,7 @@
   async stop(): Promise<void> {
     await this.returns.flush()
     if (await this.waitForOrders(ORDERS_LIMIT_MS)) await this.membership.finish(FINISH_LIMIT_MS)
-    this.stopped.abort()
+    this.upkeep.stop()
     this.heartbeats.stop()
     this.documents.stop()
     this.dispatcher.stop()
@@ -288,7 +285,7 @@
     const reply = this.holder.handle(event)
     if (event.kind === "holdings-asked" && reply.kind === "holdings") {
       this.shares.handleAsked(event.endpoint, event.epoch)
-      this.updateShare()
+      this.upkeep.updateShare()
     }
     return reply
   }
@@ -319,57 +316,13 @@
   }
 
   private handleDocument(document: OwnershipDocument): void {
-    this.updateShare()
+    this.upkeep.updateShare()
     const members = document.members.map((member) => member.incarnation)
     for (const ownership of document.ownerships) {
       this.holder.handle({ kind: "ownership-seen", ownership })
       this.owned.handleOwnership(ownership, members)
     }
   }
-
-  private async repeat(intervalMs: number, run: () => Promise<void> | void): Promise<void> {
-    const { signal } = this.stopped
-    while (!signal.aborted) {
-      await run()
-      await waitFor(intervalMs, signal)
-    }
-  }
-
-  /** Puts a changed configuration in force: the policy of this data centre, and drains. */
-  private applyConfiguration(): void {
-    const { keeper, settings } = this.parts
-    if (keeper.revision === this.appliedRevision) return
-    this.appliedRevision = keeper.revision
-    this.dispatcher.setPolicy(keeper.getPolicy({ dataCentre: settings.dataCentre }))
-    const { drains } = keeper.stored.configuration
-    const drained = drains.filter((drain) => drain.kind === "endpoint").map((drain) => drain.id)
-    this.handlePhases(this.views.setDraining(new Set(drained)))
-    this.membership.setDrained(keeper.isDrained("instance", settings.id))
-  }
-
-  private handlePhases(endpoints: readonly EndpointId[]): void {
-    for (const endpoint of endpoints)
-      this.dispatcher.setPhase(endpoint, this.views.getPhase(endpoint))
-  }
-
-  /** Recomputes this instance's share of the weight store's budget. */
-  private updateShare(): void {
-    if (this.documents.isPlatformUp)
-      for (const document of this.documents.list()) this.shares.handleDocument(document)
-    this.dispatcher.setLoadShare(this.shares.compute(this.parts.keeper.getPolicy().loads))
-  }
-
-  /** Reads the platform's list of instances and endpoints. */
-  private async readList(): Promise<void> {
-    const { platform, log } = this.parts
-    try {
-      const listings = await platform.list()
-      this.membership.handleListings(listings)
-      this.handlePhases(this.views.handleListings(listings))
-    } catch (error) {
-      log.debug({ step: "platform", error: describeError(error) }, "list-failed")
-    }
-  }
 }
 
 function mapEngines(endpoints: readonly EndpointInfo[]): ReadonlyMap<EndpointId, EndpointInfo> {
--- a/packages/daemon/src/router/dispatcher.ts
+++ b/packages/daemon/src/router/dispatcher.ts
@@ -67,6 +67,7 @@
     private readonly infos: ReadonlyMap<EndpointId, EndpointInfo>,
     private readonly engines: ReadonlyMap<EndpointId, EnginePort>,
     private readonly clock: Clock,
+    private readonly getPhase: (endpoint: EndpointId) => EndpointPhase,
     private readonly recorder: Recorder,
     private readonly metrics: Metrics,
     private readonly log: Log,
@@ -147,6 +148,7 @@
     for (const grant of running) this.granted.set(grant.request, { grant, ask: 0 })
     this.metrics.count("ownership-changes")
     this.update({ kind: "endpoint-gained", info, running })
+    this.setPhase(endpoint, this.getPhase(endpoint))
     this.update({ kind: "suspects-changed", endpoint, suspects: state.suspects })
     void this.readReport(endpoint)
   }
--- a/packages/demo/test/configuration.test.ts
+++ b/packages/demo/test/configuration.test.ts
@@ -95,6 +95,16 @@
     expect(after).to.equal(before)
   }))
 
+it("a drained endpoint gets no new work from its next owner", () =>
+  withFleet({ instances: 2 }, async (fleet) => {
+    await runChurn(fleet.url, { calls: 8, concurrency: 4, adapters: 4 })
+    await drainEngine(fleet)
+    fleet.signal("entry-1", "SIGKILL")
+    await waitMs(LEAVING_MS)
+    const { before, after } = await countCallsAtEngine(fleet)
+    expect(after).to.equal(before)
+  }))
+
 it("an endpoint that the platform lists as leaving gets no new work", () =>
   withFleet({}, async (fleet) => {
     await runChurn(fleet.url, { calls: 8, concurrency: 4, adapters: 4 })
