--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -31,13 +31,16 @@
   .partial()
 
 const SETTINGS = z.strictObject({
-  floors: byRank(SHARE, "The share of capacity that a rank keeps under a flood of any other."),
-  targetMs: byRank(DURATION_MS, "Time to the first token that is aimed at, in milliseconds."),
-  deadlineMs: byRank(
+  floors: createByRank(
+    SHARE,
+    "The share of capacity that a rank keeps under a flood of any other.",
+  ),
+  targetMs: createByRank(DURATION_MS, "Time to the first token that is aimed at, in milliseconds."),
+  deadlineMs: createByRank(
     DURATION_MS,
     "Time until the first token is due, in milliseconds, for a request that names no deadline.",
   ),
-  queueLimit: byRank(COUNT, "Requests of a rank that wait at one owner at most."),
+  queueLimit: createByRank(COUNT, "Requests of a rank that wait at one owner at most."),
   loads: LOADS.optional(),
   retryShare: SHARE.optional().meta({ description: "Share of requests that may be retried." }),
 })
@@ -139,7 +142,7 @@
   drains: [],
 }
 
-function byRank<T extends z.ZodType>(value: T, description: string) {
+function createByRank<T extends z.ZodType>(value: T, description: string) {
   const shape = { urgent: value, standard: value, bulk: value }
   return z.strictObject(shape).partial().optional().meta({ description })
 }
--- a/packages/coordination/src/evictions.ts
+++ b/packages/coordination/src/evictions.ts
@@ -26,7 +26,7 @@
 export function abandonEviction(state: OwnerState, adapter: AdapterKey): OwnerTransaction {
   if (state.evictions.get(adapter)?.step !== "announced") return { state, effects: [] }
   return {
-    state: { ...state, evictions: withoutKey(state.evictions, adapter) },
+    state: { ...state, evictions: removeKey(state.evictions, adapter) },
     effects: [{ kind: "eviction-blocked", adapter }],
   }
 }
@@ -86,7 +86,7 @@
   const eviction = state.evictions.get(event.adapter)
   const isCurrent = eviction?.step === "ordered" && eviction.announcement === event.announcement
   if (!isCurrent) return resolveLate(state, event.announcement, event.result)
-  const next = { ...state, evictions: withoutKey(state.evictions, event.adapter) }
+  const next = { ...state, evictions: removeKey(state.evictions, event.adapter) }
   return resolveEviction(next, eviction, event.result)
 }
 
@@ -106,7 +106,7 @@
 }
 
 /** Copies a map without one key. */
-export function withoutKey<K, V>(map: ReadonlyMap<K, V>, key: K): ReadonlyMap<K, V> {
+export function removeKey<K, V>(map: ReadonlyMap<K, V>, key: K): ReadonlyMap<K, V> {
   const next = new Map(map)
   next.delete(key)
   return next
@@ -148,7 +148,7 @@
 ): OwnerTransaction {
   const order = state.unresolved.get(announcement)
   if (!order || result === "unresolved") return { state, effects: [] }
-  const next = { ...state, unresolved: withoutKey(state.unresolved, announcement) }
+  const next = { ...state, unresolved: removeKey(state.unresolved, announcement) }
   return {
     state: next,
     effects: result === "done" ? [{ kind: "evicted", adapter: order.adapter }] : [],
--- a/packages/coordination/src/update-owner.ts
+++ b/packages/coordination/src/update-owner.ts
@@ -12,7 +12,7 @@
   refuseAnnouncement,
   removeWitness,
   wantEviction,
-  withoutKey,
+  removeKey,
 } from "./evictions.js"
 
 type EventOf<K extends OwnerEvent["kind"]> = Extract<OwnerEvent, { kind: K }>
@@ -71,7 +71,7 @@
 function applyBriefing(state: OwnerState, event: EventOf<"witness-briefed">): OwnerTransaction {
   if (event.epoch !== state.ownership.epoch || state.phase !== "active")
     return { state, effects: [] }
-  const unbriefed = withoutItem(state.unbriefed, event.witness)
+  const unbriefed = removeItem(state.unbriefed, event.witness)
   return { state: { ...state, unbriefed }, effects: [] }
 }
 
@@ -90,7 +90,7 @@
 /** A grant may come back before its holder's report names it. */
 function removeGrant(state: OwnerState, id: string): OwnerTransaction {
   if (state.grants.has(id))
-    return { state: { ...state, grants: withoutKey(state.grants, id) }, effects: [] }
+    return { state: { ...state, grants: removeKey(state.grants, id) }, effects: [] }
   if (state.awaited.size === 0) return { state, effects: [] }
   return { state: { ...state, returned: new Set([...state.returned, id]) }, effects: [] }
 }
@@ -109,8 +109,8 @@
 function removeGoneMember(state: OwnerState, member: Incarnation): OwnerTransaction {
   const next = {
     ...state,
-    awaited: withoutItem(state.awaited, member),
-    unbriefed: withoutItem(state.unbriefed, member),
+    awaited: removeItem(state.awaited, member),
+    unbriefed: removeItem(state.unbriefed, member),
     grants: new Map([...state.grants].filter(([, { holder }]) => holder !== member)),
     predecessors: new Map([...state.predecessors].filter(([, { owner }]) => owner !== member)),
   }
@@ -171,7 +171,7 @@
     .map((to) => ({ kind: "ask-holdings", to, epoch: ownership.epoch }))
 }
 
-function withoutItem<T>(items: ReadonlySet<T>, item: T): ReadonlySet<T> {
+function removeItem<T>(items: ReadonlySet<T>, item: T): ReadonlySet<T> {
   if (!items.has(item)) return items
   const next = new Set(items)
   next.delete(item)
