--- a/bench/src/claims.ts
+++ b/bench/src/claims.ts
@@ -1,7 +1,8 @@
 import { build, type Histogram } from "hdr-histogram-js"
 import { Agent } from "undici"
 import { ClaimKeeper, type ClaimStore, type RecordedAnswer } from "@galenaway/claims"
-import { ConsulPlatform, systemClock, waitMs } from "@galenaway/daemon"
+import { systemClock } from "@galenaway/core"
+import { ConsulPlatform, waitMs } from "@galenaway/daemon"
 import { startPlatform } from "@galenaway/fakes"
 
 /**
--- /dev/null
+++ b/packages/coordination/src/leased/authority.ts
@@ -0,0 +1,84 @@
+import type { EndpointId, Millis } from "@galenaway/core"
+import type { OwnerRecord } from "./claims.js"
+
+/** The times that ownership rests on, all derived from the time within which two owners must not both order. */
+export interface AuthorityTimes {
+  /** How long a confirmation of the records counts, from the moment it was asked for. */
+  readonly confirmedMs: Millis
+  /** How long an order may be on its way before its sender gives it up. */
+  readonly orderTimeoutMs: Millis
+  /** How long a successor waits after its claim when the owner before may be alive. */
+  readonly takeOverMs: Millis
+}
+
+const CONFIRMED_SHARE = 0.6
+const ORDER_SHARE = 0.25
+
+/** Derives the times from the lease's length. The last order of an owner that can't confirm its records has ended before a successor's first. */
+export function computeAuthorityTimes(leaseMs: Millis): AuthorityTimes {
+  return {
+    confirmedMs: leaseMs * CONFIRMED_SHARE,
+    orderTimeoutMs: leaseMs * ORDER_SHARE,
+    takeOverMs: leaseMs,
+  }
+}
+
+interface Holding {
+  readonly record: OwnerRecord
+  readonly activeFrom: Millis
+}
+
+/**
+ * Tells whether this process may give an endpoint orders. It may while a
+ * linearizable read of the records, sent at most `confirmedMs` ago, showed it
+ * as the owner; a pause of the process ends that at once.
+ */
+export class OrderAuthority {
+  private readonly holdings = new Map<EndpointId, Holding>()
+  private confirmedAt: Millis = -Infinity
+
+  constructor(readonly times: AuthorityTimes) {}
+
+  /** Takes a record that this process has written. `canOrderAtOnce` where no other process can still order. */
+  add(record: OwnerRecord, canOrderAtOnce: boolean, now: Millis): void {
+    const activeFrom = canOrderAtOnce ? now : now + this.times.takeOverMs
+    this.holdings.set(record.endpoint, { record, activeFrom })
+  }
+
+  /** Takes the records of a linearizable read that was sent at `sentAt`. Returns the endpoints that were lost. */
+  confirm(records: ReadonlyMap<EndpointId, OwnerRecord>, sentAt: Millis): readonly EndpointId[] {
+    this.confirmedAt = Math.max(this.confirmedAt, sentAt)
+    const lost = [...this.holdings].filter(
+      ([endpoint, { record }]) => records.get(endpoint)?.revision !== record.revision,
+    )
+    for (const [endpoint] of lost) this.holdings.delete(endpoint)
+    return lost.map(([endpoint]) => endpoint)
+  }
+
+  /** Withdraws all permissions until the records are confirmed again, since the process may have stood still. */
+  suspend(): void {
+    this.confirmedAt = -Infinity
+  }
+
+  /** Gives an endpoint up. */
+  remove(endpoint: EndpointId): void {
+    this.holdings.delete(endpoint)
+  }
+
+  /** Returns the fencing token under which an order may be given now, or undefined when none may be. */
+  getToken(endpoint: EndpointId, now: Millis): number | undefined {
+    const holding = this.holdings.get(endpoint)
+    if (!holding || now < holding.activeFrom) return undefined
+    return now - this.confirmedAt < this.times.confirmedMs ? holding.record.revision : undefined
+  }
+
+  /** Lists the endpoints that this process owns, with those that it may not order yet. */
+  listEndpoints(): readonly EndpointId[] {
+    return [...this.holdings.keys()]
+  }
+
+  /** Returns the record under which this process owns an endpoint. */
+  getRecord(endpoint: EndpointId): OwnerRecord | undefined {
+    return this.holdings.get(endpoint)?.record
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/leased/index.ts
@@ -0,0 +1,3 @@
+export * from "./authority.js"
+export * from "./claims.js"
+export * from "./suspension.js"
--- a/packages/daemon/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@galenaway/core"
+import type { Clock } from "./ports.js"
 
 /** The process's monotonic clock. */
 export const systemClock: Clock = {
--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -197,6 +197,8 @@
   readonly isNotRun: boolean
   /** Another endpoint has the address now, or the model, adapter or version is missing. */
   readonly isMisdirected: boolean
+  /** The endpoint that answered, where it names itself. */
+  readonly answeredBy: EndpointId | undefined
   /** The answer bears the endpoint's signature. */
   readonly isSigned: boolean
   readonly hasEncodedBody: boolean
--- a/packages/daemon/src/coordination.ts
+++ b/packages/daemon/src/coordination.ts
@@ -6,6 +6,7 @@
   type Incarnation,
   type PlatformPort,
   type Router,
+  waitFor,
 } from "@galenaway/core"
 import type { MemberEvent, MemberReply, OwnershipDocument } from "@galenaway/coordination"
 import type { Log, Metrics, Recorder } from "@galenaway/observe"
@@ -29,7 +30,6 @@
 import { ReturnQueue } from "./router/returns.js"
 import { formatDigest, ViewTable } from "./router/views.js"
 import type { Settings } from "./settings.js"
-import { waitFor } from "./wait.js"
 
 const READY_POLL_MS = 20
 const HANDOVER_LIMIT_MS = 5000
--- a/packages/daemon/src/operator/parts.ts
+++ b/packages/daemon/src/operator/parts.ts
@@ -1,6 +1,6 @@
+import { systemClock } from "@galenaway/core"
 import "reflect-metadata"
 import { type DependencyContainer, instanceCachingFactory } from "tsyringe"
-import { systemClock } from "../clock.js"
 import { systemTiming } from "../configuration/backoff.js"
 import { CONFIGURATION_PEERS } from "../configuration/parts.js"
 import { StoredConfigurationKeeper } from "../configuration/stored.js"
--- a/packages/daemon/src/ownership/documents.ts
+++ b/packages/daemon/src/ownership/documents.ts
@@ -4,6 +4,7 @@
   type EndpointId,
   type Incarnation,
   type PlatformPort,
+  waitFor,
 } from "@galenaway/core"
 import {
   createDocument,
@@ -14,7 +15,6 @@
   parseDocument,
 } from "@galenaway/coordination"
 import type { Log, Recorder } from "@galenaway/observe"
-import { waitFor } from "../wait.js"
 
 const RETRY_MIN_MS = 100
 const RETRY_MAX_MS = 2000
--- a/packages/daemon/src/ownership/heartbeats.ts
+++ b/packages/daemon/src/ownership/heartbeats.ts
@@ -1,7 +1,7 @@
+import { waitFor } from "@galenaway/core"
 import type { Clock } from "@galenaway/core"
 import type { Heartbeat } from "../generated/peer.js"
 import type { PeerCaller } from "../peer/client.js"
-import { waitFor } from "../wait.js"
 import type { PeerRow, PeerTable } from "./peers.js"
 
 const INTERVAL_MS = 500
--- a/packages/daemon/src/ownership/membership.ts
+++ b/packages/daemon/src/ownership/membership.ts
@@ -1,3 +1,4 @@
+import { waitFor } from "@galenaway/core"
 import type {
   Clock,
   DataCentre,
@@ -11,7 +12,6 @@
 import type { Member, OwnershipDocument, Resolution } from "@galenaway/coordination"
 import type { Log, Recorder } from "@galenaway/observe"
 import { probeProcess } from "../peer/probe.js"
-import { waitFor } from "../wait.js"
 import type { OwnershipDocuments } from "./documents.js"
 import type { PeerTable } from "./peers.js"
 import { type Knowledge, reconcileDocument } from "./reconcile.js"
--- a/packages/daemon/src/router/coordinated.ts
+++ b/packages/daemon/src/router/coordinated.ts
@@ -9,6 +9,7 @@
   RefusedError,
   type Router,
   type RouteRequest,
+  waitFor,
 } from "@galenaway/core"
 import type { MemberEvent, MemberReply } from "@galenaway/coordination"
 import type { Recorder } from "@galenaway/observe"
@@ -16,7 +17,6 @@
 import type { OwnershipDocuments } from "../ownership/documents.js"
 import type { PeerCaller } from "../peer/client.js"
 import type { GrantAnswer, GrantQuestion } from "../peer/codec.js"
-import { waitFor } from "../wait.js"
 import type { Dispatcher } from "./dispatcher.js"
 import type { OwnerlessRouter } from "./ownerless.js"
 import type { ReturnQueue } from "./returns.js"
--- /dev/null
+++ b/packages/entry/src/catalogue/index.ts
@@ -0,0 +1,6 @@
+export * from "./configuration-watch.js"
+export * from "./dependency.js"
+export * from "./directory.js"
+export * from "./directory-poll.js"
+export * from "./format.js"
+export * from "./serving.js"
--- /dev/null
+++ b/packages/entry/src/catalogue/serving.ts
@@ -0,0 +1,70 @@
+import { EventEmitter } from "node:events"
+import type { Clock, ServingConfiguration, StoreItem } from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+import { RouteTable, type VersionTable } from "@galenaway/routing"
+import type { CatalogueFormat } from "./format.js"
+
+interface ServingEvents {
+  configuration: [ServingConfiguration]
+}
+
+/** What operators have put in force. A lower version never replaces a higher one. */
+export class Serving extends EventEmitter<ServingEvents> {
+  private current: RouteTable | undefined
+  private readonly items = new Map<string, StoreItem>()
+
+  constructor(
+    private readonly format: CatalogueFormat,
+    readonly versions: VersionTable,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
+    super()
+  }
+
+  /** The routes in force; undefined before the first configuration. */
+  get routes(): RouteTable | undefined {
+    return this.current
+  }
+
+  /** The version in force; 0 before the first. */
+  get version(): number {
+    return this.current?.configuration.version ?? 0
+  }
+
+  /** The items that are in force, for a peer that can't reach the store. */
+  listItems(): readonly StoreItem[] {
+    return [...this.items.values()]
+  }
+
+  /** Takes an item of the operators'. One that was seen before is left out. */
+  apply(item: StoreItem, source: string): void {
+    const known = this.items.get(item.key)
+    if (known && known.revision >= item.revision) return
+    const entry = this.format.readOperatorItem(item)
+    switch (entry.kind) {
+      case "configuration":
+        this.items.set(item.key, item)
+        this.applyConfiguration(entry.configuration, source)
+        return
+      case "adapter-version":
+        this.items.set(item.key, item)
+        if (this.versions.add(entry.adapter, entry.version, this.clock.now()))
+          this.log.info(
+            { adapter: entry.adapter, version: entry.version, source },
+            "adapter version named",
+          )
+        return
+      case "foreign":
+        this.log.warn({ key: item.key, reason: entry.reason }, "operator item skipped")
+    }
+  }
+
+  private applyConfiguration(configuration: ServingConfiguration, source: string): void {
+    if (configuration.version <= this.version) return
+    this.current = new RouteTable(configuration)
+    const { version, routes } = configuration
+    this.log.info({ version, routes: routes.length, source }, "configuration in force")
+    this.emit("configuration", configuration)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/fleet/index.ts
@@ -0,0 +1,3 @@
+export * from "./membership.js"
+export * from "./ownership.js"
+export * from "./records.js"
--- /dev/null
+++ b/packages/entry/src/fleet/membership.ts
@@ -0,0 +1,85 @@
+import { type StorePort, waitFor } from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+import { DependencyState } from "../catalogue/dependency.js"
+import { formatInstance, formatInstanceKey, type RegisteredInstance } from "./records.js"
+
+const LEASE_MS = 2000
+const RENEW_MS = 500
+const TIMEOUT_MS = 700
+
+/** Keeps this instance registered under a lease, so that it vanishes from the list soon after it dies. */
+export class Membership {
+  private readonly abort = new AbortController()
+  private readonly dependency: DependencyState
+  private lease: string | undefined
+  private isWritten = false
+
+  constructor(
+    private readonly store: StorePort,
+    private self: RegisteredInstance,
+    private readonly log: Log,
+  ) {
+    this.dependency = new DependencyState("store-lease", log)
+  }
+
+  /** Starts renewing; runs until it is stopped. */
+  start(): void {
+    void this.run()
+  }
+
+  /** Notes whether the list showed this instance; a missing item is written again under a new lease. */
+  onListed(isListed: boolean): void {
+    if (isListed || !this.isWritten) return
+    this.log.warn("own registration is missing, writing it again")
+    this.lease = undefined
+    this.isWritten = false
+  }
+
+  /** Tells others that this instance is stopping. */
+  async announceStop(): Promise<void> {
+    this.self = { ...this.self, isStopping: true }
+    await this.write()
+  }
+
+  /** Stops renewing and removes the registration. */
+  async stop(): Promise<void> {
+    this.abort.abort()
+    if (this.lease === undefined) return
+    try {
+      await this.store.closeLease(this.lease, TIMEOUT_MS)
+    } catch (error) {
+      this.log.warn({ err: error }, "lease left to lapse")
+    }
+  }
+
+  private async run(): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      try {
+        await this.renew()
+        this.dependency.onSuccess()
+      } catch (error) {
+        this.dependency.onFailure(error)
+      }
+      await waitFor(RENEW_MS, this.abort.signal)
+    }
+  }
+
+  private async renew(): Promise<void> {
+    if (this.lease !== undefined && !(await this.store.renewLease(this.lease, TIMEOUT_MS))) {
+      this.log.warn("lease has lapsed")
+      this.lease = undefined
+      this.isWritten = false
+    }
+    if (!this.isWritten) await this.write()
+  }
+
+  private async write(): Promise<void> {
+    this.lease ??= await this.store.openLease(LEASE_MS, TIMEOUT_MS)
+    const key = formatInstanceKey(this.self.id)
+    const put = { key, value: formatInstance(this.self), lease: this.lease }
+    const change = { conditions: [], puts: [put], removals: [] }
+    const result = await this.store.runTransaction(change, TIMEOUT_MS)
+    if (result.kind === "done") this.isWritten = true
+    else this.lease = undefined
+  }
+}
--- /dev/null
+++ b/packages/entry/src/fleet/ownership.ts
@@ -0,0 +1,311 @@
+import { EventEmitter } from "node:events"
+import {
+  type LiveInstance,
+  type OrderAuthority,
+  type OwnedEndpoint,
+  type OwnerRecord,
+  type OwnershipClaim,
+  planClaims,
+  planHandovers,
+  type SuspensionDetector,
+} from "@galenaway/coordination"
+import {
+  type Clock,
+  type EndpointId,
+  type InstanceId,
+  type Millis,
+  type StorePort,
+  waitFor,
+} from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+import { DependencyState } from "../catalogue/dependency.js"
+import {
+  FLEET_PREFIX,
+  formatOwner,
+  formatOwnerKey,
+  OWNER_PREFIX,
+  parseFleetRecords,
+  type RegisteredInstance,
+} from "./records.js"
+
+interface OwnershipEvents {
+  /** The instances or owners were read. */
+  read: []
+  gained: [EndpointId]
+  lost: [EndpointId]
+}
+
+/** What ownership rests on. */
+export interface OwnershipParts {
+  readonly store: StorePort
+  readonly authority: OrderAuthority
+  readonly suspension: SuspensionDetector
+  readonly clock: Clock
+  readonly log: Log
+  /** Lists the engines that need an owner. */
+  listEngines(): readonly OwnedEndpoint[]
+  /** Notes whether this instance stands in the list of instances. */
+  onListed(isListed: boolean): void
+}
+
+const POLL_MS = 400
+const TIMEOUT_MS = 700
+const TICK_MS = 25
+/** How often the records are confirmed while this instance owns engines, as a share of the time that a confirmation counts. */
+const CONFIRM_SHARE = 0.5
+/** A process leaves others' engines alone for so long after its start, until all have had time to register. */
+const SETTLE_MS = 2500
+/** An instance that is missing for so long is taken as gone. */
+const MISSING_MS = 350
+const MAX_CLAIMS = 15
+
+/** Claims engines for this instance and keeps its authority to order them confirmed. */
+export class Ownership extends EventEmitter<OwnershipEvents> {
+  private readonly abort = new AbortController()
+  private readonly dependency: DependencyState
+  private readonly startedAt: Millis
+  private readonly seenAt = new Map<InstanceId, Millis>()
+  private confirmSentAt: Millis = -Infinity
+  private isConfirming = false
+  private isStopping = false
+  private listRevision = 0
+  private instancesById: ReadonlyMap<InstanceId, RegisteredInstance> = new Map()
+  private recordsById = new Map<EndpointId, OwnerRecord>()
+
+  constructor(
+    private readonly self: RegisteredInstance,
+    private readonly parts: OwnershipParts,
+  ) {
+    super()
+    this.startedAt = parts.clock.now()
+    this.dependency = new DependencyState("store-ownership", parts.log)
+  }
+
+  /** The instances that were listed last. */
+  get instances(): ReadonlyMap<InstanceId, RegisteredInstance> {
+    return this.instancesById
+  }
+
+  /** Finds the instance that is recorded as an engine's owner. */
+  findOwner(endpoint: EndpointId): RegisteredInstance | undefined {
+    const record = this.recordsById.get(endpoint)
+    return record && this.instancesById.get(record.owner)
+  }
+
+  /** Returns the fencing token for an order now, or undefined when this instance may not order the engine. */
+  getToken(endpoint: EndpointId): number | undefined {
+    if (this.parts.suspension.check()) this.onSuspension()
+    return this.parts.authority.getToken(endpoint, this.parts.clock.now())
+  }
+
+  /** Starts reading, claiming and confirming; runs until it is stopped. */
+  start(): void {
+    void this.runPoll()
+    void this.runConfirmations()
+  }
+
+  /** Gives all engines to other instances; this one orders nothing afterwards. */
+  async handOver(): Promise<void> {
+    this.isStopping = true
+    const { authority, log } = this.parts
+    const records = new Map(
+      authority.listEndpoints().flatMap((endpoint) => {
+        const record = authority.getRecord(endpoint)
+        return record ? [[endpoint, record] as const] : []
+      }),
+    )
+    for (const endpoint of records.keys()) this.drop(endpoint)
+    const claims = planHandovers(
+      this.self,
+      [...this.instancesById.values()],
+      this.parts.listEngines(),
+      records,
+    )
+    for (let at = 0; at < claims.length; at += MAX_CLAIMS)
+      await this.writeClaims(claims.slice(at, at + MAX_CLAIMS), true)
+    log.info({ engines: claims.length }, "engines handed over")
+  }
+
+  /** Stops. */
+  stop(): void {
+    this.abort.abort()
+  }
+
+  private async runPoll(): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      try {
+        await this.poll()
+        this.dependency.onSuccess()
+      } catch (error) {
+        this.dependency.onFailure(error)
+      }
+      await waitFor(POLL_MS, this.abort.signal)
+    }
+  }
+
+  private async poll(): Promise<void> {
+    const range = await this.parts.store.readRange(FLEET_PREFIX, "stale", TIMEOUT_MS)
+    if (range.revision < this.listRevision) return
+    this.listRevision = range.revision
+    const { instances, owners, unreadable } = parseFleetRecords(range.items)
+    for (const key of unreadable) this.parts.log.warn({ key }, "unreadable fleet item skipped")
+    this.instancesById = instances
+    this.mergeRecords(owners)
+    this.parts.onListed(instances.get(this.self.id)?.incarnation === this.self.incarnation)
+    this.emit("read")
+    await this.claim()
+  }
+
+  /** A stale read may show a record as it was before this process wrote it. */
+  private mergeRecords(owners: ReadonlyMap<EndpointId, OwnerRecord>): void {
+    const merged = new Map(owners)
+    for (const [endpoint, known] of this.recordsById) {
+      const read = owners.get(endpoint)
+      if (read && read.revision < known.revision) merged.set(endpoint, known)
+    }
+    for (const endpoint of this.parts.authority.listEndpoints()) {
+      const own = this.parts.authority.getRecord(endpoint)
+      const read = merged.get(endpoint)
+      if (own && (!read || read.revision < own.revision)) merged.set(endpoint, own)
+    }
+    this.recordsById = merged
+    this.adoptHandedOver()
+  }
+
+  /** Takes engines that a stopping instance has given to this one. */
+  private adoptHandedOver(): void {
+    const { authority, clock, log } = this.parts
+    if (this.isStopping) return
+    for (const [endpoint, record] of this.recordsById) {
+      const isOwn = record.owner === this.self.id && record.incarnation === this.self.incarnation
+      if (!isOwn || authority.getRecord(endpoint)?.revision === record.revision) continue
+      authority.add(record, record.isHandedOver, clock.now())
+      log.info({ endpoint, token: record.revision }, "engine taken over from a stopping instance")
+      this.emit("gained", endpoint)
+    }
+  }
+
+  private async claim(): Promise<void> {
+    if (this.isStopping) return
+    const engines = this.parts.listEngines()
+    const claims = planClaims(this.self, this.listLive(), engines, this.recordsById)
+    const allowed = claims.filter((claim) => this.mayClaim(claim))
+    for (let at = 0; at < allowed.length; at += MAX_CLAIMS)
+      await this.writeClaims(allowed.slice(at, at + MAX_CLAIMS), false)
+  }
+
+  /** Lists instances that are listed, or were until just now. */
+  private listLive(): readonly LiveInstance[] {
+    const now = this.parts.clock.now()
+    for (const id of this.instancesById.keys()) this.seenAt.set(id, now)
+    this.seenAt.set(this.self.id, now)
+    const missing = [...this.recordsById.values()].flatMap(({ owner, incarnation }) => {
+      if (this.instancesById.has(owner) || owner === this.self.id) return []
+      if (!this.seenAt.has(owner)) this.seenAt.set(owner, now)
+      const isRecent = now - (this.seenAt.get(owner) ?? now) < MISSING_MS
+      return isRecent ? [{ id: owner, incarnation, dataCentre: "", isStopping: false }] : []
+    })
+    return [...this.instancesById.values(), ...missing].map((instance) =>
+      instance.id === this.self.id ? this.self : instance,
+    )
+  }
+
+  private mayClaim({ before }: OwnershipClaim): boolean {
+    const hasSettled = this.parts.clock.now() - this.startedAt >= SETTLE_MS
+    return hasSettled || before?.owner === this.self.id
+  }
+
+  private async writeClaims(claims: readonly OwnershipClaim[], isHandedOver: boolean) {
+    const { store, log } = this.parts
+    const result = await store.runTransaction(
+      {
+        conditions: claims.map(({ endpoint, before }) => ({
+          key: formatOwnerKey(endpoint),
+          revision: before?.revision ?? 0,
+        })),
+        puts: claims.map(({ endpoint, owner }) => ({
+          key: formatOwnerKey(endpoint),
+          value: formatOwner(owner, isHandedOver),
+        })),
+        removals: [],
+      },
+      TIMEOUT_MS,
+    )
+    if (result.kind === "done") this.applyClaims(claims, result.revision, isHandedOver)
+    else {
+      log.info({ engines: claims.length }, "claims lost to another instance")
+      await this.confirm()
+    }
+  }
+
+  private applyClaims(
+    claims: readonly OwnershipClaim[],
+    revision: number,
+    isHandedOver: boolean,
+  ): void {
+    const { authority, clock, log } = this.parts
+    for (const { endpoint, owner, before } of claims) {
+      const record = { endpoint, owner: owner.id, incarnation: owner.incarnation, revision, isHandedOver }
+      this.recordsById.set(endpoint, record)
+      if (owner.id !== this.self.id) continue
+      const canOrderAtOnce = before === undefined || before.owner === this.self.id
+      authority.add(record, canOrderAtOnce, clock.now())
+      const from = before?.owner ?? "nobody"
+      log.info({ endpoint, token: revision, from, canOrderAtOnce }, "engine claimed")
+      this.emit("gained", endpoint)
+    }
+  }
+
+  private async runConfirmations(): Promise<void> {
+    const { authority, clock, suspension } = this.parts
+    const interval = authority.times.confirmedMs * CONFIRM_SHARE
+    while (!this.abort.signal.aborted) {
+      if (suspension.check()) this.onSuspension()
+      const isDue = clock.now() - this.confirmSentAt >= interval
+      if (isDue && authority.listEndpoints().length > 0) void this.confirm()
+      await waitFor(TICK_MS, this.abort.signal)
+    }
+  }
+
+  private onSuspension(): void {
+    this.parts.authority.suspend()
+    this.parts.log.warn("process may have stood still, confirming ownership first")
+    void this.confirm()
+  }
+
+  private async confirm(): Promise<void> {
+    if (this.isConfirming) return
+    this.isConfirming = true
+    const { store, authority, clock } = this.parts
+    const sentAt = clock.now()
+    this.confirmSentAt = sentAt
+    try {
+      const range = await store.readRange(OWNER_PREFIX, "latest", TIMEOUT_MS)
+      if (this.parts.suspension.check()) {
+        authority.suspend()
+        this.confirmSentAt = -Infinity
+        return
+      }
+      const { owners } = parseFleetRecords(range.items)
+      const lost = authority.confirm(owners, sentAt)
+      this.recordsById = new Map(owners)
+      this.adoptHandedOver()
+      for (const endpoint of lost) this.reportLost(endpoint)
+    } catch (error) {
+      this.dependency.onFailure(error)
+    } finally {
+      this.isConfirming = false
+    }
+  }
+
+  private drop(endpoint: EndpointId): void {
+    this.parts.authority.remove(endpoint)
+    this.emit("lost", endpoint)
+  }
+
+  private reportLost(endpoint: EndpointId): void {
+    const owner = this.recordsById.get(endpoint)?.owner ?? "nobody"
+    this.parts.log.warn({ endpoint, owner }, "engine lost to another owner")
+    this.emit("lost", endpoint)
+  }
+}
--- /dev/null
+++ b/packages/entry/src/forward/destinations.ts
@@ -0,0 +1,118 @@
+import type { EndpointId, Millis, Registration } from "@galenaway/core"
+import { chooseEndpoint, choosePlacement, chooseReplica, type Placement } from "@galenaway/routing"
+import type { Destination } from "./attempt.js"
+import type { Call } from "./call.js"
+import type { ForwardParts } from "./parts.js"
+
+/** A place to send a call to, or why there is none now. */
+export type Search =
+  | { readonly kind: "found"; readonly destination: Destination }
+  | { readonly kind: "none"; readonly reason: string }
+
+/** A load is given up after this time, so that another engine can be asked. */
+const LOAD_WAIT_MS = 900
+const MIN_LOAD_WAIT_MS = 30
+
+/** Finds the endpoints of one call, in the order in which they are tried. */
+export class DestinationSearch {
+  private readonly excluded = new Set<EndpointId>()
+  private readonly loadRefused = new Set<EndpointId>()
+  private readonly missing = new Set<EndpointId>()
+
+  constructor(
+    private readonly parts: ForwardParts,
+    private readonly call: Call,
+  ) {}
+
+  /** Leaves an endpoint out from now on. */
+  exclude(endpoint: EndpointId): void {
+    this.excluded.add(endpoint)
+  }
+
+  /** Notes that an engine turned the call away because it doesn't hold the adapter. */
+  onMissing(endpoint: EndpointId): void {
+    const { adapter } = this.call.facts
+    if (adapter !== undefined) this.parts.residency.remove(endpoint, adapter)
+    this.missing.add(endpoint)
+  }
+
+  /** Finds the next endpoint; may wait for an adapter to load. */
+  async find(): Promise<Search> {
+    const now = this.parts.clock.now()
+    if (this.call.facts.model === undefined) return this.findPlain(now)
+    const view = this.parts.buildView(this.call.service)
+    const refused = this.loadRefused
+    const placement = choosePlacement(
+      { ...view, canLoad: (id) => !refused.has(id) && view.canLoad(id) },
+      this.call.facts,
+      this.excluded,
+      now,
+    )
+    if (placement.kind === "send") this.replicate(now)
+    return this.resolve(placement)
+  }
+
+  private findPlain(now: Millis): Search {
+    const { directory, health, home } = this.parts
+    const endpoints = directory.listLive(this.call.service)
+    const endpoint = chooseEndpoint(endpoints, health, home, this.excluded, now)
+    return endpoint
+      ? { kind: "found", destination: { endpoint } }
+      : { kind: "none", reason: `no usable endpoint of ${endpoints.length}` }
+  }
+
+  private async resolve(placement: Placement): Promise<Search> {
+    switch (placement.kind) {
+      case "none":
+        return { kind: "none", reason: "no engine can be used" }
+      case "send": {
+        const { endpoint, version } = placement
+        const destination = version === undefined ? { endpoint } : { endpoint, version }
+        return { kind: "found", destination }
+      }
+      case "load":
+        return this.load(placement.endpoint)
+    }
+  }
+
+  private async load(endpoint: Registration): Promise<Search> {
+    const { parts, call } = this
+    const { adapter } = call.facts
+    if (adapter === undefined) return { kind: "none", reason: "no engine holds the model" }
+    const startedAt = parts.clock.now()
+    const version = parts.versions.getNewest(adapter)
+    const waitMs = Math.min(LOAD_WAIT_MS, call.deadline - startedAt)
+    if (waitMs < MIN_LOAD_WAIT_MS) return { kind: "none", reason: "no time to load" }
+    const wasMissing = this.missing.delete(endpoint.id)
+    const outcome = await parts.links.load(endpoint.id, adapter, version, waitMs, wasMissing)
+    const stalledMs = parts.clock.now() - startedAt
+    parts.metrics.time("stall", stalledMs)
+    if (outcome.kind === "held") {
+      parts.residency.add(endpoint.id, adapter, outcome.version)
+      const isNewest = version !== undefined && outcome.version >= version
+      return {
+        kind: "found",
+        destination: isNewest ? { endpoint, version } : { endpoint },
+      }
+    }
+    this.loadRefused.add(endpoint.id)
+    const request = call.facts.attempt
+    parts.log.write(
+      { request, adapter, endpoint: endpoint.id, reason: outcome.reason, stalledMs },
+      "load refused",
+    )
+    return this.find()
+  }
+
+  /** Has the adapter loaded on another engine too when those that hold it are busy. */
+  private replicate(now: Millis): void {
+    const { parts, call } = this
+    const { adapter } = call.facts
+    const target = chooseReplica(parts.buildView(call.service), call.facts, now)
+    if (!target || adapter === undefined) return
+    const version = parts.versions.getNewest(adapter)
+    void parts.links.load(target.id, adapter, version, LOAD_WAIT_MS, false).then((outcome) => {
+      if (outcome.kind === "held") parts.residency.add(target.id, adapter, outcome.version)
+    })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/links.ts
@@ -0,0 +1,139 @@
+import {
+  type AdapterName,
+  type AdapterVersion,
+  type Clock,
+  describeError,
+  type EndpointId,
+  type InstanceId,
+  type Millis,
+} from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+import type { Ownership } from "../fleet/ownership.js"
+import type { LoadOutcome, Owner } from "../owner/index.js"
+import { Link, type LinkEvents } from "./client.js"
+import type { UseTable } from "./uses.js"
+
+/** What the links need. */
+export interface LinksParts {
+  readonly self: InstanceId
+  readonly ownership: Ownership
+  readonly owner: Owner
+  readonly uses: UseTable
+  readonly events: LinkEvents
+  readonly clock: Clock
+  readonly log: Log
+}
+
+const TICK_MS = 250
+const ANSWER_MARGIN_MS = 60
+
+/** Links to all other instances, and the way to an engine's owner whether it is this instance or another. */
+export class Links {
+  private readonly byPeer = new Map<InstanceId, Link>()
+  private readonly loading = new Map<string, Promise<LoadOutcome>>()
+  private timer: NodeJS.Timeout | undefined
+
+  constructor(private readonly parts: LinksParts) {
+    parts.ownership.on("read", () => {
+      this.update()
+    })
+  }
+
+  /** Starts keeping the links open. */
+  start(): void {
+    this.timer = setInterval(() => {
+      this.tick()
+    }, TICK_MS)
+  }
+
+  /** Closes all links. */
+  stop(): void {
+    clearInterval(this.timer)
+    for (const link of this.byPeer.values()) link.close()
+  }
+
+  /** Tells whether an engine's owner can be asked for loads. */
+  canLoad(endpoint: EndpointId): boolean {
+    if (this.parts.owner.hasEngine(endpoint)) return true
+    return this.findLink(endpoint)?.isAlive ?? false
+  }
+
+  /** Asks an engine's owner to load an adapter. Callers of one process that want the same share one question. */
+  load(
+    endpoint: EndpointId,
+    adapter: AdapterName,
+    version: AdapterVersion | undefined,
+    waitMs: Millis,
+    wasMissing: boolean,
+  ): Promise<LoadOutcome> {
+    const key = `${endpoint} ${adapter} ${version ?? 0}`
+    const known = this.loading.get(key)
+    if (known && !wasMissing) return known
+    const outcome = this.ask(endpoint, adapter, version, waitMs, wasMissing).finally(() => {
+      if (this.loading.get(key) === outcome) this.loading.delete(key)
+    })
+    this.loading.set(key, outcome)
+    return outcome
+  }
+
+  private async ask(
+    endpoint: EndpointId,
+    adapter: AdapterName,
+    version: AdapterVersion | undefined,
+    waitMs: Millis,
+    wasMissing: boolean,
+  ): Promise<LoadOutcome> {
+    const { owner } = this.parts
+    if (owner.hasEngine(endpoint)) return owner.load(endpoint, adapter, version, waitMs, wasMissing)
+    const link = this.findLink(endpoint)
+    if (!link) return { kind: "refused", reason: "the engine's owner isn't known" }
+    const request = { endpoint, adapter, version: version ?? 0, waitMs: Math.round(waitMs), wasMissing }
+    try {
+      const reply = await link.load(request, waitMs + ANSWER_MARGIN_MS)
+      return reply.isHeld
+        ? { kind: "held", version: reply.version }
+        : { kind: "refused", reason: reply.reason }
+    } catch (error) {
+      return { kind: "refused", reason: describeError(error) }
+    }
+  }
+
+  private findLink(endpoint: EndpointId): Link | undefined {
+    const owner = this.parts.ownership.findOwner(endpoint)
+    return owner && this.byPeer.get(owner.id)
+  }
+
+  private update(): void {
+    const { instances } = this.parts.ownership
+    for (const { id, peerAddress } of instances.values()) {
+      if (id === this.parts.self || this.byPeer.get(id)?.address === peerAddress) continue
+      this.byPeer.get(id)?.close()
+      const { self, events, clock, log } = this.parts
+      const link = new Link(self, id, peerAddress, events, clock, log)
+      this.byPeer.set(id, link)
+      link.keepOpen()
+    }
+    for (const [id, link] of this.byPeer) {
+      if (instances.has(id) || link.isAlive) continue
+      link.close()
+      this.byPeer.delete(id)
+      this.parts.owner.removeHolder(id)
+    }
+  }
+
+  private tick(): void {
+    for (const link of this.byPeer.values()) link.keepOpen()
+    for (const [endpoint, adapters] of this.parts.uses.takeChanges())
+      this.tellUses(endpoint, adapters)
+  }
+
+  private tellUses(endpoint: EndpointId, adapters: ReadonlyMap<AdapterName, number>): void {
+    const { owner, self } = this.parts
+    if (owner.hasEngine(endpoint)) {
+      for (const [adapter, inFlight] of adapters) owner.onUse(endpoint, adapter, self, inFlight)
+      return
+    }
+    const uses = [...adapters].map(([adapter, inFlight]) => ({ adapter, inFlight }))
+    this.findLink(endpoint)?.sendUses([{ endpoint, adapters: uses }])
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/server.ts
@@ -0,0 +1,176 @@
+import {
+  type sendUnaryData,
+  Server,
+  ServerCredentials,
+  type ServerDuplexStream,
+  type ServerUnaryCall,
+  status,
+  type UntypedHandleCall,
+} from "@grpc/grpc-js"
+import { describeError, type InstanceId, type StoreItem } from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+import {
+  type CatalogueReply,
+  type CatalogueRequest,
+  type FleetServer,
+  FleetService,
+  type FollowerUpdate,
+  type LoadReply,
+  type LoadRequest,
+  type OwnerUpdate,
+} from "../generated/fleet.js"
+import type { EngineNews, LoadOutcome } from "../owner/index.js"
+
+/** What an instance does when its peers call. */
+export interface LinkHandlers {
+  load(request: LoadRequest): Promise<LoadOutcome>
+  onUpdate(update: FollowerUpdate): void
+  listNews(): readonly EngineNews[]
+  listItems(): readonly StoreItem[]
+  getConfigurationVersion(): number
+}
+
+type Follower = ServerDuplexStream<FollowerUpdate, OwnerUpdate>
+
+/** Changes are gathered for so long before they are told. */
+const GATHER_MS = 40
+/** Longest silence between updates. */
+const HEARTBEAT_MS = 500
+/** Updates that a follower may leave unread before it is cut off. */
+const MAX_UNREAD_BYTES = 256 * 1024
+
+/** The interface that peers call: it tells them what the owned engines hold, and loads adapters for them. */
+export class LinkServer {
+  private readonly server = new Server()
+  private readonly followers = new Map<Follower, InstanceId>()
+  private readonly changed = new Map<string, EngineNews>()
+  private readonly dropped = new Set<string>()
+  private timer: NodeJS.Timeout | undefined
+  private heartbeat: NodeJS.Timeout | undefined
+
+  constructor(
+    private readonly handlers: LinkHandlers,
+    private readonly log: Log,
+  ) {
+    this.server.addService(FleetService, this.createService())
+  }
+
+  /** Starts listening on `host:port`. */
+  async start(address: string): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.bindAsync(address, ServerCredentials.createInsecure(), (error) => {
+        if (error) reject(error)
+        else resolve()
+      })
+    })
+    this.heartbeat = setInterval(() => {
+      this.flush()
+    }, HEARTBEAT_MS)
+  }
+
+  /** Tells the followers what an engine holds now. */
+  publish(news: EngineNews): void {
+    this.dropped.delete(news.endpoint)
+    this.changed.set(news.endpoint, news)
+    this.schedule()
+  }
+
+  /** Tells the followers that an engine isn't owned here any more. */
+  publishDropped(endpoint: string): void {
+    this.changed.delete(endpoint)
+    this.dropped.add(endpoint)
+    this.schedule()
+  }
+
+  /** Stops listening and ends all connections. */
+  stop(): void {
+    clearInterval(this.heartbeat)
+    clearTimeout(this.timer)
+    this.server.forceShutdown()
+  }
+
+  private schedule(): void {
+    this.timer ??= setTimeout(() => {
+      this.flush()
+    }, GATHER_MS)
+  }
+
+  private flush(): void {
+    clearTimeout(this.timer)
+    this.timer = undefined
+    const update = this.buildUpdate([...this.changed.values()], [...this.dropped])
+    this.changed.clear()
+    this.dropped.clear()
+    for (const [follower, instance] of this.followers) this.send(follower, instance, update)
+  }
+
+  private send(follower: Follower, instance: InstanceId, update: OwnerUpdate): void {
+    if (follower.writableLength < MAX_UNREAD_BYTES) follower.write(update)
+    else {
+      this.log.warn({ peer: instance }, "follower doesn't read, cut off")
+      this.followers.delete(follower)
+      follower.destroy()
+    }
+  }
+
+  private buildUpdate(news: readonly EngineNews[], dropped: readonly string[]): OwnerUpdate {
+    return {
+      configurationVersion: this.handlers.getConfigurationVersion(),
+      engines: news.map(({ endpoint, models, adapters }) => ({
+        endpoint,
+        models: [...models],
+        adapters: adapters.map(({ adapter, version }) => ({ adapter, version })),
+      })),
+      dropped: [...dropped],
+    }
+  }
+
+  private createService(): FleetServer & Record<string, UntypedHandleCall> {
+    return {
+      follow: (call: Follower) => {
+        this.addFollower(call)
+      },
+      load: (call: ServerUnaryCall<LoadRequest, LoadReply>, done: sendUnaryData<LoadReply>) => {
+        this.handlers.load(call.request).then(
+          (outcome) => {
+            done(null, formatOutcome(outcome))
+          },
+          (error: unknown) => {
+            done({ code: status.INTERNAL, details: describeError(error) })
+          },
+        )
+      },
+      fetchCatalogue: (
+        _call: ServerUnaryCall<CatalogueRequest, CatalogueReply>,
+        done: sendUnaryData<CatalogueReply>,
+      ) => {
+        done(null, { items: this.handlers.listItems().map((item) => ({ ...item })) })
+      },
+    }
+  }
+
+  private addFollower(call: Follower): void {
+    this.followers.set(call, "unknown")
+    call.on("data", (update: FollowerUpdate) => {
+      this.followers.set(call, update.instance)
+      this.handlers.onUpdate(update)
+    })
+    const remove = () => this.followers.delete(call)
+    call.on("error", remove)
+    call.on("cancelled", remove)
+    call.on("end", () => {
+      remove()
+      call.end()
+    })
+    call.write(this.buildUpdate(this.handlers.listNews(), []))
+  }
+}
+
+function formatOutcome(outcome: LoadOutcome): LoadReply {
+  switch (outcome.kind) {
+    case "held":
+      return { isHeld: true, version: outcome.version, reason: "" }
+    case "refused":
+      return { isHeld: false, version: 0, reason: outcome.reason }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -0,0 +1,429 @@
+import {
+  type AdapterName,
+  type AdapterVersion,
+  type Clock,
+  type EngineControl,
+  type EngineLimits,
+  type EngineOrder,
+  type HeldAdapter,
+  type InstanceId,
+  type Millis,
+  type OrderAnswer,
+  type Registration,
+  waitFor,
+} from "@galenaway/core"
+import type { Log, Metrics } from "@galenaway/observe"
+import { AdapterPlaces, type LoadStep } from "@galenaway/policy"
+import type { VersionTable } from "@galenaway/routing"
+import { LoadQueue, type WantedLoad } from "./load-queue.js"
+
+/** What an engine's keeper needs. */
+export interface KeeperParts {
+  readonly self: InstanceId
+  readonly control: EngineControl
+  readonly versions: VersionTable
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: Metrics
+  readonly orderTimeoutMs: Millis
+  /** Returns the fencing token for an order now, or undefined when none may be given. */
+  getToken(): number | undefined
+  /** Called when what the engine holds has changed. */
+  onChange(): void
+}
+
+/** What became of a request to load an adapter. */
+export type LoadOutcome =
+  | { readonly kind: "held"; readonly version: AdapterVersion }
+  | { readonly kind: "refused"; readonly reason: string }
+
+const MAX_ARRIVING = 4
+/** A report shows an order at the latest after this time. */
+const REPORT_LAG_MS = 450
+const REPORT_TIMEOUT_MS = 600
+const IDLE_MS = 200
+const NO_TOKEN_MS = 30
+const FIRST_POLL_MS = 255
+/** An engine's own copy of an adapter loads in about a tenth of the time. */
+const COPY_POLL_MS = 27
+const NEXT_POLL_MS = 15
+const MODEL_POLL_MS = 250
+const WAIT_STEP_MS = 20
+const LEAVING_POLL_MS = 150
+const COPIES_KEPT = 60
+const ADAPTER_SEPARATOR = "/"
+
+/**
+ * Gives one engine its orders, one at a time: the base model first, then
+ * adapters as they are asked for. Every order names the count of orders that
+ * the engine must have accepted before, so one that is carried out late can't
+ * come between later ones.
+ */
+export class EngineKeeper {
+  private readonly places: AdapterPlaces
+  private readonly queue: LoadQueue
+  private readonly abort = new AbortController()
+  private readonly copies = new Set<AdapterName>()
+  private readonly nextPolls = new Map<AdapterName, Millis>()
+  private isSynced = false
+  private lastOrderAt: Millis
+  private modelOrderedAt: Millis | undefined
+  private wake: () => void = () => undefined
+
+  constructor(
+    private readonly engine: Registration,
+    private readonly limits: EngineLimits,
+    private readonly model: string,
+    private readonly parts: KeeperParts,
+  ) {
+    this.places = new AdapterPlaces(limits.adapterSlots, MAX_ARRIVING)
+    this.queue = new LoadQueue(parts.clock)
+    this.lastOrderAt = parts.clock.now()
+  }
+
+  /** The engine's process that this keeper knows. */
+  get startedAt(): number | undefined {
+    return this.engine.startedAt
+  }
+
+  /** Starts giving orders; runs until it is stopped. */
+  start(): void {
+    void this.run()
+  }
+
+  /** Stops giving orders and refuses what waits. */
+  stop(reason: string): void {
+    this.abort.abort()
+    this.queue.refuseAll(reason)
+    this.wake()
+  }
+
+  /** Loads an adapter; resolves when it is there, or when the wait is over. */
+  load(
+    adapter: AdapterName,
+    version: AdapterVersion | undefined,
+    waitMs: Millis,
+    wasMissing: boolean,
+  ): Promise<LoadOutcome> {
+    if (this.abort.signal.aborted) return Promise.resolve({ kind: "refused", reason: "not owned" })
+    if (wasMissing) this.onMissing(adapter)
+    const outcome = this.queue.add(adapter, version, waitMs)
+    this.wake()
+    return outcome
+  }
+
+  /** Notes whether an instance has requests that use an adapter. */
+  onUse(adapter: AdapterName, holder: InstanceId, inFlight: number): void {
+    this.places.onUse(adapter, holder, inFlight, this.parts.clock.now())
+  }
+
+  /** Forgets the requests of an instance that is gone. */
+  removeHolder(holder: InstanceId): void {
+    this.places.removeHolder(holder)
+  }
+
+  /** Lists the adapters that requests may use. */
+  listHeld(): readonly HeldAdapter[] {
+    return this.isSynced ? this.places.listHeld() : []
+  }
+
+  /** Lists the base models that requests may use. */
+  listModels(): readonly string[] {
+    return this.isSynced ? this.places.listModels() : []
+  }
+
+  /** Whether the engine's state has been read and its model is there. */
+  get isReady(): boolean {
+    return this.isSynced && this.places.hasModel(this.model)
+  }
+
+  /** A request was turned away for an adapter that the table has: the table is wrong. */
+  private onMissing(adapter: AdapterName): void {
+    const isHeld = this.places.listHeld().some((held) => held.adapter === adapter)
+    if (isHeld) this.loseSync(`${adapter} is missing`)
+  }
+
+  private async run(): Promise<void> {
+    while (!this.abort.signal.aborted) {
+      const delay = await this.step()
+      if (delay > 0) await this.waitForWake(delay)
+    }
+  }
+
+  private async waitForWake(ms: Millis): Promise<void> {
+    const woken = new AbortController()
+    this.wake = () => {
+      woken.abort()
+    }
+    if (this.queue.hasNews) return
+    await waitFor(ms, woken.signal)
+  }
+
+  /** Takes the next step; returns how long to wait before the one after. */
+  private async step(): Promise<Millis> {
+    this.queue.dropExpired()
+    this.queue.hasNews = false
+    if (this.parts.getToken() === undefined) return NO_TOKEN_MS
+    if (!this.isSynced) return this.sync()
+    if (!this.places.hasModel(this.model)) return this.loadModel()
+    this.wantNewVersions()
+    const [leaving] = this.places.listLeaving()
+    if (leaving !== undefined && this.isDue(leaving)) return this.unload(leaving)
+    return this.serveQueue()
+  }
+
+  private async sync(): Promise<Millis> {
+    const { clock, control, log } = this.parts
+    const wait = this.lastOrderAt + REPORT_LAG_MS - clock.now()
+    if (wait > 0) return wait
+    try {
+      const state = await control.readState(this.engine, REPORT_TIMEOUT_MS)
+      this.places.applyState(state, clock.now())
+      this.isSynced = true
+      for (const { adapter } of state.adapters) this.copies.add(adapter)
+      log.info(
+        {
+          endpoint: this.engine.id,
+          sequence: state.sequence,
+          adapters: state.adapters.length,
+          arriving: state.arriving.length,
+          models: state.models.length,
+        },
+        "engine state read",
+      )
+      this.parts.onChange()
+      return 0
+    } catch (error) {
+      log.warn({ endpoint: this.engine.id, err: error }, "engine state not read")
+      return IDLE_MS
+    }
+  }
+
+  private async loadModel(): Promise<Millis> {
+    const { clock, log } = this.parts
+    const order = { action: "load", model: this.model } as const
+    const answer = await this.send(order, false)
+    const isFirst = this.modelOrderedAt === undefined
+    this.modelOrderedAt ??= clock.now()
+    switch (answer) {
+      case "accepted":
+        if (isFirst) this.places.advance()
+        log.info({ endpoint: this.engine.id, model: this.model, isFirst }, "base model ordered")
+        return MODEL_POLL_MS
+      case "already-done":
+        this.places.addModel(this.model)
+        log.info(
+          { endpoint: this.engine.id, model: this.model, ms: clock.now() - this.modelOrderedAt },
+          "base model there",
+        )
+        this.modelOrderedAt = undefined
+        this.loseSync("base model loaded")
+        return 0
+      default:
+        return MODEL_POLL_MS
+    }
+  }
+
+  /** Asks for the newest version of each adapter that is held in an older one. */
+  private wantNewVersions(): void {
+    for (const { adapter, version } of this.places.listHeld()) {
+      const newest = this.parts.versions.getNewest(adapter)
+      if (newest !== undefined && version < newest) this.queue.want(adapter, newest)
+    }
+  }
+
+  private async serveQueue(): Promise<Millis> {
+    const now = this.parts.clock.now()
+    let delay = IDLE_MS
+    for (const wanted of this.queue.list()) {
+      const version = this.getWantedVersion(wanted)
+      const step = this.places.planLoad(wanted.adapter, version, now)
+      const due = this.computeDue(wanted, step, now)
+      if (due > now) {
+        delay = Math.min(delay, due - now)
+        continue
+      }
+      await this.takeStep(wanted, version, step)
+      return 0
+    }
+    return delay
+  }
+
+  private getWantedVersion({ adapter, version }: WantedLoad): AdapterVersion | undefined {
+    const newest = this.parts.versions.getNewest(adapter)
+    return newest === undefined ? version : Math.max(newest, version ?? 0)
+  }
+
+  /** Returns when a step may be taken. */
+  private computeDue({ adapter }: WantedLoad, step: LoadStep, now: Millis): Millis {
+    switch (step.kind) {
+      case "held":
+      case "load":
+      case "evict":
+        return now
+      case "arriving":
+        return this.nextPolls.get(adapter) ?? now
+      case "wait":
+        return now + WAIT_STEP_MS
+    }
+  }
+
+  private async takeStep(
+    { adapter }: WantedLoad,
+    version: AdapterVersion | undefined,
+    step: LoadStep,
+  ): Promise<void> {
+    switch (step.kind) {
+      case "held":
+        this.queue.resolve(adapter, step.version)
+        return
+      case "load":
+        return this.order(adapter, version)
+      case "arriving":
+        return this.poll(adapter, step.version, step.orderedAt)
+      case "evict":
+        await this.unload(step.victim)
+        return
+      case "wait":
+        return
+    }
+  }
+
+  private async order(adapter: AdapterName, version: AdapterVersion | undefined): Promise<void> {
+    const { clock, log, metrics } = this.parts
+    const hadHeld = this.listHeld().some((held) => held.adapter === adapter)
+    const answer = await this.send(this.buildLoad(adapter, version), true)
+    const now = clock.now()
+    log.debug({ endpoint: this.engine.id, adapter, version, answer }, "adapter load ordered")
+    switch (answer) {
+      case "accepted":
+        metrics.count("loads")
+        this.places.onLoadAccepted(adapter, version, now)
+        this.nextPolls.set(adapter, now + (this.copies.has(adapter) ? COPY_POLL_MS : FIRST_POLL_MS))
+        if (hadHeld) this.parts.onChange()
+        return
+      case "already-done":
+        this.places.onHeld(adapter, version)
+        this.onArrived(adapter)
+        return
+      case "refused":
+        this.queue.refuse(adapter, "the engine refused the load")
+        return
+      default:
+        return
+    }
+  }
+
+  /** Asks whether an adapter has arrived: the order to load it is then already done. */
+  private async poll(
+    adapter: AdapterName,
+    version: AdapterVersion | undefined,
+    orderedAt: Millis,
+  ): Promise<void> {
+    const { clock, metrics } = this.parts
+    const answer = await this.send(this.buildLoad(adapter, version), false)
+    const now = clock.now()
+    if (answer === "already-done") {
+      this.places.onArrived(adapter)
+      metrics.time("load", now - orderedAt)
+      this.onArrived(adapter)
+      return
+    }
+    const isEarly = now - orderedAt < FIRST_POLL_MS
+    const next = isEarly ? Math.max(now + NEXT_POLL_MS, orderedAt + FIRST_POLL_MS) : now + NEXT_POLL_MS
+    this.nextPolls.set(adapter, next)
+  }
+
+  private onArrived(adapter: AdapterName): void {
+    this.places.onUse(adapter, this.parts.self, 0, this.parts.clock.now())
+    this.nextPolls.delete(adapter)
+    this.rememberCopy(adapter)
+    this.parts.onChange()
+  }
+
+  private async unload(adapter: AdapterName): Promise<Millis> {
+    const { clock, log, metrics } = this.parts
+    const answer = await this.send({ action: "unload", ...splitAdapter(adapter) }, false)
+    log.debug({ endpoint: this.engine.id, adapter, answer }, "adapter unload ordered")
+    switch (answer) {
+      case "already-done":
+        metrics.count("evictions")
+        this.places.onUnloaded(adapter)
+        break
+      case "accepted":
+        this.places.onUnloadAccepted(adapter, clock.now())
+        this.nextPolls.set(adapter, clock.now() + LEAVING_POLL_MS)
+        break
+      default:
+        return 0
+    }
+    this.parts.onChange()
+    return 0
+  }
+
+  private isDue(adapter: AdapterName): boolean {
+    return (this.nextPolls.get(adapter) ?? 0) <= this.parts.clock.now()
+  }
+
+  private buildLoad(adapter: AdapterName, version: AdapterVersion | undefined) {
+    return {
+      action: "load",
+      ...splitAdapter(adapter),
+      ...(version !== undefined && version > 0 ? { version } : {}),
+    } as const
+  }
+
+  /** Sends an order under the token that holds now. */
+  private async send(
+    order: Pick<EngineOrder, "action" | "model" | "adapter" | "version">,
+    takesSlot: boolean,
+  ): Promise<OrderAnswer> {
+    const { control, self, orderTimeoutMs, clock } = this.parts
+    const fencingToken = this.parts.getToken()
+    if (fencingToken === undefined) return "unresolved"
+    const expectedSequence = this.places.sequence
+    const full = { ...order, expectedSequence, holder: self, fencingToken }
+    const answer = await control.order(this.engine, full, orderTimeoutMs)
+    this.lastOrderAt = clock.now()
+    this.handleAnswer(answer, takesSlot)
+    return answer
+  }
+
+  private handleAnswer(answer: OrderAnswer, takesSlot: boolean): void {
+    switch (answer) {
+      case "accepted":
+      case "already-done":
+      case "refused":
+        return
+      case "unresolved":
+        this.places.onUnresolved(takesSlot, this.parts.clock.now())
+        this.loseSync("an order got no answer")
+        return
+      case "conflict":
+      case "fenced":
+      case "wrong-endpoint":
+        this.loseSync(`an order was answered with ${answer}`)
+        return
+    }
+  }
+
+  private loseSync(reason: string): void {
+    if (!this.isSynced) return
+    this.isSynced = false
+    this.lastOrderAt = this.parts.clock.now()
+    this.parts.log.info({ endpoint: this.engine.id, reason }, "engine state will be read again")
+  }
+
+  private rememberCopy(adapter: AdapterName): void {
+    this.copies.delete(adapter)
+    this.copies.add(adapter)
+    const [oldest] = this.copies
+    if (this.copies.size > COPIES_KEPT && oldest !== undefined) this.copies.delete(oldest)
+  }
+}
+
+/** Splits `base/adapter` into its two names. */
+function splitAdapter(name: AdapterName): { model: string; adapter: string } {
+  const at = name.indexOf(ADAPTER_SEPARATOR)
+  return { model: name.slice(0, at), adapter: name.slice(at + 1) }
+}
--- /dev/null
+++ b/packages/entry/src/owner/index.ts
@@ -0,0 +1,3 @@
+export * from "./engine-keeper.js"
+export * from "./load-queue.js"
+export * from "./owner.js"
--- /dev/null
+++ b/packages/entry/src/probe-server.ts
@@ -0,0 +1,36 @@
+import { createServer, type Server } from "node:http"
+import { App } from "@tinyhttp/app"
+import { parseAddress } from "./server.js"
+
+/** What the balancer and the collector of metrics ask for. */
+export interface ProbeSource {
+  isReady(): boolean
+  formatMetrics(): string
+}
+
+/** Starts a server on each address: `/-/ready` with 200 or 503, and `/metrics` as text. */
+export async function startProbeServers(
+  addresses: readonly string[],
+  source: ProbeSource,
+): Promise<readonly Server[]> {
+  return Promise.all([...new Set(addresses)].map((address) => startServer(address, source)))
+}
+
+function startServer(address: string, source: ProbeSource): Promise<Server> {
+  const app = new App()
+  app.get("/-/ready", (_request, response) => {
+    response.status(source.isReady() ? 200 : 503).end()
+  })
+  app.get("/metrics", (_request, response) => {
+    response.setHeader("Content-Type", "text/plain; version=0.0.4")
+    response.end(source.formatMetrics())
+  })
+  const server = createServer().on("request", app.attach)
+  const { host, port } = parseAddress(address)
+  return new Promise((resolve, reject) => {
+    server.once("error", reject)
+    server.listen(port, host, () => {
+      resolve(server)
+    })
+  })
+}
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -17,3 +17,4 @@
   setPolicy,
 } from "./tables.js"
 export * from "./view.js"
+export * from "./places.js"
--- /dev/null
+++ b/packages/policy/src/places.ts
@@ -0,0 +1,245 @@
+import type {
+  AdapterName,
+  AdapterVersion,
+  EngineState,
+  HeldAdapter,
+  InstanceId,
+  Millis,
+} from "@galenaway/core"
+
+/** The state of one adapter slot of an engine. */
+type Place =
+  | { readonly kind: "held"; readonly version: AdapterVersion }
+  /** Ordered and not yet there. `replaces` while an older version holds a slot of its own. */
+  | {
+      readonly kind: "arriving"
+      readonly version: AdapterVersion | undefined
+      readonly orderedAt: Millis
+      readonly replaces: AdapterVersion | undefined
+    }
+  /** Told to go; it stays until its requests have ended. */
+  | { readonly kind: "leaving"; readonly version: AdapterVersion; readonly orderedAt: Millis }
+
+/** An order without an answer: it may still be carried out while the engine's count of orders is the expected one. */
+interface UnresolvedOrder {
+  readonly expectedSequence: number
+  readonly takesSlot: boolean
+  readonly until: Millis
+}
+
+interface Use {
+  lastUsed: Millis
+  /** Instances with requests that use the adapter. */
+  readonly holders: Set<InstanceId>
+}
+
+/** What an owner should do so that an engine holds an adapter. */
+export type LoadStep =
+  | { readonly kind: "held"; readonly version: AdapterVersion }
+  | {
+      readonly kind: "arriving"
+      readonly orderedAt: Millis
+      readonly version: AdapterVersion | undefined
+    }
+  | { readonly kind: "load" }
+  | { readonly kind: "evict"; readonly victim: AdapterName }
+  /** Every slot is taken by adapters that are in use, or on their way. */
+  | { readonly kind: "wait" }
+
+/** Longest time after which an engine may still carry out an order that it left unanswered. */
+const UNRESOLVED_MS = 13_000
+/** An adapter used within this time may have requests on their way. */
+const RECENT_USE_MS = 700
+const UNKNOWN_VERSION = 0
+
+/**
+ * An owner's table of one engine's adapter slots. It never plans an order that
+ * could take more slots than there are, whichever of the orders before are
+ * carried out.
+ */
+export class AdapterPlaces {
+  private readonly places = new Map<AdapterName, Place>()
+  private readonly uses = new Map<AdapterName, Use>()
+  private unresolved: UnresolvedOrder[] = []
+  private models = new Set<string>()
+  private count = 0
+  private started: number | undefined
+
+  constructor(
+    private readonly slots: number,
+    private readonly maxArriving: number,
+  ) {}
+
+  /** Orders that the engine has accepted, as far as is known. */
+  get sequence(): number {
+    return this.count
+  }
+
+  /** Start of the engine's process, as it told. */
+  get startedAt(): number | undefined {
+    return this.started
+  }
+
+  /** Takes what the engine reports, read after all orders before were answered or given up. */
+  applyState(state: EngineState, now: Millis): void {
+    this.models = new Set(state.models)
+    this.count = state.sequence
+    this.started = state.startedAt
+    const before = new Map(this.places)
+    this.places.clear()
+    for (const { adapter, version } of state.adapters)
+      this.places.set(adapter, { kind: "held", version })
+    for (const { adapter, version } of state.arriving) {
+      const held = this.places.get(adapter)
+      const known = before.get(adapter)
+      const orderedAt = known?.kind === "arriving" ? known.orderedAt : now
+      const replaces = held?.kind === "held" ? held.version : undefined
+      this.places.set(adapter, { kind: "arriving", version, orderedAt, replaces })
+    }
+  }
+
+  /** Tells whether the engine holds a base model. */
+  hasModel(model: string): boolean {
+    return this.models.has(model)
+  }
+
+  /** Notes that a base model is there. */
+  addModel(model: string): void {
+    this.models.add(model)
+  }
+
+  /** Plans the next step so that the engine holds an adapter, in at least the wanted version. */
+  planLoad(
+    adapter: AdapterName,
+    wanted: AdapterVersion | undefined,
+    now: Millis,
+  ): LoadStep {
+    const place = this.places.get(adapter)
+    if (place?.kind === "held" && (wanted === undefined || place.version >= wanted))
+      return { kind: "held", version: place.version }
+    if (place?.kind === "arriving")
+      return { kind: "arriving", orderedAt: place.orderedAt, version: place.version }
+    if (place?.kind === "leaving" || this.countArriving() >= this.maxArriving)
+      return { kind: "wait" }
+    if (this.countTaken(now) < this.slots) return { kind: "load" }
+    const victim = this.chooseVictim(adapter, now)
+    return victim === undefined ? { kind: "wait" } : { kind: "evict", victim }
+  }
+
+  /** Notes that the engine accepted a load. */
+  onLoadAccepted(adapter: AdapterName, version: AdapterVersion | undefined, now: Millis): void {
+    const place = this.places.get(adapter)
+    const replaces = place?.kind === "held" ? place.version : undefined
+    this.places.set(adapter, { kind: "arriving", version, orderedAt: now, replaces })
+    this.advance()
+  }
+
+  /** Notes that an adapter has arrived. */
+  onArrived(adapter: AdapterName): void {
+    const place = this.places.get(adapter)
+    if (place?.kind !== "arriving") return
+    this.places.set(adapter, { kind: "held", version: place.version ?? UNKNOWN_VERSION })
+  }
+
+  /** Notes that the engine holds an adapter already. */
+  onHeld(adapter: AdapterName, version: AdapterVersion | undefined): void {
+    this.places.set(adapter, { kind: "held", version: version ?? UNKNOWN_VERSION })
+  }
+
+  /** Notes that an adapter's unload was carried out at once. */
+  onUnloaded(adapter: AdapterName): void {
+    this.places.delete(adapter)
+    this.uses.delete(adapter)
+    this.advance()
+  }
+
+  /** Notes that an unload waits for requests that use the adapter. */
+  onUnloadAccepted(adapter: AdapterName, now: Millis): void {
+    const place = this.places.get(adapter)
+    const version = place?.kind === "held" ? place.version : UNKNOWN_VERSION
+    this.places.set(adapter, { kind: "leaving", version, orderedAt: now })
+    this.advance()
+  }
+
+  /** Notes an order that got no answer. */
+  onUnresolved(takesSlot: boolean, now: Millis): void {
+    const until = now + UNRESOLVED_MS
+    this.unresolved.push({ expectedSequence: this.count, takesSlot, until })
+  }
+
+  /** Notes that the engine accepted an order that concerns no adapter. */
+  advance(): void {
+    this.count++
+    this.unresolved = this.unresolved.filter(({ expectedSequence }) => expectedSequence >= this.count)
+  }
+
+  /** Notes whether an instance has requests that use an adapter. */
+  onUse(adapter: AdapterName, holder: InstanceId, inFlight: number, now: Millis): void {
+    const use = this.uses.get(adapter) ?? { lastUsed: now, holders: new Set() }
+    use.lastUsed = now
+    if (inFlight > 0) use.holders.add(holder)
+    else use.holders.delete(holder)
+    this.uses.set(adapter, use)
+  }
+
+  /** Forgets the requests of an instance that is gone. */
+  removeHolder(holder: InstanceId): void {
+    for (const { holders } of this.uses.values()) holders.delete(holder)
+  }
+
+  /** Lists what the engine holds and may be sent requests for. */
+  listHeld(): readonly HeldAdapter[] {
+    return [...this.places].flatMap(([adapter, place]) =>
+      place.kind === "held" ? [{ adapter, version: place.version }] : [],
+    )
+  }
+
+  /** Lists adapters that are on their way. */
+  listArriving(): readonly AdapterName[] {
+    return [...this.places].flatMap(([adapter, { kind }]) => (kind === "arriving" ? [adapter] : []))
+  }
+
+  /** Lists adapters whose unload waits for requests. */
+  listLeaving(): readonly AdapterName[] {
+    return [...this.places].flatMap(([adapter, { kind }]) => (kind === "leaving" ? [adapter] : []))
+  }
+
+  /** Lists the base models that the engine holds. */
+  listModels(): readonly string[] {
+    return [...this.models]
+  }
+
+  /** Tells whether an order without an answer may still be carried out. */
+  hasUnresolved(now: Millis): boolean {
+    return this.unresolved.some(({ until }) => until > now)
+  }
+
+  /** Counts the slots that are taken, whichever unresolved orders are carried out. */
+  countTaken(now: Millis): number {
+    this.unresolved = this.unresolved.filter(({ until }) => until > now)
+    const pending = this.unresolved.filter(({ takesSlot }) => takesSlot).length
+    let taken = pending
+    for (const place of this.places.values())
+      taken += place.kind === "arriving" && place.replaces !== undefined ? 2 : 1
+    return taken
+  }
+
+  private countArriving(): number {
+    return this.listArriving().length
+  }
+
+  /** Chooses the adapter that was used least recently and isn't in use. */
+  private chooseVictim(wanted: AdapterName, now: Millis): AdapterName | undefined {
+    let victim: AdapterName | undefined
+    let oldest = now - RECENT_USE_MS
+    for (const [adapter, place] of this.places) {
+      if (place.kind !== "held" || adapter === wanted) continue
+      const use = this.uses.get(adapter)
+      const lastUsed = use?.lastUsed ?? -Infinity
+      if ((use?.holders.size ?? 0) > 0 || lastUsed > oldest) continue
+      oldest = lastUsed
+      victim = adapter
+    }
+    return victim
+  }
+}
--- /dev/null
+++ b/packages/routing/src/health.ts
@@ -0,0 +1,183 @@
+import type { EndpointId, Millis, ToldLoad } from "@galenaway/core"
+
+/** How a request at an endpoint went, as far as it tells of the endpoint. */
+export type EndpointOutcome =
+  /** A whole answer of the endpoint's own, also an error that the application gave. */
+  | "answered"
+  /** A server error of the endpoint's own. */
+  | "error"
+  /** The endpoint was full. */
+  | "full"
+  /** No connection, a broken one, or an answer that can't be right. */
+  | "broken"
+  /** No answer in time. */
+  | "silent"
+
+interface Row {
+  inFlight: number
+  told: (ToldLoad & { readonly at: Millis }) | undefined
+  /** Share of recent requests that went wrong, 0 to 1. */
+  failing: number
+  consecutive: number
+  backoffMs: Millis
+  excludedUntil: Millis
+  /** Whether a trial request is under way. */
+  isOnTrial: boolean
+  /** Prompt work sent and not yet done, in ms of the endpoint's time, as of `backlogAt`. */
+  backlogMs: Millis
+  backlogAt: Millis
+  slowness: number
+}
+
+const MEMORY = 0.15
+const ERROR_WEIGHT = 0.6
+const CONSECUTIVE_LIMIT = 3
+const FAILING_LIMIT = 0.5
+const FIRST_BACKOFF_MS = 600
+const MAX_BACKOFF_MS = 4000
+const TOLD_LIFETIME_MS = 1000
+const SLOWNESS_MEMORY = 0.1
+const MAX_SLOWNESS = 10
+
+/** What one instance has seen of each endpoint: its load, its failures, and whether it may have requests. */
+export class EndpointHealth {
+  private readonly rows = new Map<EndpointId, Row>()
+
+  /** Counts a request that is sent. `workMs` estimates the endpoint's time until the first token. */
+  onSend(endpoint: EndpointId, workMs: Millis, now: Millis): void {
+    const row = this.getRow(endpoint)
+    row.inFlight++
+    if (row.excludedUntil > 0) row.isOnTrial = true
+    row.backlogMs = computeBacklog(row, now) + workMs
+    row.backlogAt = now
+  }
+
+  /** Counts a request that ended; without an outcome it tells nothing of the endpoint. */
+  onEnd(endpoint: EndpointId, outcome: EndpointOutcome | undefined, now: Millis): void {
+    const row = this.getRow(endpoint)
+    row.inFlight = Math.max(0, row.inFlight - 1)
+    if (outcome === undefined) row.isOnTrial = false
+    else recordOutcome(row, outcome, now)
+  }
+
+  /** Takes the load that an endpoint told. */
+  onLoad(endpoint: EndpointId, load: ToldLoad, now: Millis): void {
+    this.getRow(endpoint).told = { ...load, at: now }
+  }
+
+  /** Takes the time to the first byte against the time that was expected. */
+  onFirstByte(endpoint: EndpointId, actualMs: Millis, expectedMs: Millis): void {
+    const row = this.getRow(endpoint)
+    const ratio = Math.min(MAX_SLOWNESS, actualMs / Math.max(1, expectedMs))
+    row.slowness += SLOWNESS_MEMORY * (ratio - row.slowness)
+  }
+
+  /** Tells whether an endpoint may have requests; one that failed gets a single trial request after its backoff. */
+  isUsable(endpoint: EndpointId, now: Millis): boolean {
+    const row = this.rows.get(endpoint)
+    if (!row || row.excludedUntil === 0) return true
+    return now >= row.excludedUntil && !row.isOnTrial
+  }
+
+  /** Returns the requests at an endpoint as far as they are known here. */
+  countRunning(endpoint: EndpointId, now: Millis): number {
+    const row = this.rows.get(endpoint)
+    if (!row) return 0
+    const isFresh = row.told && now - row.told.at < TOLD_LIFETIME_MS
+    return Math.max(row.inFlight, isFresh && row.told ? row.told.running + row.told.waiting : 0)
+  }
+
+  /** Requests of this instance at an endpoint. */
+  countOwn(endpoint: EndpointId): number {
+    return this.rows.get(endpoint)?.inFlight ?? 0
+  }
+
+  /** Returns the prompt work that this instance has sent and that isn't done yet, in ms. */
+  getBacklog(endpoint: EndpointId, now: Millis): Millis {
+    const row = this.rows.get(endpoint)
+    return row ? computeBacklog(row, now) : 0
+  }
+
+  /** Returns the share of recent requests that went wrong. */
+  getFailing(endpoint: EndpointId): number {
+    return this.rows.get(endpoint)?.failing ?? 0
+  }
+
+  /** Returns how many times as long as expected an endpoint takes. */
+  getSlowness(endpoint: EndpointId): number {
+    return this.rows.get(endpoint)?.slowness ?? 1
+  }
+
+  /** Forgets endpoints that are gone. */
+  keepOnly(listed: ReadonlySet<EndpointId>): void {
+    for (const [id, row] of this.rows) if (!listed.has(id) && row.inFlight === 0) this.rows.delete(id)
+  }
+
+  /** Forgets what was known of an endpoint that has started anew. */
+  reset(endpoint: EndpointId): void {
+    const inFlight = this.countOwn(endpoint)
+    this.rows.set(endpoint, { ...createRow(), inFlight })
+  }
+
+  private getRow(endpoint: EndpointId): Row {
+    let row = this.rows.get(endpoint)
+    if (!row) {
+      row = createRow()
+      this.rows.set(endpoint, row)
+    }
+    return row
+  }
+}
+
+function createRow(): Row {
+  return {
+    inFlight: 0,
+    told: undefined,
+    failing: 0,
+    consecutive: 0,
+    backoffMs: FIRST_BACKOFF_MS,
+    excludedUntil: 0,
+    isOnTrial: false,
+    backlogMs: 0,
+    backlogAt: 0,
+    slowness: 1,
+  }
+}
+
+function computeBacklog(row: Row, now: Millis): Millis {
+  return Math.max(0, row.backlogMs - (now - row.backlogAt))
+}
+
+function recordOutcome(row: Row, outcome: EndpointOutcome, now: Millis): void {
+  const weight = weighOutcome(outcome)
+  row.failing += MEMORY * (weight - row.failing)
+  row.isOnTrial = false
+  if (weight < 1) {
+    if (outcome === "answered") restore(row)
+    return
+  }
+  row.consecutive++
+  if (row.consecutive < CONSECUTIVE_LIMIT && row.failing < FAILING_LIMIT) return
+  const isFirst = row.excludedUntil === 0
+  row.backoffMs = isFirst ? FIRST_BACKOFF_MS : Math.min(MAX_BACKOFF_MS, 2 * row.backoffMs)
+  row.excludedUntil = now + row.backoffMs
+}
+
+function weighOutcome(outcome: EndpointOutcome): number {
+  switch (outcome) {
+    case "answered":
+    case "full":
+      return 0
+    case "error":
+      return ERROR_WEIGHT
+    case "broken":
+    case "silent":
+      return 1
+  }
+}
+
+function restore(row: Row): void {
+  row.consecutive = 0
+  row.excludedUntil = 0
+  row.backoffMs = FIRST_BACKOFF_MS
+}
--- /dev/null
+++ b/packages/routing/src/residency.ts
@@ -0,0 +1,82 @@
+import type { AdapterName, AdapterVersion, EndpointId, HeldAdapter, Millis } from "@galenaway/core"
+
+/** Where knowledge of an engine's holdings comes from; an owner's word goes before a registration. */
+export type ResidencySource = "owner" | "registration"
+
+/** What one instance believes that an engine holds. */
+export interface EngineView {
+  readonly endpoint: EndpointId
+  readonly source: ResidencySource
+  readonly models: ReadonlySet<string>
+  readonly adapters: ReadonlyMap<AdapterName, AdapterVersion>
+  readonly updatedAt: Millis
+}
+
+/** Owners' news older than this gives way to a registration. */
+const OWNER_NEWS_LIFETIME_MS = 3000
+
+/** What one instance believes that each engine holds. */
+export class Residency {
+  private readonly views = new Map<EndpointId, EngineView>()
+
+  /** Takes what an owner or a registration says of an engine. */
+  update(
+    endpoint: EndpointId,
+    source: ResidencySource,
+    models: readonly string[],
+    adapters: readonly HeldAdapter[],
+    now: Millis,
+  ): void {
+    const known = this.views.get(endpoint)
+    const isNewsFresh =
+      known?.source === "owner" && now - known.updatedAt < OWNER_NEWS_LIFETIME_MS
+    if (source === "registration" && isNewsFresh) return
+    this.views.set(endpoint, {
+      endpoint,
+      source,
+      models: new Set(models),
+      adapters: new Map(adapters.map(({ adapter, version }) => [adapter, version])),
+      updatedAt: now,
+    })
+  }
+
+  /** Notes that an owner still vouches for what it told of an engine. */
+  confirm(endpoint: EndpointId, now: Millis): void {
+    const view = this.views.get(endpoint)
+    if (view?.source === "owner") this.views.set(endpoint, { ...view, updatedAt: now })
+  }
+
+  /** Notes that an engine holds an adapter. */
+  add(endpoint: EndpointId, adapter: AdapterName, version: AdapterVersion): void {
+    const view = this.views.get(endpoint)
+    if (!view) return
+    this.views.set(endpoint, {
+      ...view,
+      adapters: new Map(view.adapters).set(adapter, version),
+    })
+  }
+
+  /** Notes that an engine turned a request away because it doesn't hold the adapter. */
+  remove(endpoint: EndpointId, adapter: AdapterName): void {
+    const view = this.views.get(endpoint)
+    if (!view?.adapters.has(adapter)) return
+    const adapters = new Map(view.adapters)
+    adapters.delete(adapter)
+    this.views.set(endpoint, { ...view, adapters })
+  }
+
+  /** Returns what is believed of an engine. */
+  getView(endpoint: EndpointId): EngineView | undefined {
+    return this.views.get(endpoint)
+  }
+
+  /** Forgets engines that are gone. */
+  keepOnly(listed: ReadonlySet<EndpointId>): void {
+    for (const id of this.views.keys()) if (!listed.has(id)) this.views.delete(id)
+  }
+
+  /** Forgets what an engine held, since it has started anew. */
+  reset(endpoint: EndpointId): void {
+    this.views.delete(endpoint)
+  }
+}
--- /dev/null
+++ b/packages/routing/src/route-table.ts
@@ -0,0 +1,50 @@
+import type { Route, ServiceName, ServingConfiguration } from "@galenaway/core"
+
+type RoutesByPrefix = Map<string, Route>
+
+/** The routes of one configuration, found by host and longest path prefix. The time to find one grows with the path's depth, not with the number of routes. */
+export class RouteTable {
+  private readonly byHost = new Map<string, RoutesByPrefix>()
+
+  constructor(readonly configuration: ServingConfiguration) {
+    for (const route of configuration.routes) {
+      const routes = this.byHost.get(route.host) ?? new Map<string, Route>()
+      routes.set(route.pathPrefix, route)
+      this.byHost.set(route.host, routes)
+    }
+  }
+
+  /** Finds the route of a request. The host may carry a port, the target a query. */
+  findRoute(host: string, target: string): Route | undefined {
+    const routes = this.byHost.get(parseHostName(host))
+    if (!routes) return undefined
+    const path = parsePath(target)
+    for (let end = path.lastIndexOf("/"); end >= 0; end = path.lastIndexOf("/", end - 1)) {
+      const route = routes.get(path.slice(0, end + 1))
+      if (route) return route
+      if (end === 0) break
+    }
+    return undefined
+  }
+}
+
+/** Chooses a service of a route by its weight. `fraction` is evenly spread over 0 to 1. */
+export function chooseService(route: Route, fraction: number): ServiceName | undefined {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
+  let left = fraction * total
+  for (const { service, weight } of route.targets) {
+    if (weight > 0 && left < weight) return service
+    left -= weight
+  }
+  return route.targets.findLast(({ weight }) => weight > 0)?.service
+}
+
+function parseHostName(host: string): string {
+  const colon = host.indexOf(":")
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase()
+}
+
+function parsePath(target: string): string {
+  const end = target.search(/[?#]/)
+  return end < 0 ? target : target.slice(0, end)
+}
