Loads: exact count of orders, versions beside the old engine, uses told within 30 ms

Cause: an unload that waits for requests was counted as two orders, so later orders conflicted and the engine's state had to be read again (0.5 s without loads); a replacement of a version in use held up all other orders; slots counted as in use for 0.7 s, so cold loads waited for a slot.

--- a/packages/coordination/src/leased/claims.ts
+++ b/packages/coordination/src/leased/claims.ts
@@ -52,7 +52,8 @@
   if (self.isStopping) return []
   return planOwners(instances, endpoints, records).filter(
     ({ owner, before }) =>
-      owner.id === self.id && (before?.owner !== self.id || before.incarnation !== self.incarnation),
+      owner.id === self.id &&
+      (before?.owner !== self.id || before.incarnation !== self.incarnation),
   )
 }
 
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -18,7 +18,13 @@
   systemClock,
 } from "@galenaway/core"
 import { createLog, createMetrics, type Log, type MetricsRegistry } from "@galenaway/observe"
-import { EndpointHealth, Residency, RetryAllowance, VersionTable } from "@galenaway/routing"
+import {
+  EndpointHealth,
+  Popularity,
+  Residency,
+  RetryAllowance,
+  VersionTable,
+} from "@galenaway/routing"
 import { pino } from "pino"
 import {
   type CatalogueFormat,
@@ -70,6 +76,7 @@
 /** Part of the limit on older adapter versions that passes before they are avoided. */
 const VERSION_GRACE_SHARE = 0.5
 const MS_PER_S = 1000
+const POPULARITY_HALF_LIFE_MS = 5000
 
 /** Builds the container of one entry instance. Tests replace parts in a child of it. */
 export function createEntryContainer(
@@ -111,9 +118,14 @@
 
 function registerTables(parts: DependencyContainer, settings: EntrySettings): void {
   registerCached(parts, ENTRY_TOKENS.metrics, (c) => createMetrics(c.resolve(ENTRY_TOKENS.clock)))
-  registerCached(parts, VersionTable, () => new VersionTable(VERSION_GRACE_SHARE * settings.versionLimitMs))
+  registerCached(
+    parts,
+    VersionTable,
+    () => new VersionTable(VERSION_GRACE_SHARE * settings.versionLimitMs),
+  )
   registerCached(parts, EndpointHealth, () => new EndpointHealth())
   registerCached(parts, Residency, () => new Residency())
+  registerCached(parts, Popularity, () => new Popularity(POPULARITY_HALF_LIFE_MS))
   registerCached(parts, UseTable, () => new UseTable())
   registerCached(parts, EndpointPools, () => new EndpointPools())
   registerCached(
@@ -164,16 +176,11 @@
 }
 
 function registerFleet(parts: DependencyContainer, { store, control }: EntryPorts): void {
-  registerCached(
-    parts,
-    OrderAuthority,
-    (c) => new OrderAuthority(c.resolve(ENTRY_TOKENS.times)),
-  )
+  registerCached(parts, OrderAuthority, (c) => new OrderAuthority(c.resolve(ENTRY_TOKENS.times)))
   registerCached(
     parts,
     Membership,
-    (c) =>
-      new Membership(store, c.resolve(ENTRY_TOKENS.self), c.resolve(ENTRY_TOKENS.log)),
+    (c) => new Membership(store, c.resolve(ENTRY_TOKENS.self), c.resolve(ENTRY_TOKENS.log)),
   )
   registerCached(
     parts,
@@ -225,8 +232,8 @@
   const serving = c.resolve(Serving)
   return new LinkServer(
     {
-      load: ({ endpoint, adapter, version, waitMs, wasMissing }) =>
-        owner.load(endpoint, adapter, version > 0 ? version : undefined, waitMs, wasMissing),
+      load: ({ endpoint, adapter, version, ...ask }) =>
+        owner.load(endpoint, adapter, version > 0 ? version : undefined, ask),
       onUpdate: ({ instance, configurationVersion, uses }) => {
         c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, instance)
         for (const { endpoint, adapters } of uses)
@@ -302,6 +309,7 @@
     health,
     residency,
     versions,
+    popularity: c.resolve(Popularity),
     links,
     uses: c.resolve(UseTable),
     clock: c.resolve(ENTRY_TOKENS.clock),
@@ -314,6 +322,7 @@
       health,
       residency,
       versions,
+      popularity: c.resolve(Popularity),
       home: settings.dataCentre,
       canLoad: (endpoint) => links.canLoad(endpoint),
     }),
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -245,7 +245,13 @@
   ): void {
     const { authority, clock, log } = this.parts
     for (const { endpoint, owner, before } of claims) {
-      const record = { endpoint, owner: owner.id, incarnation: owner.incarnation, revision, isHandedOver }
+      const record = {
+        endpoint,
+        owner: owner.id,
+        incarnation: owner.incarnation,
+        revision,
+        isHandedOver,
+      }
       this.recordsById.set(endpoint, record)
       if (owner.id !== this.self.id) continue
       const canOrderAtOnce = before === undefined || before.owner === this.self.id
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -1,10 +1,4 @@
-import type {
-  AdapterVersion,
-  AnswerFacts,
-  Millis,
-  RawHeaders,
-  Registration,
-} from "@galenaway/core"
+import type { AdapterVersion, AnswerFacts, Millis, RawHeaders, Registration } from "@galenaway/core"
 import { type EndpointOutcome, estimatePromptMs } from "@galenaway/routing"
 import { type Call, isRepeatable, isStream } from "./call.js"
 import { Exchange } from "./exchange.js"
@@ -80,6 +74,8 @@
   private settle: (result: AttemptResult) => void = () => undefined
   private isSettled = false
   private outcome: EndpointOutcome | undefined
+  /** Time until the head of the answer, in ms. */
+  headMs: Millis | undefined
 
   constructor(
     private readonly parts: ForwardParts,
@@ -182,6 +178,7 @@
     const { id } = destination.endpoint
     if (facts.load) parts.health.onLoad(id, facts.load, now)
     this.status = status
+    this.headMs = Math.round(now - this.startedAt)
     const cause = this.findNotRunCause(facts)
     if (cause) {
       this.notRunCause = cause
@@ -213,9 +210,7 @@
     if (facts.hasEncodedBody) return false
     const isSuccess = status >= OK_STATUS && status < FIRST_ERROR_STATUS
     if (!facts.isSigned && (isSuccess || status >= SERVER_ERROR_STATUS)) return false
-    return facts.attempt === undefined
-      ? !isSuccess
-      : facts.attempt === this.call.facts.attempt
+    return facts.attempt === undefined ? !isSuccess : facts.attempt === this.call.facts.attempt
   }
 
   private onData(chunk: Buffer): void {
@@ -242,9 +237,7 @@
     }
     this.outcome = "broken"
     this.settle(
-      mayHaveLeft
-        ? { kind: "failed", cause: "broken" }
-        : { kind: "not-run", cause: "unreachable" },
+      mayHaveLeft ? { kind: "failed", cause: "broken" } : { kind: "not-run", cause: "unreachable" },
     )
   }
 
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -12,6 +12,9 @@
 /** A load is given up after this time, so that another engine can be asked. */
 const LOAD_WAIT_MS = 900
 const MIN_LOAD_WAIT_MS = 30
+/** After so many refusals a load waits for a slot. */
+const MAX_REDIRECTS = 3
+const BACKGROUND_ASK = { waitMs: LOAD_WAIT_MS, wasMissing: false, canRedirect: true }
 
 /** Finds the endpoints of one call, in the order in which they are tried. */
 export class DestinationSearch {
@@ -84,7 +87,9 @@
     const waitMs = Math.min(LOAD_WAIT_MS, call.deadline - startedAt)
     if (waitMs < MIN_LOAD_WAIT_MS) return { kind: "none", reason: "no time to load" }
     const wasMissing = this.missing.delete(endpoint.id)
-    const outcome = await parts.links.load(endpoint.id, adapter, version, waitMs, wasMissing)
+    const canRedirect = this.loadRefused.size < MAX_REDIRECTS
+    const ask = { waitMs, wasMissing, canRedirect }
+    const outcome = await parts.links.load(endpoint.id, adapter, version, ask)
     const stalledMs = parts.clock.now() - startedAt
     parts.metrics.time("stall", stalledMs)
     if (outcome.kind === "held") {
@@ -111,7 +116,7 @@
     const target = chooseReplica(parts.buildView(call.service), call.facts, now)
     if (!target || adapter === undefined) return
     const version = parts.versions.getNewest(adapter)
-    void parts.links.load(target.id, adapter, version, LOAD_WAIT_MS, false).then((outcome) => {
+    void parts.links.load(target.id, adapter, version, BACKGROUND_ASK).then((outcome) => {
       if (outcome.kind === "held") parts.residency.add(target.id, adapter, outcome.version)
     })
   }
--- a/packages/entry/src/forward/exchange.ts
+++ b/packages/entry/src/forward/exchange.ts
@@ -39,7 +39,12 @@
   start(dispatcher: Dispatcher, request: OutgoingRequest): void {
     const { method, path, headers, body } = request
     dispatcher.dispatch(
-      { method: method as Dispatcher.HttpMethod, path, headers, body: body.length > 0 ? body : null },
+      {
+        method: method as Dispatcher.HttpMethod,
+        path,
+        headers,
+        body: body.length > 0 ? body : null,
+      },
       this,
     )
   }
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -53,8 +53,7 @@
     const gone = watchCaller(response)
     const body = await readBody(request, routes.configuration.limits.maxBodyBytes)
     if (body === "too-large") this.refuse(request, reply, TOO_LARGE)
-    else if (body !== "gone")
-      await this.forward(route, request, body, arrivedAt, gone, reply)
+    else if (body !== "gone") await this.forward(route, request, body, arrivedAt, gone, reply)
   }
 
   private async forward(
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -23,13 +23,17 @@
 const MAX_SENDS = 5
 const FIRST_BYTE_SHARE = 0.5
 const MIN_FIRST_BYTE_MS = 100
+/** A first event may wait behind long prompts; another engine would often have to load the adapter first. */
+const FIRST_EVENT_MS = 1000
 const PROMPT_FACTOR = 3
 const SILENT_STREAM_MS = 900
 const SERVER_ERROR_STATUS = 500
 const NEVER: Patience = { firstByteMs: Infinity, betweenBytesMs: Infinity }
 
 type Verdict =
-  { readonly kind: "again" } | { readonly kind: "over" } | { readonly kind: "own"; readonly answer: OwnAnswer }
+  | { readonly kind: "again" }
+  | { readonly kind: "over" }
+  | { readonly kind: "own"; readonly answer: OwnAnswer }
 
 const AGAIN: Verdict = { kind: "again" }
 const OVER: Verdict = { kind: "over" }
@@ -55,7 +59,10 @@
 
   /** Serves the call to its end. */
   async run(): Promise<void> {
-    this.parts.getAllowance(this.call.service).onRequest(this.parts.clock.now())
+    const { parts, call } = this
+    const { adapter } = call.facts
+    parts.getAllowance(call.service).onRequest(parts.clock.now())
+    if (adapter !== undefined) parts.popularity.add(adapter, parts.clock.now())
     for (;;) {
       const verdict = await this.takeTurn()
       if (verdict.kind === "again") continue
@@ -84,7 +91,7 @@
     const sentAt = parts.clock.now()
     const result = await this.attempt.run()
     const ms = Math.round(parts.clock.now() - sentAt)
-    this.logAttempt(destination, result, ms)
+    this.logAttempt(destination, result, Math.round(sentAt - call.arrivedAt), ms)
     return this.judge(destination, result)
   }
 
@@ -144,10 +151,12 @@
   private choosePatience(): Patience {
     const { route, facts } = this.call
     if (!isRepeatable(this.call) || this.runs + 1 >= route.maxAttempts) return NEVER
-    const prompt = PROMPT_FACTOR * estimatePromptMs(facts)
+    if (isStream(this.call)) {
+      const firstByteMs = FIRST_EVENT_MS + PROMPT_FACTOR * estimatePromptMs(facts)
+      return { firstByteMs, betweenBytesMs: SILENT_STREAM_MS }
+    }
     const share = FIRST_BYTE_SHARE * route.objectiveMs
-    const firstByteMs = Math.max(MIN_FIRST_BYTE_MS, share, prompt)
-    return { firstByteMs, betweenBytesMs: SILENT_STREAM_MS }
+    return { firstByteMs: Math.max(MIN_FIRST_BYTE_MS, share), betweenBytesMs: SILENT_STREAM_MS }
   }
 
   private takeAllowance(): boolean {
@@ -180,7 +189,12 @@
     return this.call.deadline - this.parts.clock.now()
   }
 
-  private logAttempt({ endpoint, version }: Destination, result: AttemptResult, ms: Millis): void {
+  private logAttempt(
+    { endpoint, version }: Destination,
+    result: AttemptResult,
+    waitedMs: Millis,
+    ms: Millis,
+  ): void {
     const { adapter } = this.call.facts
     const { id: endpointId, dataCentre } = endpoint
     const cause = "cause" in result ? result.cause : undefined
@@ -196,6 +210,8 @@
         result: result.kind,
         cause,
         status,
+        waitedMs,
+        headMs: this.attempt?.headMs,
         ms,
       },
       "attempt ended",
--- a/packages/entry/src/forward/parts.ts
+++ b/packages/entry/src/forward/parts.ts
@@ -1,14 +1,9 @@
-import type {
-  Clock,
-  DataCentre,
-  HeaderDialect,
-  Registration,
-  ServiceName,
-} from "@galenaway/core"
+import type { Clock, DataCentre, HeaderDialect, Registration, ServiceName } from "@galenaway/core"
 import type { Metrics } from "@galenaway/observe"
 import type {
   EndpointHealth,
   PlacementView,
+  Popularity,
   Residency,
   RetryAllowance,
   VersionTable,
@@ -29,6 +24,7 @@
   readonly health: EndpointHealth
   readonly residency: Residency
   readonly versions: VersionTable
+  readonly popularity: Popularity
   readonly links: Links
   readonly uses: UseTable
   readonly clock: Clock
@@ -45,4 +41,3 @@
   /** Connections that this instance may open to an endpoint. */
   countConnections(endpoint: Registration): number
 }
-
--- a/packages/entry/src/forward/pools.ts
+++ b/packages/entry/src/forward/pools.ts
@@ -46,7 +46,10 @@
   /** Breaks all connections to an address, and all requests on them. */
   async stop(): Promise<void> {
     await Promise.all(
-      [...this.pools.values()].flatMap(({ shared, single }) => [shared.destroy(), single.destroy()]),
+      [...this.pools.values()].flatMap(({ shared, single }) => [
+        shared.destroy(),
+        single.destroy(),
+      ]),
     )
   }
 }
--- a/packages/entry/src/forward/resets.ts
+++ b/packages/entry/src/forward/resets.ts
@@ -12,7 +12,9 @@
 }
 
 /** Builds a connector whose connections announce their resets before the HTTP client learns of them. */
-export function buildResetAwareConnector(options: buildConnector.BuildOptions): buildConnector.connector {
+export function buildResetAwareConnector(
+  options: buildConnector.BuildOptions,
+): buildConnector.connector {
   const connect = buildConnector(options)
   return (target, callback) => {
     connect(target, (...result) => {
--- a/packages/entry/src/links/client.ts
+++ b/packages/entry/src/links/client.ts
@@ -77,10 +77,15 @@
   /** Asks the peer to load an adapter. Throws a GalenawayError when the peer doesn't answer in time. */
   load(request: LoadRequest, timeoutMs: Millis): Promise<LoadReply> {
     return new Promise((resolve, reject) => {
-      this.client.load(request, new Metadata(), { deadline: Date.now() + timeoutMs }, (error, reply) => {
-        if (error) reject(wrapError(this.address, error))
-        else resolve(reply)
-      })
+      this.client.load(
+        request,
+        new Metadata(),
+        { deadline: Date.now() + timeoutMs },
+        (error, reply) => {
+          if (error) reject(wrapError(this.address, error))
+          else resolve(reply)
+        },
+      )
     })
   }
 
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -5,11 +5,10 @@
   describeError,
   type EndpointId,
   type InstanceId,
-  type Millis,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import type { Ownership } from "../fleet/ownership.js"
-import type { LoadOutcome, Owner } from "../owner/index.js"
+import type { LoadAsk, LoadOutcome, Owner } from "../owner/index.js"
 import { Link, type LinkEvents } from "./client.js"
 import type { UseTable } from "./uses.js"
 
@@ -25,6 +24,8 @@
 }
 
 const TICK_MS = 250
+/** Uses are gathered for so long before they are told. */
+const GATHER_MS = 30
 const ANSWER_MARGIN_MS = 60
 
 /** Links to all other instances, and the way to an engine's owner whether it is this instance or another. */
@@ -32,6 +33,7 @@
   private readonly byPeer = new Map<InstanceId, Link>()
   private readonly loading = new Map<string, Promise<LoadOutcome>>()
   private timer: NodeJS.Timeout | undefined
+  private useTimer: NodeJS.Timeout | undefined
 
   constructor(private readonly parts: LinksParts) {
     parts.ownership.on("read", () => {
@@ -44,11 +46,15 @@
     this.timer = setInterval(() => {
       this.tick()
     }, TICK_MS)
+    this.useTimer = setInterval(() => {
+      this.tellChanges()
+    }, GATHER_MS)
   }
 
   /** Closes all links. */
   stop(): void {
     clearInterval(this.timer)
+    clearInterval(this.useTimer)
     for (const link of this.byPeer.values()) link.close()
   }
 
@@ -63,13 +69,12 @@
     endpoint: EndpointId,
     adapter: AdapterName,
     version: AdapterVersion | undefined,
-    waitMs: Millis,
-    wasMissing: boolean,
+    ask: LoadAsk,
   ): Promise<LoadOutcome> {
     const key = `${endpoint} ${adapter} ${version ?? 0}`
     const known = this.loading.get(key)
-    if (known && !wasMissing) return known
-    const outcome = this.ask(endpoint, adapter, version, waitMs, wasMissing).finally(() => {
+    if (known && !ask.wasMissing) return known
+    const outcome = this.ask(endpoint, adapter, version, ask).finally(() => {
       if (this.loading.get(key) === outcome) this.loading.delete(key)
     })
     this.loading.set(key, outcome)
@@ -80,14 +85,14 @@
     endpoint: EndpointId,
     adapter: AdapterName,
     version: AdapterVersion | undefined,
-    waitMs: Millis,
-    wasMissing: boolean,
+    ask: LoadAsk,
   ): Promise<LoadOutcome> {
     const { owner } = this.parts
-    if (owner.hasEngine(endpoint)) return owner.load(endpoint, adapter, version, waitMs, wasMissing)
+    if (owner.hasEngine(endpoint)) return owner.load(endpoint, adapter, version, ask)
     const link = this.findLink(endpoint)
     if (!link) return { kind: "refused", reason: "the engine's owner isn't known" }
-    const request = { endpoint, adapter, version: version ?? 0, waitMs: Math.round(waitMs), wasMissing }
+    const waitMs = Math.round(ask.waitMs)
+    const request = { endpoint, adapter, version: version ?? 0, ...ask, waitMs }
     try {
       const reply = await link.load(request, waitMs + ANSWER_MARGIN_MS)
       return reply.isHeld
@@ -123,6 +128,9 @@
 
   private tick(): void {
     for (const link of this.byPeer.values()) link.keepOpen()
+  }
+
+  private tellChanges(): void {
     for (const [endpoint, adapters] of this.parts.uses.takeChanges())
       this.tellUses(endpoint, adapters)
   }
--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -37,6 +37,15 @@
   | { readonly kind: "held"; readonly version: AdapterVersion }
   | { readonly kind: "refused"; readonly reason: string }
 
+/** How a load is asked for. */
+export interface LoadAsk {
+  readonly waitMs: Millis
+  /** The engine has just turned a request away because it doesn't hold the adapter. */
+  readonly wasMissing: boolean
+  /** Another engine can be asked: a load that has to wait for a slot is refused at once. */
+  readonly canRedirect: boolean
+}
+
 const MAX_ARRIVING = 4
 /** A report shows an order at the latest after this time. */
 const REPORT_LAG_MS = 450
@@ -102,12 +111,11 @@
   load(
     adapter: AdapterName,
     version: AdapterVersion | undefined,
-    waitMs: Millis,
-    wasMissing: boolean,
+    ask: LoadAsk,
   ): Promise<LoadOutcome> {
     if (this.abort.signal.aborted) return Promise.resolve({ kind: "refused", reason: "not owned" })
-    if (wasMissing) this.onMissing(adapter)
-    const outcome = this.queue.add(adapter, version, waitMs)
+    if (ask.wasMissing) this.onMissing(adapter)
+    const outcome = this.queue.add(adapter, version, ask)
     this.wake()
     return outcome
   }
@@ -166,10 +174,8 @@
     if (this.parts.getToken() === undefined) return NO_TOKEN_MS
     if (!this.isSynced) return this.sync()
     if (!this.places.hasModel(this.model)) return this.loadModel()
-    this.wantNewVersions()
     const [leaving] = this.places.listLeaving()
-    if (leaving !== undefined && this.isDue(leaving)) return this.unload(leaving)
-    return this.serveQueue()
+    return leaving === undefined ? this.serveQueue() : this.awaitUnload(leaving)
   }
 
   private async sync(): Promise<Millis> {
@@ -224,14 +230,6 @@
     }
   }
 
-  /** Asks for the newest version of each adapter that is held in an older one. */
-  private wantNewVersions(): void {
-    for (const { adapter, version } of this.places.listHeld()) {
-      const newest = this.parts.versions.getNewest(adapter)
-      if (newest !== undefined && version < newest) this.queue.want(adapter, newest)
-    }
-  }
-
   private async serveQueue(): Promise<Millis> {
     const now = this.parts.clock.now()
     let delay = IDLE_MS
@@ -255,16 +253,19 @@
   }
 
   /** Returns when a step may be taken. */
-  private computeDue({ adapter }: WantedLoad, step: LoadStep, now: Millis): Millis {
+  private computeDue(wanted: WantedLoad, step: LoadStep, now: Millis): Millis {
     switch (step.kind) {
       case "held":
       case "load":
       case "evict":
+      case "in-use":
         return now
       case "arriving":
-        return this.nextPolls.get(adapter) ?? now
+        return this.nextPolls.get(wanted.adapter) ?? now
       case "wait":
         return now + WAIT_STEP_MS
+      case "full":
+        return wanted.canRedirect ? now : now + WAIT_STEP_MS
     }
   }
 
@@ -284,23 +285,26 @@
       case "evict":
         await this.unload(step.victim)
         return
+      case "in-use":
+        this.queue.refuse(adapter, "requests use an older version here")
+        return
+      case "full":
+        this.queue.refuse(adapter, "every slot is in use")
+        return
       case "wait":
         return
     }
   }
 
   private async order(adapter: AdapterName, version: AdapterVersion | undefined): Promise<void> {
-    const { clock, log, metrics } = this.parts
-    const hadHeld = this.listHeld().some((held) => held.adapter === adapter)
+    const { clock, metrics } = this.parts
     const answer = await this.send(this.buildLoad(adapter, version), true)
     const now = clock.now()
-    log.debug({ endpoint: this.engine.id, adapter, version, answer }, "adapter load ordered")
     switch (answer) {
       case "accepted":
         metrics.count("loads")
         this.places.onLoadAccepted(adapter, version, now)
         this.nextPolls.set(adapter, now + (this.copies.has(adapter) ? COPY_POLL_MS : FIRST_POLL_MS))
-        if (hadHeld) this.parts.onChange()
         return
       case "already-done":
         this.places.onHeld(adapter, version)
@@ -330,7 +334,9 @@
       return
     }
     const isEarly = now - orderedAt < FIRST_POLL_MS
-    const next = isEarly ? Math.max(now + NEXT_POLL_MS, orderedAt + FIRST_POLL_MS) : now + NEXT_POLL_MS
+    const next = isEarly
+      ? Math.max(now + NEXT_POLL_MS, orderedAt + FIRST_POLL_MS)
+      : now + NEXT_POLL_MS
     this.nextPolls.set(adapter, next)
   }
 
@@ -342,16 +348,15 @@
   }
 
   private async unload(adapter: AdapterName): Promise<Millis> {
-    const { clock, log, metrics } = this.parts
+    const { clock, metrics } = this.parts
     const answer = await this.send({ action: "unload", ...splitAdapter(adapter) }, false)
-    log.debug({ endpoint: this.engine.id, adapter, answer }, "adapter unload ordered")
     switch (answer) {
       case "already-done":
         metrics.count("evictions")
         this.places.onUnloaded(adapter)
         break
       case "accepted":
-        this.places.onUnloadAccepted(adapter, clock.now())
+        this.places.onUnloadAccepted(adapter)
         this.nextPolls.set(adapter, clock.now() + LEAVING_POLL_MS)
         break
       default:
@@ -361,8 +366,10 @@
     return 0
   }
 
-  private isDue(adapter: AdapterName): boolean {
-    return (this.nextPolls.get(adapter) ?? 0) <= this.parts.clock.now()
+  /** An unload that waits for requests holds up every other order. */
+  private async awaitUnload(adapter: AdapterName): Promise<Millis> {
+    const wait = (this.nextPolls.get(adapter) ?? 0) - this.parts.clock.now()
+    return wait > 0 ? wait : this.unload(adapter)
   }
 
   private buildLoad(adapter: AdapterName, version: AdapterVersion | undefined) {
@@ -385,10 +392,18 @@
     const full = { ...order, expectedSequence, holder: self, fencingToken }
     const answer = await control.order(this.engine, full, orderTimeoutMs)
     this.lastOrderAt = clock.now()
+    this.logOrder(full, answer)
     this.handleAnswer(answer, takesSlot)
     return answer
   }
 
+  private logOrder(order: EngineOrder, answer: OrderAnswer): void {
+    const { action, adapter, version, expectedSequence, fencingToken: fence } = order
+    const fields = { endpoint: this.engine.id, action, adapter, version, expectedSequence, fence }
+    const isOrdinary = answer === "accepted" || answer === "already-done"
+    this.parts.log[isOrdinary ? "debug" : "info"]({ ...fields, answer }, "order answered")
+  }
+
   private handleAnswer(answer: OrderAnswer, takesSlot: boolean): void {
     switch (answer) {
       case "accepted":
--- a/packages/entry/src/owner/load-queue.ts
+++ b/packages/entry/src/owner/load-queue.ts
@@ -1,8 +1,9 @@
 import type { AdapterName, AdapterVersion, Clock, Millis } from "@galenaway/core"
-import type { LoadOutcome } from "./engine-keeper.js"
+import type { LoadAsk, LoadOutcome } from "./engine-keeper.js"
 
 interface Waiter {
   readonly until: Millis
+  readonly canRedirect: boolean
   readonly resolve: (outcome: LoadOutcome) => void
 }
 
@@ -10,12 +11,12 @@
 export interface WantedLoad {
   readonly adapter: AdapterName
   readonly version: AdapterVersion | undefined
+  /** Everyone who waits can ask another engine. */
+  readonly canRedirect: boolean
 }
 
 interface Row {
   version: AdapterVersion | undefined
-  /** Wanted also without anybody waiting for it. */
-  isBackground: boolean
   waiters: Waiter[]
 }
 
@@ -31,26 +32,23 @@
   add(
     adapter: AdapterName,
     version: AdapterVersion | undefined,
-    waitMs: Millis,
+    { waitMs, canRedirect }: LoadAsk,
   ): Promise<LoadOutcome> {
     const row = this.getRow(adapter)
     row.version = maxVersion(row.version, version)
     this.hasNews = true
     return new Promise((resolve) => {
-      row.waiters.push({ until: this.clock.now() + waitMs, resolve })
+      row.waiters.push({ until: this.clock.now() + waitMs, canRedirect, resolve })
     })
   }
 
-  /** Adds a wish that nobody waits for. */
-  want(adapter: AdapterName, version: AdapterVersion): void {
-    const row = this.getRow(adapter)
-    row.version = maxVersion(row.version, version)
-    row.isBackground = true
-  }
-
   /** Lists what is wanted, oldest first. */
   list(): readonly WantedLoad[] {
-    return [...this.rows].map(([adapter, { version }]) => ({ adapter, version }))
+    return [...this.rows].map(([adapter, { version, waiters }]) => ({
+      adapter,
+      version,
+      canRedirect: waiters.every((waiter) => waiter.canRedirect),
+    }))
   }
 
   /** Tells the waiters that the adapter is there. */
@@ -75,7 +73,7 @@
       for (const { until, resolve } of row.waiters)
         if (until <= now) resolve({ kind: "refused", reason: "the load takes too long" })
       row.waiters = row.waiters.filter(({ until }) => until > now)
-      if (row.waiters.length === 0 && !row.isBackground) this.rows.delete(adapter)
+      if (row.waiters.length === 0) this.rows.delete(adapter)
     }
   }
 
@@ -88,7 +86,7 @@
   private getRow(adapter: AdapterName): Row {
     let row = this.rows.get(adapter)
     if (!row) {
-      row = { version: undefined, isBackground: false, waiters: [] }
+      row = { version: undefined, waiters: [] }
       this.rows.set(adapter, row)
     }
     return row
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -16,7 +16,7 @@
 import type { Directory } from "../catalogue/directory.js"
 import type { Serving } from "../catalogue/serving.js"
 import type { Ownership } from "../fleet/ownership.js"
-import { EngineKeeper, type LoadOutcome } from "./engine-keeper.js"
+import { EngineKeeper, type LoadAsk, type LoadOutcome } from "./engine-keeper.js"
 
 /** What an owner tells of an engine. */
 export interface EngineNews {
@@ -76,11 +76,10 @@
     endpoint: EndpointId,
     adapter: AdapterName,
     version: AdapterVersion | undefined,
-    waitMs: Millis,
-    wasMissing: boolean,
+    ask: LoadAsk,
   ): Promise<LoadOutcome> {
     const keeper = this.keepers.get(endpoint)
-    if (keeper) return keeper.load(adapter, version, waitMs, wasMissing)
+    if (keeper) return keeper.load(adapter, version, ask)
     return Promise.resolve({ kind: "refused", reason: "not owned here" })
   }
 
@@ -163,7 +162,8 @@
     const counts = new Map(names.map((name) => [name, 0]))
     for (const other of this.parts.directory.listLive(service))
       if (other.id !== id)
-        for (const name of other.holdings?.models ?? []) counts.set(name, (counts.get(name) ?? 0) + 1)
+        for (const name of other.holdings?.models ?? [])
+          counts.set(name, (counts.get(name) ?? 0) + 1)
     return names.sort((a, b) => (counts.get(a) ?? 0) - (counts.get(b) ?? 0))[0]
   }
 }
--- a/packages/policy/src/places.ts
+++ b/packages/policy/src/places.ts
@@ -18,7 +18,7 @@
       readonly replaces: AdapterVersion | undefined
     }
   /** Told to go; it stays until its requests have ended. */
-  | { readonly kind: "leaving"; readonly version: AdapterVersion; readonly orderedAt: Millis }
+  | { readonly kind: "leaving" }
 
 /** An order without an answer: it may still be carried out while the engine's count of orders is the expected one. */
 interface UnresolvedOrder {
@@ -43,13 +43,17 @@
     }
   | { readonly kind: "load" }
   | { readonly kind: "evict"; readonly victim: AdapterName }
-  /** Every slot is taken by adapters that are in use, or on their way. */
+  /** Too many adapters are on their way. */
   | { readonly kind: "wait" }
+  /** Every slot is taken by an adapter that is in use, or on its way. */
+  | { readonly kind: "full" }
+  /** Requests use an older version. Replacing it would wait for them and hold up every other order. */
+  | { readonly kind: "in-use" }
 
 /** Longest time after which an engine may still carry out an order that it left unanswered. */
 const UNRESOLVED_MS = 13_000
 /** An adapter used within this time may have requests on their way. */
-const RECENT_USE_MS = 700
+const RECENT_USE_MS = 120
 const UNKNOWN_VERSION = 0
 
 /**
@@ -109,21 +113,19 @@
   }
 
   /** Plans the next step so that the engine holds an adapter, in at least the wanted version. */
-  planLoad(
-    adapter: AdapterName,
-    wanted: AdapterVersion | undefined,
-    now: Millis,
-  ): LoadStep {
+  planLoad(adapter: AdapterName, wanted: AdapterVersion | undefined, now: Millis): LoadStep {
     const place = this.places.get(adapter)
     if (place?.kind === "held" && (wanted === undefined || place.version >= wanted))
       return { kind: "held", version: place.version }
     if (place?.kind === "arriving")
       return { kind: "arriving", orderedAt: place.orderedAt, version: place.version }
+    if (place?.kind === "held")
+      return this.isInUse(adapter, now) ? { kind: "in-use" } : { kind: "evict", victim: adapter }
     if (place?.kind === "leaving" || this.countArriving() >= this.maxArriving)
       return { kind: "wait" }
     if (this.countTaken(now) < this.slots) return { kind: "load" }
     const victim = this.chooseVictim(adapter, now)
-    return victim === undefined ? { kind: "wait" } : { kind: "evict", victim }
+    return victim === undefined ? { kind: "full" } : { kind: "evict", victim }
   }
 
   /** Notes that the engine accepted a load. */
@@ -146,18 +148,18 @@
     this.places.set(adapter, { kind: "held", version: version ?? UNKNOWN_VERSION })
   }
 
-  /** Notes that an adapter's unload was carried out at once. */
+  /** Notes that an adapter is gone. An unload that was accepted before counts as an order only once. */
   onUnloaded(adapter: AdapterName): void {
+    const isCounted = this.places.get(adapter)?.kind === "leaving"
     this.places.delete(adapter)
     this.uses.delete(adapter)
-    this.advance()
+    if (!isCounted) this.advance()
   }
 
   /** Notes that an unload waits for requests that use the adapter. */
-  onUnloadAccepted(adapter: AdapterName, now: Millis): void {
-    const place = this.places.get(adapter)
-    const version = place?.kind === "held" ? place.version : UNKNOWN_VERSION
-    this.places.set(adapter, { kind: "leaving", version, orderedAt: now })
+  onUnloadAccepted(adapter: AdapterName): void {
+    if (this.places.get(adapter)?.kind === "leaving") return
+    this.places.set(adapter, { kind: "leaving" })
     this.advance()
   }
 
@@ -170,7 +172,9 @@
   /** Notes that the engine accepted an order that concerns no adapter. */
   advance(): void {
     this.count++
-    this.unresolved = this.unresolved.filter(({ expectedSequence }) => expectedSequence >= this.count)
+    this.unresolved = this.unresolved.filter(
+      ({ expectedSequence }) => expectedSequence >= this.count,
+    )
   }
 
   /** Notes whether an instance has requests that use an adapter. */
@@ -228,15 +232,19 @@
     return this.listArriving().length
   }
 
+  private isInUse(adapter: AdapterName, now: Millis): boolean {
+    const use = this.uses.get(adapter)
+    return use !== undefined && (use.holders.size > 0 || now - use.lastUsed < RECENT_USE_MS)
+  }
+
   /** Chooses the adapter that was used least recently and isn't in use. */
   private chooseVictim(wanted: AdapterName, now: Millis): AdapterName | undefined {
     let victim: AdapterName | undefined
-    let oldest = now - RECENT_USE_MS
+    let oldest = now
     for (const [adapter, place] of this.places) {
       if (place.kind !== "held" || adapter === wanted) continue
-      const use = this.uses.get(adapter)
-      const lastUsed = use?.lastUsed ?? -Infinity
-      if ((use?.holders.size ?? 0) > 0 || lastUsed > oldest) continue
+      const lastUsed = this.uses.get(adapter)?.lastUsed ?? -Infinity
+      if (this.isInUse(adapter, now) || lastUsed > oldest) continue
       oldest = lastUsed
       victim = adapter
     }
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -110,7 +110,8 @@
 
   /** Forgets endpoints that are gone. */
   keepOnly(listed: ReadonlySet<EndpointId>): void {
-    for (const [id, row] of this.rows) if (!listed.has(id) && row.inFlight === 0) this.rows.delete(id)
+    for (const [id, row] of this.rows)
+      if (!listed.has(id) && row.inFlight === 0) this.rows.delete(id)
   }
 
   /** Forgets what was known of an endpoint that has started anew. */
--- a/packages/routing/src/place.ts
+++ b/packages/routing/src/place.ts
@@ -9,6 +9,7 @@
 } from "@galenaway/core"
 import { hashText, mergeHashes } from "@galenaway/policy"
 import type { EndpointHealth } from "./health.js"
+import type { Popularity } from "./popularity.js"
 import type { Residency } from "./residency.js"
 import type { VersionTable } from "./versions.js"
 
@@ -28,6 +29,7 @@
   readonly health: EndpointHealth
   readonly residency: Residency
   readonly versions: VersionTable
+  readonly popularity: Popularity
   readonly home: DataCentre
   /** Tells whether an engine's owner can be asked for loads. */
   canLoad(endpoint: EndpointId): boolean
@@ -41,17 +43,59 @@
 /** Wait for a place in a full batch. */
 const FULL_MS = 60
 const FAILING_MS = 400
-/** Above this cost beyond an idle engine's, another engine is asked to load the adapter too. */
-const REPLICATE_MS = 60
+/** Above this cost another engine is asked to load a popular adapter too. */
+const REPLICATE_POPULAR_MS = 50
+/** The same for any adapter: the wait alone would then make a request late. */
+const REPLICATE_ANY_MS = 220
+/** An adapter with so many recent requests at this instance is popular. */
+const POPULAR_COUNT = 4
+/** An adapter with so many is loaded in the instance's own data centre too. */
+const LOCAL_COUNT = 8
+/** A cold adapter goes to another engine than its first when that one costs so much more than the mean. */
+const HOME_SLACK_MS = 120
 /** Bulk prompts prefer the engine that may have their shared part, up to this cost. */
 const CACHE_SLACK_MS = 60
 const LONG_SHARED_TOKENS = 1000
+const LONG_ENGINES_KEY = "long prompts"
+/** Prompts of so many tokens hold up an engine's other requests noticeably. */
+const LONG_PROMPT_TOKENS = 1500
+/** Share of the engines that long prompts prefer and short ones avoid. */
+const LONG_ENGINES_SHARE = 0.25
+/** What a long prompt's engine must be cheaper by before it goes to one of the others. */
+const LONG_ELSEWHERE_MS = 160
+/** The same for short prompts on the engines of long ones. */
+const SHORT_ELSEWHERE_MS = 90
+
+/** What of a request its costs depend on. */
+interface Question {
+  readonly isLong: boolean
+  readonly longEngines: ReadonlySet<EndpointId>
+  readonly now: Millis
+}
 
 interface Candidate {
   readonly endpoint: Registration
   readonly cost: number
 }
 
+function createQuestion(view: PlacementView, facts: RequestFacts, now: Millis): Question {
+  return {
+    isLong: facts.promptTokens >= LONG_PROMPT_TOKENS,
+    longEngines: chooseLongEngines(view.engines),
+    now,
+  }
+}
+
+/** Every instance finds the same engines for long prompts. */
+function chooseLongEngines(engines: readonly Registration[]): ReadonlySet<EndpointId> {
+  const count = Math.floor(LONG_ENGINES_SHARE * engines.length)
+  return new Set(
+    rankHomes(engines, LONG_ENGINES_KEY)
+      .slice(0, count)
+      .map(({ id }) => id),
+  )
+}
+
 /** Estimates the engine's time to read a request's prompt, in ms. */
 export function estimatePromptMs(facts: RequestFacts): Millis {
   return facts.promptTokens / PROMPT_TOKENS_PER_MS
@@ -64,19 +108,20 @@
   excluded: ReadonlySet<EndpointId>,
   now: Millis,
 ): Placement {
-  const usable = view.engines.filter(
-    ({ id }) => !excluded.has(id) && view.health.isUsable(id, now),
-  )
+  const usable = view.engines.filter(({ id }) => !excluded.has(id) && view.health.isUsable(id, now))
   const { adapter, model } = facts
-  const holders = usable.filter(({ id }) => isHolder(view, id, model, adapter, now))
-  const best = chooseHolder(view, holders, facts, now)
+  const question = createQuestion(view, facts, now)
+  const best = chooseHolder(view, listHolders(view, usable, facts, now), facts, question)
   if (best) return buildSend(view, best.endpoint, adapter)
+  if (adapter === undefined) return { kind: "none" }
   const loadable = usable.filter(({ id }) => canBringIn(view, id, model))
-  const target = adapter === undefined ? undefined : chooseHome(view, loadable, adapter, now)
+  // An engine may have to wait before it can replace an older version.
+  const empty = loadable.filter(({ id }) => !hasAny(view, id, adapter))
+  const target = chooseHome(view, empty.length > 0 ? empty : loadable, adapter, question)
   return target ? { kind: "load", endpoint: target } : { kind: "none" }
 }
 
-/** Names an engine that should load an adapter beside those that hold it, when these are busy. */
+/** Names an engine that should load an adapter beside those that hold it, when these are busy or hold an older version. */
 export function chooseReplica(
   view: PlacementView,
   facts: RequestFacts,
@@ -85,13 +130,21 @@
   const { adapter, model } = facts
   if (adapter === undefined) return undefined
   const usable = view.engines.filter(({ id }) => view.health.isUsable(id, now))
-  const holders = usable.filter(({ id }) => isHolder(view, id, model, adapter, now))
-  const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, now)))
-  if (holders.length === 0 || cheapest < REPLICATE_MS) return undefined
+  const holders = listHolders(view, usable, facts, now)
+  if (holders.length === 0) return undefined
+  const question = createQuestion(view, facts, now)
   const others = usable.filter(
-    (endpoint) => !holders.includes(endpoint) && canBringIn(view, endpoint.id, model),
+    ({ id }) => !hasAny(view, id, adapter) && canBringIn(view, id, model),
   )
-  return chooseHome(view, others, adapter, now)
+  if (!holders.some(({ id }) => hasNewest(view, id, adapter)))
+    return chooseHome(view, others, adapter, question)
+  const count = view.popularity.get(adapter, now)
+  const isNear = ({ dataCentre }: Registration) => dataCentre === view.home
+  if (count >= LOCAL_COUNT && !holders.some(isNear))
+    return chooseHome(view, others.filter(isNear), adapter, question)
+  const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, question)))
+  const limit = count >= POPULAR_COUNT ? REPLICATE_POPULAR_MS : REPLICATE_ANY_MS
+  return cheapest >= limit ? chooseHome(view, others, adapter, question) : undefined
 }
 
 /** Ranks engines for an adapter by rendezvous hashing; every instance finds the same order. */
@@ -106,14 +159,41 @@
     .map(({ endpoint }) => endpoint)
 }
 
+/** Lists the engines that hold what a request needs: those with the newest version, else those with one that will still do. */
+function listHolders(
+  view: PlacementView,
+  engines: readonly Registration[],
+  { model, adapter }: RequestFacts,
+  now: Millis,
+): readonly Registration[] {
+  const holders = engines.filter(({ id }) => isHolder(view, id, model, adapter, now))
+  if (adapter === undefined) return holders
+  const newest = holders.filter(({ id }) => hasNewest(view, id, adapter))
+  return newest.length > 0 ? newest : holders
+}
+
+function hasNewest(
+  { residency, versions }: PlacementView,
+  endpoint: EndpointId,
+  adapter: AdapterName,
+): boolean {
+  const newest = versions.getNewest(adapter)
+  const held = residency.getView(endpoint)?.adapters.get(adapter)
+  return held !== undefined && (newest === undefined || held >= newest)
+}
+
+function hasAny({ residency }: PlacementView, endpoint: EndpointId, adapter: AdapterName): boolean {
+  return residency.getView(endpoint)?.adapters.has(adapter) ?? false
+}
+
 function chooseHolder(
   view: PlacementView,
   holders: readonly Registration[],
   facts: RequestFacts,
-  now: Millis,
+  question: Question,
 ): Candidate | undefined {
   const candidates = holders
-    .map((endpoint) => ({ endpoint, cost: estimateCost(view, endpoint, now) }))
+    .map((endpoint) => ({ endpoint, cost: estimateCost(view, endpoint, question) }))
     .sort((a, b) => a.cost - b.cost)
   const [cheapest] = candidates
   const shared = facts.sharedParts.reduce((sum, { tokens }) => sum + tokens, 0)
@@ -131,13 +211,13 @@
   view: PlacementView,
   engines: readonly Registration[],
   adapter: AdapterName,
-  now: Millis,
+  question: Question,
 ): Registration | undefined {
-  const costs = engines.map((endpoint) => estimateCost(view, endpoint, now))
+  const costs = engines.map((endpoint) => estimateCost(view, endpoint, question))
   const mean = costs.reduce((sum, cost) => sum + cost, 0) / Math.max(1, costs.length)
-  const bound = mean + REPLICATE_MS
+  const bound = mean + HOME_SLACK_MS
   const order = rankHomes(engines, adapter)
-  return order.find((endpoint) => estimateCost(view, endpoint, now) <= bound) ?? order[0]
+  return order.find((endpoint) => estimateCost(view, endpoint, question) <= bound) ?? order[0]
 }
 
 function isHolder(
@@ -175,14 +255,18 @@
     : { kind: "send", endpoint }
 }
 
-function estimateCost(view: PlacementView, { id, slots, dataCentre }: Registration, now: Millis) {
-  const { health, home } = view
+function estimateCost(
+  { health, home }: PlacementView,
+  { id, slots, dataCentre }: Registration,
+  { isLong, longEngines, now }: Question,
+): Millis {
   const running = health.countRunning(id, now)
   const load = (running * BATCH_MS) / Math.max(1, slots)
   const wait = Math.max(0, running + 1 - slots) * (FULL_MS / Math.max(1, slots)) * 4
   const hop = dataCentre === home ? 0 : HOP_MS
   const slow = Math.max(1, health.getSlowness(id))
-  return (
-    (load + wait + health.getBacklog(id, now)) * slow + hop + FAILING_MS * health.getFailing(id)
-  )
+  const busy = (load + wait + health.getBacklog(id, now)) * slow
+  const elsewhere = isLong ? LONG_ELSEWHERE_MS : SHORT_ELSEWHERE_MS
+  const detour = longEngines.has(id) === isLong ? 0 : elsewhere
+  return busy + hop + detour + FAILING_MS * health.getFailing(id)
 }
--- a/packages/routing/src/residency.ts
+++ b/packages/routing/src/residency.ts
@@ -28,8 +28,7 @@
     now: Millis,
   ): void {
     const known = this.views.get(endpoint)
-    const isNewsFresh =
-      known?.source === "owner" && now - known.updatedAt < OWNER_NEWS_LIFETIME_MS
+    const isNewsFresh = known?.source === "owner" && now - known.updatedAt < OWNER_NEWS_LIFETIME_MS
     if (source === "registration" && isNewsFresh) return
     this.views.set(endpoint, {
       endpoint,
