--- a/packages/coordination/src/leased/authority.ts
+++ b/packages/coordination/src/leased/authority.ts
@@ -12,13 +12,13 @@
 }
 
 const CONFIRMED_SHARE = 0.6
-const ORDER_SHARE = 0.25
+const ORDER_SHARE = 0.07
 
 /** Derives the times from the lease's length. The last order of an owner that can't confirm its records has ended before a successor's first. */
 export function computeAuthorityTimes(leaseMs: Millis): AuthorityTimes {
   return {
     confirmedMs: leaseMs * CONFIRMED_SHARE,
-    orderTimeoutMs: leaseMs * ORDER_SHARE,
+    orderTimeoutMs: Math.round(leaseMs * ORDER_SHARE),
     takeOverMs: leaseMs,
   }
 }
--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -134,16 +134,15 @@
 }
 
 /**
- * What became of an order. `already-done` changes nothing at the engine;
- * `conflict` says that another order came between; `unresolved` may take
- * effect later.
+ * An engine's answer to an order. `already-done` changes nothing at the
+ * engine; `conflict` says that another order came between or is under way.
  */
 export type OrderAnswer =
-  "accepted" | "already-done" | "conflict" | "fenced" | "wrong-endpoint" | "refused" | "unresolved"
+  "accepted" | "already-done" | "conflict" | "fenced" | "wrong-endpoint" | "refused"
 
 /** Gives orders to engines and reads their state. */
 export interface EngineControl {
-  /** Sends an order; never throws. Aborts after the time limit. */
+  /** Sends an order. Throws an UnknownOutcomeError when no answer came: it may still be carried out. */
   order(endpoint: Registration, order: EngineOrder, timeoutMs: number): Promise<OrderAnswer>
   /** Reads an engine's state. Throws a GalenawayError. */
   readState(endpoint: Registration, timeoutMs: number): Promise<EngineState>
--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -233,7 +233,7 @@
   private async serveQueue(): Promise<Millis> {
     const now = this.parts.clock.now()
     let delay = IDLE_MS
-    for (const wanted of this.queue.list()) {
+    for (const wanted of this.listOpen()) {
       const version = this.getWantedVersion(wanted)
       const step = this.places.planLoad(wanted.adapter, version, now)
       const due = this.computeDue(wanted, step, now)
@@ -247,6 +247,17 @@
     return delay
   }
 
+  /** Lists what is wanted, and what is on its way though nobody waits for it any more. */
+  private listOpen(): readonly WantedLoad[] {
+    const wanted = this.queue.list()
+    const names = new Set(wanted.map(({ adapter }) => adapter))
+    const abandoned = this.places.listArriving().filter((adapter) => !names.has(adapter))
+    return [
+      ...wanted,
+      ...abandoned.map((adapter) => ({ adapter, version: undefined, canRedirect: true })),
+    ]
+  }
+
   private getWantedVersion({ adapter, version }: WantedLoad): AdapterVersion | undefined {
     const newest = this.parts.versions.getNewest(adapter)
     return newest === undefined ? version : Math.max(newest, version ?? 0)
@@ -384,35 +395,41 @@
   private async send(
     order: Pick<EngineOrder, "action" | "model" | "adapter" | "version">,
     takesSlot: boolean,
-  ): Promise<OrderAnswer> {
+  ): Promise<OrderAnswer | "unresolved"> {
     const { control, self, orderTimeoutMs, clock } = this.parts
     const fencingToken = this.parts.getToken()
     if (fencingToken === undefined) return "unresolved"
     const expectedSequence = this.places.sequence
     const full = { ...order, expectedSequence, holder: self, fencingToken }
-    const answer = await control.order(this.engine, full, orderTimeoutMs)
+    let answer: OrderAnswer | "unresolved"
+    try {
+      answer = await control.order(this.engine, full, orderTimeoutMs)
+    } catch (error) {
+      this.parts.log.info({ endpoint: this.engine.id, err: error }, "order got no answer")
+      answer = "unresolved"
+    }
     this.lastOrderAt = clock.now()
     this.logOrder(full, answer)
     this.handleAnswer(answer, takesSlot)
     return answer
   }
 
-  private logOrder(order: EngineOrder, answer: OrderAnswer): void {
+  private logOrder(order: EngineOrder, answer: OrderAnswer | "unresolved"): void {
     const { action, adapter, version, expectedSequence, fencingToken: fence } = order
     const fields = { endpoint: this.engine.id, action, adapter, version, expectedSequence, fence }
     const isOrdinary = answer === "accepted" || answer === "already-done"
     this.parts.log[isOrdinary ? "debug" : "info"]({ ...fields, answer }, "order answered")
   }
 
-  private handleAnswer(answer: OrderAnswer, takesSlot: boolean): void {
+  private handleAnswer(answer: OrderAnswer | "unresolved", takesSlot: boolean): void {
     switch (answer) {
       case "accepted":
       case "already-done":
       case "refused":
         return
       case "unresolved":
+        // The next order names the same count of orders, so at most one of the two is carried out.
         this.places.onUnresolved(takesSlot, this.parts.clock.now())
-        this.loseSync("an order got no answer")
         return
       case "conflict":
       case "fenced":
--- a/packages/policy/src/places.ts
+++ b/packages/policy/src/places.ts
@@ -221,8 +221,9 @@
   /** Counts the slots that are taken, whichever unresolved orders are carried out. */
   countTaken(now: Millis): number {
     this.unresolved = this.unresolved.filter(({ until }) => until > now)
-    const pending = this.unresolved.filter(({ takesSlot }) => takesSlot).length
-    let taken = pending
+    // Of the orders that name one count, the engine carries out one at most.
+    const counts = this.unresolved.filter(({ takesSlot }) => takesSlot)
+    let taken = new Set(counts.map(({ expectedSequence }) => expectedSequence)).size
     for (const place of this.places.values())
       taken += place.kind === "arriving" && place.replaces !== undefined ? 2 : 1
     return taken
--- a/packages/routing/src/place.ts
+++ b/packages/routing/src/place.ts
@@ -56,46 +56,12 @@
 /** Bulk prompts prefer the engine that may have their shared part, up to this cost. */
 const CACHE_SLACK_MS = 60
 const LONG_SHARED_TOKENS = 1000
-const LONG_ENGINES_KEY = "long prompts"
-/** Prompts of so many tokens hold up an engine's other requests noticeably. */
-const LONG_PROMPT_TOKENS = 1500
-/** Share of the engines that long prompts prefer and short ones avoid. */
-const LONG_ENGINES_SHARE = 0.25
-/** What a long prompt's engine must be cheaper by before it goes to one of the others. */
-const LONG_ELSEWHERE_MS = 160
-/** The same for short prompts on the engines of long ones. */
-const SHORT_ELSEWHERE_MS = 90
-
-/** What of a request its costs depend on. */
-interface Question {
-  readonly isLong: boolean
-  readonly longEngines: ReadonlySet<EndpointId>
-  readonly now: Millis
-}
 
 interface Candidate {
   readonly endpoint: Registration
   readonly cost: number
 }
 
-function createQuestion(view: PlacementView, facts: RequestFacts, now: Millis): Question {
-  return {
-    isLong: facts.promptTokens >= LONG_PROMPT_TOKENS,
-    longEngines: chooseLongEngines(view.engines),
-    now,
-  }
-}
-
-/** Every instance finds the same engines for long prompts. */
-function chooseLongEngines(engines: readonly Registration[]): ReadonlySet<EndpointId> {
-  const count = Math.floor(LONG_ENGINES_SHARE * engines.length)
-  return new Set(
-    rankHomes(engines, LONG_ENGINES_KEY)
-      .slice(0, count)
-      .map(({ id }) => id),
-  )
-}
-
 /** Estimates the engine's time to read a request's prompt, in ms. */
 export function estimatePromptMs(facts: RequestFacts): Millis {
   return facts.promptTokens / PROMPT_TOKENS_PER_MS
@@ -110,14 +76,13 @@
 ): Placement {
   const usable = view.engines.filter(({ id }) => !excluded.has(id) && view.health.isUsable(id, now))
   const { adapter, model } = facts
-  const question = createQuestion(view, facts, now)
-  const best = chooseHolder(view, listHolders(view, usable, facts, now), facts, question)
+  const best = chooseHolder(view, listHolders(view, usable, facts, now), facts, now)
   if (best) return buildSend(view, best.endpoint, adapter)
   if (adapter === undefined) return { kind: "none" }
   const loadable = usable.filter(({ id }) => canBringIn(view, id, model))
   // An engine may have to wait before it can replace an older version.
   const empty = loadable.filter(({ id }) => !hasAny(view, id, adapter))
-  const target = chooseHome(view, empty.length > 0 ? empty : loadable, adapter, question)
+  const target = chooseHome(view, empty.length > 0 ? empty : loadable, adapter, now)
   return target ? { kind: "load", endpoint: target } : { kind: "none" }
 }
 
@@ -132,19 +97,18 @@
   const usable = view.engines.filter(({ id }) => view.health.isUsable(id, now))
   const holders = listHolders(view, usable, facts, now)
   if (holders.length === 0) return undefined
-  const question = createQuestion(view, facts, now)
   const others = usable.filter(
     ({ id }) => !hasAny(view, id, adapter) && canBringIn(view, id, model),
   )
   if (!holders.some(({ id }) => hasNewest(view, id, adapter)))
-    return chooseHome(view, others, adapter, question)
+    return chooseHome(view, others, adapter, now)
   const count = view.popularity.get(adapter, now)
   const isNear = ({ dataCentre }: Registration) => dataCentre === view.home
   if (count >= LOCAL_COUNT && !holders.some(isNear))
-    return chooseHome(view, others.filter(isNear), adapter, question)
-  const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, question)))
+    return chooseHome(view, others.filter(isNear), adapter, now)
+  const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, now)))
   const limit = count >= POPULAR_COUNT ? REPLICATE_POPULAR_MS : REPLICATE_ANY_MS
-  return cheapest >= limit ? chooseHome(view, others, adapter, question) : undefined
+  return cheapest >= limit ? chooseHome(view, others, adapter, now) : undefined
 }
 
 /** Ranks engines for an adapter by rendezvous hashing; every instance finds the same order. */
@@ -190,10 +154,10 @@
   view: PlacementView,
   holders: readonly Registration[],
   facts: RequestFacts,
-  question: Question,
+  now: Millis,
 ): Candidate | undefined {
   const candidates = holders
-    .map((endpoint) => ({ endpoint, cost: estimateCost(view, endpoint, question) }))
+    .map((endpoint) => ({ endpoint, cost: estimateCost(view, endpoint, now) }))
     .sort((a, b) => a.cost - b.cost)
   const [cheapest] = candidates
   const shared = facts.sharedParts.reduce((sum, { tokens }) => sum + tokens, 0)
@@ -211,13 +175,13 @@
   view: PlacementView,
   engines: readonly Registration[],
   adapter: AdapterName,
-  question: Question,
+  now: Millis,
 ): Registration | undefined {
-  const costs = engines.map((endpoint) => estimateCost(view, endpoint, question))
+  const costs = engines.map((endpoint) => estimateCost(view, endpoint, now))
   const mean = costs.reduce((sum, cost) => sum + cost, 0) / Math.max(1, costs.length)
   const bound = mean + HOME_SLACK_MS
   const order = rankHomes(engines, adapter)
-  return order.find((endpoint) => estimateCost(view, endpoint, question) <= bound) ?? order[0]
+  return order.find((endpoint) => estimateCost(view, endpoint, now) <= bound) ?? order[0]
 }
 
 function isHolder(
@@ -258,7 +222,7 @@
 function estimateCost(
   { health, home }: PlacementView,
   { id, slots, dataCentre }: Registration,
-  { isLong, longEngines, now }: Question,
+  now: Millis,
 ): Millis {
   const running = health.countRunning(id, now)
   const load = (running * BATCH_MS) / Math.max(1, slots)
@@ -266,7 +230,5 @@
   const hop = dataCentre === home ? 0 : HOP_MS
   const slow = Math.max(1, health.getSlowness(id))
   const busy = (load + wait + health.getBacklog(id, now)) * slow
-  const elsewhere = isLong ? LONG_ELSEWHERE_MS : SHORT_ELSEWHERE_MS
-  const detour = longEngines.has(id) === isLong ? 0 : elsewhere
-  return busy + hop + detour + FAILING_MS * health.getFailing(id)
+  return busy + hop + FAILING_MS * health.getFailing(id)
 }
