--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, Millis, Registration } from "@galenaway/core"
 import { chooseEndpoint, choosePlacement, chooseReplica, type Placement } from "@galenaway/routing"
+import { BACKGROUND_PRIORITY, type LoadAsk } from "../owner/index.js"
 import type { Destination } from "./attempt.js"
 import type { Call } from "./call.js"
 import type { ForwardParts } from "./parts.js"
@@ -10,11 +11,17 @@
   | { readonly kind: "none"; readonly reason: string }
 
 /** A load is given up after this time, so that another engine can be asked. */
-const LOAD_WAIT_MS = 900
+const LOAD_WAIT_MS = 3000
 const MIN_LOAD_WAIT_MS = 30
 /** After so many refusals a load waits for a slot. */
 const MAX_REDIRECTS = 3
-const BACKGROUND_ASK = { waitMs: LOAD_WAIT_MS, wasMissing: false, canRedirect: true }
+const BACKGROUND_ASK: LoadAsk = {
+  waitMs: LOAD_WAIT_MS,
+  wasMissing: false,
+  canRedirect: true,
+  priority: BACKGROUND_PRIORITY,
+  objectiveInMs: LOAD_WAIT_MS,
+}
 
 /** Finds the endpoints of one call, in the order in which they are tried. */
 export class DestinationSearch {
@@ -88,7 +95,9 @@
     if (waitMs < MIN_LOAD_WAIT_MS) return { kind: "none", reason: "no time to load" }
     const wasMissing = this.missing.delete(endpoint.id)
     const canRedirect = this.loadRefused.size < MAX_REDIRECTS
-    const ask = { waitMs, wasMissing, canRedirect }
+    const { objectiveMs, priority } = call.route
+    const objectiveInMs = Math.max(0, call.arrivedAt + objectiveMs - startedAt)
+    const ask = { waitMs, wasMissing, canRedirect, priority, objectiveInMs }
     const outcome = await parts.links.load(endpoint.id, adapter, version, ask)
     const stalledMs = parts.clock.now() - startedAt
     parts.metrics.time("stall", stalledMs)
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -92,7 +92,8 @@
     const link = this.findLink(endpoint)
     if (!link) return { kind: "refused", reason: "the engine's owner isn't known" }
     const waitMs = Math.round(ask.waitMs)
-    const request = { endpoint, adapter, version: version ?? 0, ...ask, waitMs }
+    const objectiveInMs = Math.round(ask.objectiveInMs)
+    const request = { endpoint, adapter, version: version ?? 0, ...ask, waitMs, objectiveInMs }
     try {
       const reply = await link.load(request, waitMs + ANSWER_MARGIN_MS)
       return reply.isHeld
--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -15,7 +15,7 @@
 import type { Log, Metrics } from "@galenaway/observe"
 import { AdapterPlaces, type LoadStep } from "@galenaway/policy"
 import type { VersionTable } from "@galenaway/routing"
-import { LoadQueue, type WantedLoad } from "./load-queue.js"
+import { type LoadAsk, type LoadOutcome, LoadQueue, type WantedLoad } from "./load-queue.js"
 
 /** What an engine's keeper needs. */
 export interface KeeperParts {
@@ -32,21 +32,14 @@
   onChange(): void
 }
 
-/** What became of a request to load an adapter. */
-export type LoadOutcome =
-  | { readonly kind: "held"; readonly version: AdapterVersion }
-  | { readonly kind: "refused"; readonly reason: string }
-
-/** How a load is asked for. */
-export interface LoadAsk {
-  readonly waitMs: Millis
-  /** The engine has just turned a request away because it doesn't hold the adapter. */
-  readonly wasMissing: boolean
-  /** Another engine can be asked: a load that has to wait for a slot is refused at once. */
-  readonly canRedirect: boolean
-}
-
-const MAX_ARRIVING = 4
+/** More loads at once, over all engines, would make each of them slower. */
+const MAX_ARRIVING = 2
+/** A load that would wait for so many others is refused where another engine can be asked. */
+const MAX_AHEAD = 3
+/** An adapter that is brought in ahead of need is refused while so many are wanted. */
+const MAX_AHEAD_IDLE = 0
+/** Nobody waits for loads of this priority. */
+export const BACKGROUND_PRIORITY = 100
 /** A report shows an order at the latest after this time. */
 const REPORT_LAG_MS = 450
 const REPORT_TIMEOUT_MS = 600
@@ -86,7 +79,7 @@
     private readonly parts: KeeperParts,
   ) {
     this.places = new AdapterPlaces(limits.adapterSlots, MAX_ARRIVING)
-    this.queue = new LoadQueue(parts.clock)
+    this.queue = new LoadQueue(parts.clock, FIRST_POLL_MS)
     this.lastOrderAt = parts.clock.now()
   }
 
@@ -115,11 +108,19 @@
   ): Promise<LoadOutcome> {
     if (this.abort.signal.aborted) return Promise.resolve({ kind: "refused", reason: "not owned" })
     if (ask.wasMissing) this.onMissing(adapter)
+    if (ask.canRedirect && this.isCongested(adapter, ask))
+      return Promise.resolve({ kind: "refused", reason: "too many loads ahead" })
     const outcome = this.queue.add(adapter, version, ask)
     this.wake()
     return outcome
   }
 
+  private isCongested(adapter: AdapterName, ask: LoadAsk): boolean {
+    if (this.queue.has(adapter) || this.places.listArriving().includes(adapter)) return false
+    const limit = ask.priority >= BACKGROUND_PRIORITY ? MAX_AHEAD_IDLE : MAX_AHEAD
+    return this.queue.countAhead(ask) > limit
+  }
+
   /** Notes whether an instance has requests that use an adapter. */
   onUse(adapter: AdapterName, holder: InstanceId, inFlight: number): void {
     this.places.onUse(adapter, holder, inFlight, this.parts.clock.now())
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -16,7 +16,8 @@
 import type { Directory } from "../catalogue/directory.js"
 import type { Serving } from "../catalogue/serving.js"
 import type { Ownership } from "../fleet/ownership.js"
-import { EngineKeeper, type LoadAsk, type LoadOutcome } from "./engine-keeper.js"
+import { EngineKeeper } from "./engine-keeper.js"
+import type { LoadAsk, LoadOutcome } from "./load-queue.js"
 
 /** What an owner tells of an engine. */
 export interface EngineNews {
