--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -28,7 +28,7 @@
   | { readonly kind: "streamed" }
   | { readonly kind: "not-run"; readonly cause: NotRunCause }
   /** It may have run, and there is no whole answer. */
-  | { readonly kind: "failed"; readonly cause: "broken" | "silent" | "wrong-answer" }
+  | { readonly kind: "failed"; readonly cause: "broken" | "silent" | "wrong-answer" | "outdated" }
   | { readonly kind: "out-of-time" }
   | { readonly kind: "caller-gone" }
 
@@ -58,6 +58,7 @@
 }
 
 const BASE_FIRST_BYTE_MS = 30
+const VERSION_CHECK_MS = 500
 const OK_STATUS = 200
 const FIRST_ERROR_STATUS = 300
 const SERVER_ERROR_STATUS = 500
@@ -71,6 +72,7 @@
   private status = 0
   private timer: NodeJS.Timeout | undefined
   private deadlineTimer: NodeJS.Timeout | undefined
+  private versionTimer: NodeJS.Timeout | undefined
   private settle: (result: AttemptResult) => void = () => undefined
   private isSettled = false
   private outcome: EndpointOutcome | undefined
@@ -136,6 +138,7 @@
         this.isSettled = true
         clearTimeout(this.timer)
         clearTimeout(this.deadlineTimer)
+        clearInterval(this.versionTimer)
         this.call.callerGone.removeEventListener("abort", onGone)
         resolve(result)
       }
@@ -161,6 +164,7 @@
       this.giveUp({ kind: "out-of-time" }, undefined)
     }, remainingMs)
     this.setPatience(this.patience.firstByteMs)
+    this.watchVersion()
     const use = isRepeatable(call) || isStream(call) ? "shared" : "single"
     const connections = parts.pools.get(endpoint, use, parts.countConnections(endpoint))
     this.exchange.start(connections, {
@@ -171,6 +175,17 @@
     })
   }
 
+  /** A request that waits at its engine must not begin on a version that was replaced too long ago. */
+  private watchVersion(): void {
+    const { adapter } = this.call.facts
+    if (adapter === undefined) return
+    this.versionTimer = setInterval(() => {
+      const required = this.parts.versions.getRequired(adapter, this.parts.clock.now())
+      if (required === undefined || (this.destination.version ?? 0) >= required) return
+      this.giveUp({ kind: "failed", cause: "outdated" }, undefined)
+    }, VERSION_CHECK_MS)
+  }
+
   private onHead(status: number, headers: RawHeaders): void {
     const { parts, call, destination } = this
     const facts = parts.dialect.readAnswer(status, headers)
@@ -193,6 +208,7 @@
       parts.health.onFirstByte(id, now - this.startedAt, expected)
     }
     this.isHeadTaken = true
+    clearInterval(this.versionTimer)
     this.setPatience(this.patience.betweenBytesMs)
     this.sink.onHead(status, headers)
   }
