A reset that arrives with the last bytes is no end of an answer

Cause: libuv reports a hang-up that comes with data as an end of file, and the HTTP client takes the end of an answer without a length as complete, also on ECONNRESET. Ruled out: Connection: close on the request (same on kept ones).

--- a/packages/entry/src/forward/resets.ts
+++ b/packages/entry/src/forward/resets.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net"
 import { buildConnector } from "undici"
 
 let isResetInProgress = false
@@ -19,14 +20,25 @@
   return (target, callback) => {
     connect(target, (...result) => {
       const [, socket] = result
-      socket?.on("error", onSocketError)
+      socket?.on("error", announceReset)
+      socket?.on("end", () => {
+        if (!hasPeer(socket)) announceReset()
+      })
       callback(...result)
     })
   }
 }
 
+/**
+ * A reset that arrives together with the last bytes is read as an ordinary
+ * end. The kernel has then forgotten the peer, which an orderly end leaves.
+ */
+function hasPeer(socket: Socket): boolean {
+  return socket.remotePort !== undefined
+}
+
 /** Runs before the HTTP client's own listener, which runs within the same emit. */
-function onSocketError(): void {
+function announceReset(): void {
   isResetInProgress = true
   process.nextTick(() => {
     isResetInProgress = false
