--- /dev/null
+++ b/packages/coordination/test/leased.test.ts
@@ -0,0 +1,124 @@
+import { expect } from "chai"
+import {
+  computeAuthorityTimes,
+  type LiveInstance,
+  OrderAuthority,
+  type OwnerRecord,
+  planClaims,
+  planHandovers,
+  SuspensionDetector,
+} from "@galenaway/coordination"
+
+const LEASE_MS = 3000
+const times = computeAuthorityTimes(LEASE_MS)
+const engines = ["e1", "e2", "e3", "e4"].map((id) => ({ id, dataCentre: "dc" }))
+
+it("instances with the same view claim every engine exactly once", () => {
+  const live = ["a", "b", "c"].map((id) => buildInstance(id))
+  const claims = live.flatMap((self) => planClaims(self, live, engines, new Map()))
+  expect(claims.map(({ endpoint }) => endpoint).sort()).to.deep.equal(["e1", "e2", "e3", "e4"])
+  const counts = live.map(({ id }) => claims.filter(({ owner }) => owner.id === id).length)
+  expect(Math.max(...counts)).to.be.at.most(2)
+})
+
+it("an engine stays with its owner while that is live", () => {
+  const live = ["a", "b"].map((id) => buildInstance(id))
+  const records = new Map(engines.map(({ id }) => [id, buildRecord(id, "b")]))
+  expect(live.flatMap((self) => planClaims(self, live, engines, records))).to.deep.equal([])
+})
+
+it("a process that started anew claims what its machine owned", () => {
+  const self = buildInstance("a", "a2")
+  const records = new Map([["e1", buildRecord("e1", "a")]])
+  const claims = planClaims(self, [self], engines.slice(0, 1), records)
+  expect(claims).to.deep.equal([{ endpoint: "e1", owner: self, before: records.get("e1") }])
+})
+
+it("an instance of the engine's data centre owns it where there is one", () => {
+  const near = buildInstance("z", "z", "dc")
+  const far = buildInstance("a", "a", "elsewhere")
+  expect(planClaims(far, [near, far], engines, new Map())).to.deep.equal([])
+  expect(planClaims(near, [near, far], engines, new Map())).to.have.length(4)
+})
+
+it("a stopping instance claims nothing and gives its engines away", () => {
+  const self = { ...buildInstance("a"), isStopping: true }
+  const other = buildInstance("b")
+  const records = new Map(engines.map(({ id }) => [id, buildRecord(id, "a")]))
+  expect(planClaims(self, [self, other], engines, records)).to.deep.equal([])
+  const given = planHandovers(self, [self, other], engines, records)
+  expect(given.map(({ owner }) => owner.id)).to.deep.equal(["b", "b", "b", "b"])
+})
+
+it("orders need a confirmation that was asked for lately", () => {
+  const { authority, records } = createOwner()
+  expect(authority.getToken("e1", 0)).to.equal(undefined)
+  authority.confirm(records, 100)
+  expect(authority.getToken("e1", 100 + times.confirmedMs - 1)).to.equal(7)
+  expect(authority.getToken("e1", 100 + times.confirmedMs)).to.equal(undefined)
+})
+
+it("a successor's first order comes after the last of an owner that can't confirm", () => {
+  const { authority, records } = createOwner()
+  const lastConfirmed = 1000
+  authority.confirm(records, lastConfirmed)
+  const claimedAt = lastConfirmed + 1
+  const successor = new OrderAuthority(times)
+  const claimed = { ...buildRecord("e1", "b"), revision: 8 }
+  successor.add(claimed, false, claimedAt)
+  let lastOrderEnds = 0
+  let firstOrder = Infinity
+  for (let now = lastConfirmed; now < claimedAt + 2 * LEASE_MS; now += 10) {
+    successor.confirm(new Map([["e1", claimed]]), now)
+    if (authority.getToken("e1", now) !== undefined) lastOrderEnds = now + times.orderTimeoutMs
+    if (successor.getToken("e1", now) !== undefined) firstOrder = Math.min(firstOrder, now)
+  }
+  expect(lastOrderEnds).to.be.greaterThan(0)
+  expect(firstOrder).to.be.greaterThan(lastOrderEnds)
+})
+
+it("a record that another process has written ends the ownership", () => {
+  const { authority } = createOwner()
+  const lost = authority.confirm(new Map([["e1", { ...buildRecord("e1", "b"), revision: 8 }]]), 0)
+  expect(lost).to.deep.equal(["e1"])
+  expect(authority.getToken("e1", 0)).to.equal(undefined)
+})
+
+it("a suspended process orders nothing before it has confirmed again", () => {
+  const { authority, records } = createOwner()
+  authority.confirm(records, 0)
+  authority.suspend()
+  expect(authority.getToken("e1", 1)).to.equal(undefined)
+  authority.confirm(records, 2)
+  expect(authority.getToken("e1", 3)).to.equal(7)
+})
+
+it("a gap of the loop, a suspended clock and a step of the time of day are noticed", () => {
+  const clock = { mono: 0, wall: 1000 }
+  const detector = new SuspensionDetector({ now: () => clock.mono, wallNow: () => clock.wall }, 250)
+  const advance = (mono: number, wall: number) => {
+    clock.mono += mono
+    clock.wall += wall
+    return detector.check()
+  }
+  expect(advance(25, 25)).to.equal(false)
+  expect(advance(300, 300)).to.equal(true)
+  expect(advance(25, 2025)).to.equal(true)
+  expect(advance(25, 25)).to.equal(false)
+  expect(advance(25, -1975)).to.equal(true)
+})
+
+function createOwner() {
+  const authority = new OrderAuthority(times)
+  const record = buildRecord("e1", "a")
+  authority.add(record, true, 0)
+  return { authority, records: new Map([["e1", record]]) }
+}
+
+function buildInstance(id: string, incarnation = id, dataCentre = "dc"): LiveInstance {
+  return { id, incarnation, dataCentre, isStopping: false }
+}
+
+function buildRecord(endpoint: string, owner: string): OwnerRecord {
+  return { endpoint, owner, incarnation: owner, revision: 7, isHandedOver: false }
+}
--- /dev/null
+++ b/packages/routing/test/place.test.ts
@@ -0,0 +1,89 @@
+import { expect } from "chai"
+import { choosePlacement, chooseReplica, rankHomes } from "@galenaway/routing"
+import { buildEngine, buildFacts, buildView } from "./support.js"
+
+const NOBODY: ReadonlySet<string> = new Set()
+const engines = ["e1", "e2", "e3", "e4"].map((id) => buildEngine(id))
+
+it("a request goes to an engine that holds its adapter", () => {
+  const view = buildView(engines)
+  view.residency.add("e3", "m/a", 1)
+  const placement = choosePlacement(view, buildFacts(), NOBODY, 0)
+  expect(placement).to.deep.include({ kind: "send", endpoint: engines[2] })
+})
+
+it("a cold adapter is loaded on its first engine, the same for every instance", () => {
+  const first = rankHomes(engines, "m/a")[0]
+  const one = choosePlacement(buildView(engines), buildFacts(), NOBODY, 0)
+  const other = choosePlacement(buildView([...engines].reverse()), buildFacts(), NOBODY, 0)
+  expect(one).to.deep.equal({ kind: "load", endpoint: first })
+  expect(other).to.deep.equal(one)
+})
+
+it("engines without a reachable owner get no loads", () => {
+  const [first, second] = rankHomes(engines, "m/a")
+  const view = { ...buildView(engines), canLoad: (id: string) => id !== first?.id }
+  const placement = choosePlacement(view, buildFacts(), NOBODY, 0)
+  expect(placement).to.deep.equal({ kind: "load", endpoint: second })
+})
+
+it("an engine without the base model is neither used nor loaded", () => {
+  const view = buildView(engines.slice(0, 1))
+  view.residency.update("e1", "owner", [], [], 0)
+  expect(choosePlacement(view, buildFacts(), NOBODY, 0).kind).to.equal("none")
+})
+
+it("an older version is used during its grace and not after it", () => {
+  const view = buildView(engines, 1000)
+  view.residency.add("e1", "m/a", 1)
+  view.versions.add("m/a", 2, 0)
+  expect(choosePlacement(view, buildFacts(), NOBODY, 999)).to.deep.include({ kind: "send" })
+  const later = choosePlacement(view, buildFacts(), NOBODY, 1000)
+  expect(later.kind).to.equal("load")
+  expect(later).not.to.deep.include({ endpoint: engines[0] })
+})
+
+it("engines with the newest version go before those in their grace, and the version is asked for", () => {
+  const view = buildView(engines)
+  view.residency.add("e1", "m/a", 1)
+  view.residency.add("e2", "m/a", 2)
+  view.versions.add("m/a", 2, 0)
+  const placement = choosePlacement(view, buildFacts(), NOBODY, 10)
+  expect(placement).to.deep.equal({ kind: "send", endpoint: engines[1], version: 2 })
+})
+
+it("a new version is brought in beside the engine that holds the old one", () => {
+  const view = buildView(engines)
+  view.residency.add("e1", "m/a", 1)
+  view.versions.add("m/a", 2, 0)
+  const replica = chooseReplica(view, buildFacts(), 10)
+  expect(replica?.id).not.to.equal("e1")
+  expect(replica).not.to.equal(undefined)
+})
+
+it("a popular adapter gets another engine when its own is busy, a rare one doesn't", () => {
+  const view = buildView(engines)
+  view.residency.add("e1", "m/a", 1)
+  for (let i = 0; i < 6; i++) view.health.onSend("e1", 10, 0)
+  expect(chooseReplica(view, buildFacts(), 0)).to.equal(undefined)
+  for (let i = 0; i < 6; i++) view.popularity.add("m/a", 0)
+  expect(chooseReplica(view, buildFacts(), 0)?.id).not.to.equal("e1")
+})
+
+it("an engine that failed often is left for another holder", () => {
+  const view = buildView(engines)
+  view.residency.add("e1", "m/a", 1)
+  view.residency.add("e2", "m/a", 1)
+  for (const outcome of ["broken", "answered", "broken"] as const) {
+    view.health.onSend("e1", 0, 0)
+    view.health.onEnd("e1", outcome, 0)
+  }
+  const placement = choosePlacement(view, buildFacts(), NOBODY, 0)
+  expect(placement).to.deep.include({ endpoint: engines[1] })
+})
+
+it("excluded engines are not chosen again", () => {
+  const view = buildView(engines.slice(0, 1))
+  view.residency.add("e1", "m/a", 1)
+  expect(choosePlacement(view, buildFacts(), new Set(["e1"]), 0).kind).to.equal("none")
+})
