--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -2,7 +2,10 @@
 import { prepare, root } from "./prepare.mjs"
 
 prepare()
-const demo = spawn(process.execPath, ["packages/demo/dist/src/main.js", ...process.argv.slice(2)], {
+const isPlatform = process.argv.includes("--platform")
+const script = isPlatform ? "platform/dist/stand-in/main.js" : "packages/demo/dist/src/main.js"
+const args = process.argv.slice(2).filter((arg) => arg !== "--platform")
+const demo = spawn(process.execPath, [script, ...args], {
   cwd: root,
   stdio: "inherit",
 })
