Engines are reclaimed as soon as a restarted process knows them

Cause: the first look at owner records came before the configuration and the list were known, the next 0.4 s later, and the engine's state was read 0.45 s after that.

--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -217,6 +217,7 @@
     log: c.resolve(ENTRY_TOKENS.log),
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
+    startedAt: clock.now(),
     onNews: (news) => {
       residency.update(news.endpoint, "owner", news.models, news.adapters, clock.now())
       c.resolve(LinkServer).publish(news)
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -62,6 +62,7 @@
 /** Claims engines for this instance and keeps its authority to order them confirmed. */
 export class Ownership extends EventEmitter<OwnershipEvents> {
   private readonly abort = new AbortController()
+  private wake = new AbortController()
   private readonly dependency: DependencyState
   private readonly startedAt: Millis
   private readonly seenAt = new Map<InstanceId, Millis>()
@@ -131,15 +132,21 @@
     this.abort.abort()
   }
 
+  /** Reads and claims at once instead of at the next interval, since something new is known. */
+  hasten(): void {
+    this.wake.abort()
+  }
+
   private async runPoll(): Promise<void> {
     while (!this.abort.signal.aborted) {
+      this.wake = new AbortController()
       try {
         await this.poll()
         this.dependency.onSuccess()
       } catch (error) {
         this.dependency.onFailure(error)
       }
-      await waitFor(POLL_MS, this.abort.signal)
+      await waitFor(POLL_MS, AbortSignal.any([this.abort.signal, this.wake.signal]))
     }
   }
 
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -72,6 +72,7 @@
   parts.resolve(Serving).on("configuration", ({ limits }) => {
     parts.resolve(CallerServer).setLimits(limits)
   })
+  hastenFirstClaims(parts)
   directory.on("started", ({ id }) => {
     health.reset(id)
     residency.reset(id)
@@ -82,6 +83,15 @@
   })
 }
 
+/** A process that was started anew gets its engines back as soon as it knows them. */
+function hastenFirstClaims(parts: DependencyContainer): void {
+  const hasten = () => {
+    if (isReady(parts)) parts.resolve(Ownership).hasten()
+  }
+  parts.resolve(Serving).once("configuration", hasten)
+  parts.resolve(Directory).once("read", hasten)
+}
+
 function updateTables(
   directory: Directory,
   health: EndpointHealth,
--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -26,6 +26,8 @@
   readonly log: Log
   readonly metrics: Metrics
   readonly orderTimeoutMs: Millis
+  /** Start of this process. */
+  readonly startedAt: Millis
   /** Returns the fencing token for an order now, or undefined when none may be given. */
   getToken(): number | undefined
   /** Called when what the engine holds has changed. */
@@ -80,7 +82,8 @@
   ) {
     this.places = new AdapterPlaces(limits.adapterSlots, MAX_ARRIVING)
     this.queue = new LoadQueue(parts.clock, FIRST_POLL_MS)
-    this.lastOrderAt = parts.clock.now()
+    // Orders of earlier processes are older than this one.
+    this.lastOrderAt = parts.startedAt
   }
 
   /** The engine's process that this keeper knows. */
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -38,6 +38,8 @@
   readonly log: Log
   readonly metrics: Metrics
   readonly orderTimeoutMs: Millis
+  /** Start of this process. */
+  readonly startedAt: Millis
   onNews(news: EngineNews): void
   onDropped(endpoint: EndpointId): void
 }
