--- a/packages/coordination/src/leased/authority.ts
+++ b/packages/coordination/src/leased/authority.ts
@@ -45,11 +45,11 @@
     this.holdings.set(record.endpoint, { record, activeFrom })
   }
 
-  /** Takes the records of a linearizable read that was sent at `sentAt`. Returns the endpoints that were lost. */
+  /** Takes the records of a linearizable read that was sent at `sentAt`; it may be older than this process's last claims. Returns the endpoints that were lost. */
   confirm(records: ReadonlyMap<EndpointId, OwnerRecord>, sentAt: Millis): readonly EndpointId[] {
     this.confirmedAt = Math.max(this.confirmedAt, sentAt)
     const lost = [...this.holdings].filter(
-      ([endpoint, { record }]) => records.get(endpoint)?.revision !== record.revision,
+      ([endpoint, { record }]) => (records.get(endpoint)?.revision ?? 0) > record.revision,
     )
     for (const [endpoint] of lost) this.holdings.delete(endpoint)
     return lost.map(([endpoint]) => endpoint)
@@ -70,6 +70,20 @@
     return true
   }
 
+  /**
+   * Takes the word of all other instances that they can't reach the store
+   * either, asked for at `askedAt`. What a claimant of them may write later it
+   * can use only after `takeOverMs`. Returns false, and takes nothing, when one
+   * of them knows of a newer owner.
+   */
+  confirmInOutage(told: readonly ReadonlyMap<EndpointId, OwnerRecord>[], askedAt: Millis): boolean {
+    const hasNewer = [...this.holdings].some(([endpoint, { record }]) =>
+      told.some((records) => (records.get(endpoint)?.revision ?? 0) > record.revision),
+    )
+    if (!hasNewer) this.confirmedAt = Math.max(this.confirmedAt, askedAt)
+    return !hasNewer
+  }
+
   /** Withdraws all permissions until the records are confirmed again, since the process may have stood still. */
   suspend(): void {
     this.confirmedAt = -Infinity
--- a/packages/coordination/test/leased.test.ts
+++ b/packages/coordination/test/leased.test.ts
@@ -97,6 +97,22 @@
   expect(authority.getToken("e1", 5001)).to.equal(undefined)
 })
 
+it("in an outage the word of all others confirms, unless one knows a newer owner", () => {
+  const { authority, records } = createOwner()
+  expect(authority.confirmInOutage([records, new Map()], 100)).to.equal(true)
+  expect(authority.getToken("e1", 101)).to.equal(7)
+  const newer = new Map([["e1", { ...buildRecord("e1", "b"), revision: 8 }]])
+  expect(authority.confirmInOutage([records, newer], 5000)).to.equal(false)
+  expect(authority.getToken("e1", 5001)).to.equal(undefined)
+})
+
+it("a read that was sent before a claim doesn't end it", () => {
+  const { authority } = createOwner()
+  const before = new Map([["e1", { ...buildRecord("e1", "z"), revision: 6 }]])
+  expect(authority.confirm(before, 0)).to.deep.equal([])
+  expect(authority.getToken("e1", 1)).to.equal(7)
+})
+
 it("a suspended process orders nothing before it has confirmed again", () => {
   const { authority, records } = createOwner()
   authority.confirm(records, 0)
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -54,7 +54,10 @@
 
 /** Owner records of a linearizable read that was sent so long ago. */
 export interface ToldOwners {
+  readonly from: InstanceId
   readonly ageMs: Millis
+  /** The instance that read them can't reach the store any more. */
+  readonly isStoreLost: boolean
   readonly owners: ReadonlyMap<EndpointId, OwnerRecord>
 }
 
@@ -85,7 +88,7 @@
   private instancesById: ReadonlyMap<InstanceId, RegisteredInstance> = new Map()
   /** Instances as they were listed last, those that are missing now included. */
   private readonly lastListed = new Map<InstanceId, RegisteredInstance>()
-  private confirmed: { readonly sentAt: Millis; readonly owners: ToldOwners["owners"] } | undefined
+  private confirmed: { readonly sentAt: Millis } | undefined
   private recordsById = new Map<EndpointId, OwnerRecord>()
 
   constructor(
@@ -113,8 +116,10 @@
     const { confirmed } = this
     return (
       confirmed && {
+        from: this.self.id,
         ageMs: this.parts.clock.now() - confirmed.sentAt,
-        owners: confirmed.owners,
+        isStoreLost: this.dependency.isLost,
+        owners: this.recordsById,
       }
     )
   }
@@ -190,12 +195,12 @@
     await this.claim()
   }
 
-  /** A stale read may show a record as it was before this process wrote it. */
+  /** A read may show a record as it was before this process wrote it. */
   private mergeRecords(owners: ReadonlyMap<EndpointId, OwnerRecord>): void {
     const merged = new Map(owners)
     for (const [endpoint, known] of this.recordsById) {
       const read = owners.get(endpoint)
-      if (read && read.revision < known.revision) merged.set(endpoint, known)
+      if (!read || read.revision < known.revision) merged.set(endpoint, known)
     }
     for (const endpoint of this.parts.authority.listEndpoints()) {
       const own = this.parts.authority.getRecord(endpoint)
@@ -335,10 +340,10 @@
         return
       }
       const { owners } = parseFleetRecords(range.items)
-      this.confirmed = { sentAt, owners }
+      this.confirmed = { sentAt }
+      this.dependency.onSuccess()
       const lost = authority.confirm(owners, sentAt)
-      this.recordsById = new Map(owners)
-      this.adoptHandedOver()
+      this.mergeRecords(owners)
       for (const endpoint of lost) this.reportLost(endpoint)
     } catch (error) {
       this.dependency.onFailure(error)
@@ -357,7 +362,18 @@
       authority.suspend()
       return
     }
-    for (const { ageMs, owners } of told) authority.confirmByPeer(owners, askedAt - ageMs)
+    const readers = told.filter(({ isStoreLost }) => !isStoreLost)
+    for (const { ageMs, owners } of readers) authority.confirmByPeer(owners, askedAt - ageMs)
+    if (!this.areAllCutOff(told)) return
+    const records = told.map(({ owners }) => owners)
+    if (!authority.confirmInOutage(records, askedAt))
+      this.parts.log.warn("a peer knows a newer owner")
+  }
+
+  /** Whether every other instance that was listed last has said that it can't reach the store. */
+  private areAllCutOff(told: readonly ToldOwners[]): boolean {
+    const cutOff = new Set(told.filter(({ isStoreLost }) => isStoreLost).map(({ from }) => from))
+    return [...this.instancesById.keys()].every((id) => id === this.self.id || cutOff.has(id))
   }
 
   private drop(endpoint: EndpointId): void {
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -73,14 +73,15 @@
   async askOwners(): Promise<readonly ToldOwners[]> {
     const links = [...this.byPeer.values()].filter(({ isAlive }) => isAlive)
     const replies = await Promise.allSettled(links.map((link) => link.tellOwners()))
-    return replies.flatMap((reply) => {
+    return replies.flatMap((reply, index) => {
       if (reply.status === "rejected") {
         this.parts.log.info({ err: reply.reason as unknown }, "peer tells no owner records")
         return []
       }
-      const { isKnown, ageMs, owners } = reply.value
+      const { isKnown, ageMs, isStoreLost, owners } = reply.value
+      const from = links[index]?.peer ?? ""
       const records = new Map(owners.map((owner) => [owner.endpoint, owner]))
-      return isKnown ? [{ ageMs, owners: records }] : []
+      return isKnown ? [{ from, ageMs, isStoreLost, owners: records }] : []
     })
   }
 
--- a/packages/entry/src/links/server.ts
+++ b/packages/entry/src/links/server.ts
@@ -178,8 +178,8 @@
 
 function formatOwners(told: ToldOwners | undefined): OwnersReply {
   return told
-    ? { isKnown: true, ageMs: told.ageMs, owners: [...told.owners.values()] }
-    : { isKnown: false, ageMs: 0, owners: [] }
+    ? { isKnown: true, ...told, owners: [...told.owners.values()] }
+    : { isKnown: false, ageMs: 0, isStoreLost: false, owners: [] }
 }
 
 function formatOutcome(outcome: LoadOutcome): LoadReply {
