--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -2,80 +2,28 @@
 import { randomUUID } from "node:crypto"
 import { container, type DependencyContainer, instanceCachingFactory } from "tsyringe"
 import type { InjectionToken } from "tsyringe"
-import {
-  type AuthorityTimes,
-  computeAuthorityTimes,
-  OrderAuthority,
-  SuspensionDetector,
-} from "@galenaway/coordination"
-import {
-  type Clock,
-  type EngineControl,
-  type HeaderDialect,
-  type Registration,
-  type ServiceName,
-  type StorePort,
-  systemClock,
-} from "@galenaway/core"
-import { createLog, createMetrics, type Log, type MetricsRegistry } from "@galenaway/observe"
-import {
-  EndpointHealth,
-  Popularity,
-  Residency,
-  RetryAllowance,
-  VersionTable,
-} from "@galenaway/routing"
+import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
+import { systemClock } from "@galenaway/core"
+import { createLog, createMetrics } from "@galenaway/observe"
+import { EndpointHealth, Popularity, Residency, VersionTable } from "@galenaway/routing"
 import { pino } from "pino"
-import {
-  type CatalogueFormat,
-  ConfigurationWatch,
-  Directory,
-  DirectoryPoll,
-  Serving,
-} from "./catalogue/index.js"
-import { Membership, Ownership, type RegisteredInstance } from "./fleet/index.js"
-import { EndpointPools, ForwardHandler, type ForwardParts } from "./forward/index.js"
+import { ConfigurationWatch, Directory, DirectoryPoll, Serving } from "./catalogue/index.js"
+import { Membership, Ownership } from "./fleet/index.js"
+import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { Links, LinkServer, UseTable } from "./links/index.js"
 import { Owner } from "./owner/index.js"
 import { RequestLog } from "./request-log.js"
 import { CallerServer } from "./server.js"
 import type { EntrySettings } from "./settings.js"
-
-/** What an entry instance speaks to the world outside; the platform's adapter provides it. */
-export interface EntryPorts {
-  readonly store: StorePort
-  readonly control: EngineControl
-  readonly dialect: HeaderDialect
-  readonly format: CatalogueFormat
-}
-
-/** State that parts of the instance share. */
-export interface EntryState {
-  isStopping: boolean
-}
-
-/** Names of the parts that have no class of their own. */
-export const ENTRY_TOKENS = {
-  settings: Symbol("settings") as InjectionToken<EntrySettings>,
-  ports: Symbol("ports") as InjectionToken<EntryPorts>,
-  clock: Symbol("clock") as InjectionToken<Clock>,
-  log: Symbol("log") as InjectionToken<Log>,
-  metrics: Symbol("metrics") as InjectionToken<MetricsRegistry>,
-  self: Symbol("self") as InjectionToken<RegisteredInstance>,
-  times: Symbol("times") as InjectionToken<AuthorityTimes>,
-  state: Symbol("state") as InjectionToken<EntryState>,
-  forward: Symbol("forward") as InjectionToken<ForwardParts>,
-} as const
+import { ENTRY_TOKENS, type EntryPorts } from "./tokens.js"
+import { createForwardParts, createLinks, createLinkServer, createOwner } from "./wiring.js"
 
 const STANDARD_OUTPUT = 1
 const REQUEST_LINES_PER_SECOND = 400
 /** Longest gap between two looks at the clocks that isn't a pause of the process. */
 const MAX_GAP_MS = 250
-/** Share of an endpoint's connections that the instances use. */
-const CONNECTION_SHARE = 0.9
 /** Part of the limit on older adapter versions that passes before they are avoided. */
 const VERSION_GRACE_SHARE = 0.5
-const MS_PER_S = 1000
 const POPULARITY_HALF_LIFE_MS = 5000
 
 /** Builds the container of one entry instance. Tests replace parts in a child of it. */
@@ -205,81 +153,6 @@
   registerCached(parts, Links, createLinks)
 }
 
-function createOwner(c: DependencyContainer, control: EngineControl): Owner {
-  const residency = c.resolve(Residency)
-  const clock = c.resolve(ENTRY_TOKENS.clock)
-  return new Owner({
-    self: c.resolve(ENTRY_TOKENS.self).id,
-    ownership: c.resolve(Ownership),
-    directory: c.resolve(Directory),
-    serving: c.resolve(Serving),
-    versions: c.resolve(VersionTable),
-    control,
-    clock,
-    log: c.resolve(ENTRY_TOKENS.log),
-    metrics: c.resolve(ENTRY_TOKENS.metrics),
-    orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
-    startedAt: clock.now(),
-    onNews: (news) => {
-      residency.update(news.endpoint, "owner", news.models, news.adapters, clock.now())
-      c.resolve(LinkServer).publish(news)
-    },
-    onDropped: (endpoint) => {
-      c.resolve(LinkServer).publishDropped(endpoint)
-    },
-  })
-}
-
-function createLinkServer(c: DependencyContainer): LinkServer {
-  const owner = c.resolve(Owner)
-  const serving = c.resolve(Serving)
-  return new LinkServer(
-    {
-      load: ({ endpoint, adapter, version, ...ask }) =>
-        owner.load(endpoint, adapter, version > 0 ? version : undefined, ask),
-      onUpdate: ({ instance, configurationVersion, uses }) => {
-        c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, instance)
-        for (const { endpoint, adapters } of uses)
-          for (const { adapter, inFlight } of adapters)
-            owner.onUse(endpoint, adapter, instance, inFlight)
-      },
-      listNews: () => owner.listNews(),
-      listItems: () => [...serving.listItems(), ...c.resolve(Directory).listItems()],
-      getConfigurationVersion: () => serving.version,
-      tellOwners: () => c.resolve(Ownership).tellOwners(),
-    },
-    c.resolve(ENTRY_TOKENS.log),
-  )
-}
-
-function createLinks(c: DependencyContainer): Links {
-  const residency = c.resolve(Residency)
-  const clock = c.resolve(ENTRY_TOKENS.clock)
-  const told = new Map<string, Set<string>>()
-  return new Links({
-    self: c.resolve(ENTRY_TOKENS.self).id,
-    ownership: c.resolve(Ownership),
-    owner: c.resolve(Owner),
-    uses: c.resolve(UseTable),
-    clock,
-    log: c.resolve(ENTRY_TOKENS.log),
-    events: {
-      getConfigurationVersion: () => c.resolve(Serving).version,
-      onUpdate: (peer, { configurationVersion, engines, dropped }) => {
-        c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, peer)
-        const endpoints = told.get(peer) ?? new Set<string>()
-        told.set(peer, endpoints)
-        for (const endpoint of dropped) endpoints.delete(endpoint)
-        for (const endpoint of endpoints) residency.confirm(endpoint, clock.now())
-        for (const { endpoint, models, adapters } of engines) {
-          endpoints.add(endpoint)
-          residency.update(endpoint, "owner", models, adapters, clock.now())
-        }
-      },
-    },
-  })
-}
-
 function registerForwarding(
   parts: DependencyContainer,
   settings: EntrySettings,
@@ -289,64 +162,3 @@
   registerCached(parts, ForwardHandler, (c) => new ForwardHandler(c.resolve(ENTRY_TOKENS.forward)))
   registerCached(parts, CallerServer, (c) => new CallerServer(c.resolve(ForwardHandler)))
 }
-
-function createForwardParts(
-  c: DependencyContainer,
-  settings: EntrySettings,
-  dialect: HeaderDialect,
-): ForwardParts {
-  const directory = c.resolve(Directory)
-  const health = c.resolve(EndpointHealth)
-  const residency = c.resolve(Residency)
-  const versions = c.resolve(VersionTable)
-  const links = c.resolve(Links)
-  const ownership = c.resolve(Ownership)
-  const serving = c.resolve(Serving)
-  const allowances = new Map<ServiceName, RetryAllowance>()
-  const countInstances = () => Math.max(1, ownership.instances.size)
-  return {
-    home: settings.dataCentre,
-    serving,
-    directory,
-    dialect,
-    pools: c.resolve(EndpointPools),
-    health,
-    residency,
-    versions,
-    popularity: c.resolve(Popularity),
-    links,
-    uses: c.resolve(UseTable),
-    clock: c.resolve(ENTRY_TOKENS.clock),
-    metrics: c.resolve(ENTRY_TOKENS.metrics),
-    log: c.resolve(RequestLog),
-    getAllowance: (service) => getAllowance(allowances, service, settings),
-    countInstances,
-    buildView: (service) => ({
-      engines: directory.listLive(service),
-      health,
-      residency,
-      versions,
-      popularity: c.resolve(Popularity),
-      home: settings.dataCentre,
-      canLoad: (endpoint) => links.canLoad(endpoint),
-    }),
-    isStopping: () => c.resolve(ENTRY_TOKENS.state).isStopping,
-    countConnections: ({ service }: Registration) => {
-      const limit = serving.routes?.configuration.services.get(service)?.maxConnections ?? 0
-      return Math.floor((CONNECTION_SHARE * limit) / countInstances())
-    },
-  }
-}
-
-function getAllowance(
-  allowances: Map<ServiceName, RetryAllowance>,
-  service: ServiceName,
-  { retryShare, retryFixed, retryWindowS }: EntrySettings,
-): RetryAllowance {
-  const known = allowances.get(service)
-  if (known) return known
-  const limits = { share: retryShare, fixed: retryFixed, windowMs: retryWindowS * MS_PER_S }
-  const created = new RetryAllowance(limits)
-  allowances.set(service, created)
-  return created
-}
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -19,11 +19,11 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { DependencyState } from "../catalogue/dependency.js"
+import { Confirmations, type ToldOwners } from "./confirmations.js"
 import {
   FLEET_PREFIX,
   formatOwner,
   formatOwnerKey,
-  OWNER_PREFIX,
   parseFleetRecords,
   type RegisteredInstance,
 } from "./records.js"
@@ -52,22 +52,8 @@
   onListed(isListed: boolean): void
 }
 
-/** Owner records of a linearizable read that was sent so long ago. */
-export interface ToldOwners {
-  readonly from: InstanceId
-  readonly ageMs: Millis
-  /** The instance that read them can't reach the store any more. */
-  readonly isStoreLost: boolean
-  readonly owners: ReadonlyMap<EndpointId, OwnerRecord>
-}
-
 const POLL_MS = 400
 const TIMEOUT_MS = 700
-/** A confirmation that takes longer is asked of peers. */
-const CONFIRM_TIMEOUT_MS = 350
-const TICK_MS = 25
-/** How often the records are confirmed while this instance owns engines, as a share of the time that a confirmation counts. */
-const CONFIRM_SHARE = 0.5
 /** A process leaves others' engines alone for so long after its start, until all have had time to register. */
 const SETTLE_MS = 2500
 /** An instance that is missing for so long is taken as gone. */
@@ -79,16 +65,14 @@
   private readonly abort = new AbortController()
   private wake = new AbortController()
   private readonly dependency: DependencyState
+  private readonly confirmations: Confirmations
   private readonly startedAt: Millis
   private readonly seenAt = new Map<InstanceId, Millis>()
-  private confirmSentAt: Millis = -Infinity
-  private isConfirming = false
   private isStopping = false
   private listRevision = 0
   private instancesById: ReadonlyMap<InstanceId, RegisteredInstance> = new Map()
   /** Instances as they were listed last, those that are missing now included. */
   private readonly lastListed = new Map<InstanceId, RegisteredInstance>()
-  private confirmed: { readonly sentAt: Millis } | undefined
   private recordsById = new Map<EndpointId, OwnerRecord>()
 
   constructor(
@@ -98,6 +82,15 @@
     super()
     this.startedAt = parts.clock.now()
     this.dependency = new DependencyState("store-ownership", parts.log)
+    this.confirmations = new Confirmations(self.id, {
+      ...parts,
+      dependency: this.dependency,
+      listOthers: () => [...this.instancesById.keys()].filter((id) => id !== self.id),
+      onConfirmed: (owners, lost) => {
+        this.mergeRecords(owners)
+        for (const endpoint of lost) this.reportLost(endpoint)
+      },
+    })
   }
 
   /** The instances that were listed last. */
@@ -113,32 +106,31 @@
 
   /** Returns what this instance's last linearizable read showed. */
   tellOwners(): ToldOwners | undefined {
-    const { confirmed } = this
-    return (
-      confirmed && {
-        from: this.self.id,
-        ageMs: this.parts.clock.now() - confirmed.sentAt,
-        isStoreLost: this.dependency.isLost,
-        owners: this.recordsById,
-      }
-    )
+    return this.confirmations.tell(this.recordsById)
   }
 
   /** Returns the fencing token for an order now, or undefined when this instance may not order the engine. */
   getToken(endpoint: EndpointId): number | undefined {
-    if (this.parts.suspension.check()) this.onSuspension()
+    this.confirmations.checkSuspension()
     return this.parts.authority.getToken(endpoint, this.parts.clock.now())
   }
 
   /** Starts reading, claiming and confirming; runs until it is stopped. */
   start(): void {
     void this.runPoll()
-    void this.runConfirmations()
+    this.confirmations.start()
   }
 
-  /** Gives all engines to other instances; this one orders nothing afterwards. */
+  /**
+   * Gives all engines to other instances, as soon as the store can be reached;
+   * this one orders nothing afterwards. Until then it keeps them, since nobody
+   * else can have them.
+   */
   async handOver(): Promise<void> {
     this.isStopping = true
+    while (this.dependency.isLost && !this.abort.signal.aborted)
+      await waitFor(POLL_MS, this.abort.signal)
+    if (this.abort.signal.aborted) return
     const { authority, log } = this.parts
     const records = new Map(
       authority.listEndpoints().flatMap((endpoint) => {
@@ -161,6 +153,7 @@
   /** Stops. */
   stop(): void {
     this.abort.abort()
+    this.confirmations.stop()
   }
 
   /** Reads and claims at once instead of at the next interval, since something new is known. */
@@ -281,7 +274,7 @@
     if (result.kind === "done") this.applyClaims(claims, result.revision, isHandedOver)
     else {
       log.info({ engines: claims.length }, "claims lost to another instance")
-      await this.confirm()
+      await this.confirmations.confirm()
     }
   }
 
@@ -309,73 +302,6 @@
     }
   }
 
-  private async runConfirmations(): Promise<void> {
-    const { authority, clock, suspension } = this.parts
-    const interval = authority.times.confirmedMs * CONFIRM_SHARE
-    while (!this.abort.signal.aborted) {
-      if (suspension.check()) this.onSuspension()
-      const isDue = clock.now() - this.confirmSentAt >= interval
-      if (isDue && authority.listEndpoints().length > 0) void this.confirm()
-      await waitFor(TICK_MS, this.abort.signal)
-    }
-  }
-
-  private onSuspension(): void {
-    this.parts.authority.suspend()
-    this.parts.log.warn("process may have stood still, confirming ownership first")
-    void this.confirm()
-  }
-
-  private async confirm(): Promise<void> {
-    if (this.isConfirming) return
-    this.isConfirming = true
-    const { store, authority, clock } = this.parts
-    const sentAt = clock.now()
-    this.confirmSentAt = sentAt
-    try {
-      const range = await store.readRange(OWNER_PREFIX, "latest", CONFIRM_TIMEOUT_MS)
-      if (this.parts.suspension.check()) {
-        authority.suspend()
-        this.confirmSentAt = -Infinity
-        return
-      }
-      const { owners } = parseFleetRecords(range.items)
-      this.confirmed = { sentAt }
-      this.dependency.onSuccess()
-      const lost = authority.confirm(owners, sentAt)
-      this.mergeRecords(owners)
-      for (const endpoint of lost) this.reportLost(endpoint)
-    } catch (error) {
-      this.dependency.onFailure(error)
-      await this.confirmByPeers()
-    } finally {
-      this.isConfirming = false
-    }
-  }
-
-  /** While the store can't be reached, another instance's read of it is as good as an own one. */
-  private async confirmByPeers(): Promise<void> {
-    const { authority, clock, suspension } = this.parts
-    const askedAt = clock.now()
-    const told = await this.parts.askOwners()
-    if (suspension.check()) {
-      authority.suspend()
-      return
-    }
-    const readers = told.filter(({ isStoreLost }) => !isStoreLost)
-    for (const { ageMs, owners } of readers) authority.confirmByPeer(owners, askedAt - ageMs)
-    if (!this.areAllCutOff(told)) return
-    const records = told.map(({ owners }) => owners)
-    if (!authority.confirmInOutage(records, askedAt))
-      this.parts.log.warn("a peer knows a newer owner")
-  }
-
-  /** Whether every other instance that was listed last has said that it can't reach the store. */
-  private areAllCutOff(told: readonly ToldOwners[]): boolean {
-    const cutOff = new Set(told.filter(({ isStoreLost }) => isStoreLost).map(({ from }) => from))
-    return [...this.instancesById.keys()].every((id) => id === this.self.id || cutOff.has(id))
-  }
-
   private drop(endpoint: EndpointId): void {
     this.parts.authority.remove(endpoint)
     this.emit("lost", endpoint)
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -4,7 +4,7 @@
 import type { Log } from "@galenaway/observe"
 import { EndpointHealth, Residency } from "@galenaway/routing"
 import { ConfigurationWatch, Directory, DirectoryPoll, Serving } from "./catalogue/index.js"
-import { createEntryContainer, ENTRY_TOKENS, type EntryPorts } from "./container.js"
+import { createEntryContainer } from "./container.js"
 import { Membership, Ownership } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, Links, LinkServer } from "./links/index.js"
@@ -12,6 +12,7 @@
 import { startProbeServers } from "./probe-server.js"
 import { CallerServer } from "./server.js"
 import type { EntrySettings } from "./settings.js"
+import { ENTRY_TOKENS, type EntryPorts } from "./tokens.js"
 
 /** A running entry instance. */
 export interface EntryInstance {
@@ -163,7 +164,7 @@
   const end = start + settings.stopLimitS * MS_PER_S - STOP_MARGIN_MS
   log.info("stopping")
   parts.resolve(ENTRY_TOKENS.state).isStopping = true
-  await leaveFleet(parts, log)
+  const left = leaveFleet(parts, log)
   await waitFor(Math.max(0, start + BALANCER_LAG_MS - systemClock.now()))
   parts.resolve(CallerServer).close()
   const handler = parts.resolve(ForwardHandler)
@@ -171,16 +172,23 @@
   log.info({ running: handler.running }, "stopped serving")
   parts.resolve(CallerServer).closeAll()
   await stopLoops(parts)
+  await left
   for (const probe of probes) probe.close()
   log.info("stopped")
 }
 
+/** Hands the engines over; what can't be handed over falls to others when the lease lapses. */
 async function leaveFleet(parts: DependencyContainer, log: Log): Promise<void> {
-  try {
-    await parts.resolve(Membership).announceStop()
-    await parts.resolve(Ownership).handOver()
-  } catch (error) {
-    log.warn({ err: error }, "engines not handed over")
+  const steps = [
+    () => parts.resolve(Membership).announceStop(),
+    () => parts.resolve(Ownership).handOver(),
+  ]
+  for (const step of steps) {
+    try {
+      await step()
+    } catch (error) {
+      log.warn({ err: error }, "engines not handed over")
+    }
   }
   parts.resolve(Owner).stop()
 }
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -7,7 +7,8 @@
   type InstanceId,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
-import type { Ownership, ToldOwners } from "../fleet/ownership.js"
+import type { ToldOwners } from "../fleet/confirmations.js"
+import type { Ownership } from "../fleet/ownership.js"
 import type { LoadAsk, LoadOutcome, Owner } from "../owner/index.js"
 import { Link, type LinkEvents } from "./client.js"
 import type { UseTable } from "./uses.js"
--- a/packages/entry/src/links/server.ts
+++ b/packages/entry/src/links/server.ts
@@ -21,7 +21,7 @@
   type OwnersRequest,
   type OwnerUpdate,
 } from "../generated/fleet.js"
-import type { ToldOwners } from "../fleet/ownership.js"
+import type { ToldOwners } from "../fleet/confirmations.js"
 import type { EngineNews, LoadOutcome } from "../owner/index.js"
 
 /** What an instance does when its peers call. */
--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -1,35 +1,33 @@
 import {
   type AdapterName,
   type AdapterVersion,
-  type Clock,
-  type EngineControl,
   type EngineLimits,
-  type EngineOrder,
   type HeldAdapter,
   type InstanceId,
   type Millis,
-  type OrderAnswer,
   type Registration,
   waitFor,
 } from "@galenaway/core"
-import type { Log, Metrics } from "@galenaway/observe"
+import type { Metrics } from "@galenaway/observe"
 import { AdapterPlaces, type LoadStep } from "@galenaway/policy"
 import type { VersionTable } from "@galenaway/routing"
+import { ArrivalPolls, LOAD_MS } from "./arrival-polls.js"
 import { type LoadAsk, type LoadOutcome, LoadQueue, type WantedLoad } from "./load-queue.js"
+import {
+  buildLoad,
+  buildUnload,
+  type OrderBody,
+  OrderSender,
+  type SenderParts,
+  type SentAnswer,
+} from "./order-sender.js"
 
 /** What an engine's keeper needs. */
-export interface KeeperParts {
-  readonly self: InstanceId
-  readonly control: EngineControl
+export interface KeeperParts extends SenderParts {
   readonly versions: VersionTable
-  readonly clock: Clock
-  readonly log: Log
   readonly metrics: Metrics
-  readonly orderTimeoutMs: Millis
   /** Start of this process. */
   readonly startedAt: Millis
-  /** Returns the fencing token for an order now, or undefined when none may be given. */
-  getToken(): number | undefined
   /** Called when what the engine holds has changed. */
   onChange(): void
 }
@@ -47,15 +45,9 @@
 const REPORT_TIMEOUT_MS = 600
 const IDLE_MS = 200
 const NO_TOKEN_MS = 30
-const FIRST_POLL_MS = 255
-/** An engine's own copy of an adapter loads in about a tenth of the time. */
-const COPY_POLL_MS = 27
-const NEXT_POLL_MS = 15
 const MODEL_POLL_MS = 250
 const WAIT_STEP_MS = 20
 const LEAVING_POLL_MS = 150
-const COPIES_KEPT = 60
-const ADAPTER_SEPARATOR = "/"
 
 /**
  * Gives one engine its orders, one at a time: the base model first, then
@@ -66,9 +58,9 @@
 export class EngineKeeper {
   private readonly places: AdapterPlaces
   private readonly queue: LoadQueue
+  private readonly sender: OrderSender
   private readonly abort = new AbortController()
-  private readonly copies = new Set<AdapterName>()
-  private readonly nextPolls = new Map<AdapterName, Millis>()
+  private readonly polls = new ArrivalPolls()
   private isSynced = false
   private lastOrderAt: Millis
   private modelOrderedAt: Millis | undefined
@@ -81,7 +73,8 @@
     private readonly parts: KeeperParts,
   ) {
     this.places = new AdapterPlaces(limits.adapterSlots, MAX_ARRIVING)
-    this.queue = new LoadQueue(parts.clock, FIRST_POLL_MS)
+    this.queue = new LoadQueue(parts.clock, LOAD_MS)
+    this.sender = new OrderSender(engine, parts)
     // Orders of earlier processes are older than this one.
     this.lastOrderAt = parts.startedAt
   }
@@ -190,7 +183,7 @@
       const state = await control.readState(this.engine, REPORT_TIMEOUT_MS)
       this.places.applyState(state, clock.now())
       this.isSynced = true
-      for (const { adapter } of state.adapters) this.copies.add(adapter)
+      for (const { adapter } of state.adapters) this.polls.rememberCopy(adapter)
       log.info(
         {
           endpoint: this.engine.id,
@@ -276,7 +269,7 @@
       case "in-use":
         return now
       case "arriving":
-        return this.nextPolls.get(wanted.adapter) ?? now
+        return Math.max(now, this.polls.getDue(wanted.adapter))
       case "wait":
         return now + WAIT_STEP_MS
       case "full":
@@ -313,13 +306,13 @@
 
   private async order(adapter: AdapterName, version: AdapterVersion | undefined): Promise<void> {
     const { clock, metrics } = this.parts
-    const answer = await this.send(this.buildLoad(adapter, version), true)
+    const answer = await this.send(buildLoad(adapter, version), true)
     const now = clock.now()
     switch (answer) {
       case "accepted":
         metrics.count("loads")
         this.places.onLoadAccepted(adapter, version, now)
-        this.nextPolls.set(adapter, now + (this.copies.has(adapter) ? COPY_POLL_MS : FIRST_POLL_MS))
+        this.polls.onOrdered(adapter, now)
         return
       case "already-done":
         this.places.onHeld(adapter, version)
@@ -340,7 +333,7 @@
     orderedAt: Millis,
   ): Promise<void> {
     const { clock, metrics } = this.parts
-    const answer = await this.send(this.buildLoad(adapter, version), false)
+    const answer = await this.send(buildLoad(adapter, version), false)
     const now = clock.now()
     if (answer === "already-done") {
       this.places.onArrived(adapter)
@@ -348,23 +341,18 @@
       this.onArrived(adapter)
       return
     }
-    const isEarly = now - orderedAt < FIRST_POLL_MS
-    const next = isEarly
-      ? Math.max(now + NEXT_POLL_MS, orderedAt + FIRST_POLL_MS)
-      : now + NEXT_POLL_MS
-    this.nextPolls.set(adapter, next)
+    this.polls.onNotThere(adapter, orderedAt, now)
   }
 
   private onArrived(adapter: AdapterName): void {
     this.places.onUse(adapter, this.parts.self, 0, this.parts.clock.now())
-    this.nextPolls.delete(adapter)
-    this.rememberCopy(adapter)
+    this.polls.onArrived(adapter)
     this.parts.onChange()
   }
 
   private async unload(adapter: AdapterName): Promise<Millis> {
     const { clock, metrics } = this.parts
-    const answer = await this.send({ action: "unload", ...splitAdapter(adapter) }, false)
+    const answer = await this.send(buildUnload(adapter), false)
     switch (answer) {
       case "already-done":
         metrics.count("evictions")
@@ -372,7 +360,7 @@
         break
       case "accepted":
         this.places.onUnloadAccepted(adapter)
-        this.nextPolls.set(adapter, clock.now() + LEAVING_POLL_MS)
+        this.polls.delay(adapter, clock.now() + LEAVING_POLL_MS)
         break
       default:
         return 0
@@ -383,64 +371,31 @@
 
   /** An unload that waits for requests holds up every other order. */
   private async awaitUnload(adapter: AdapterName): Promise<Millis> {
-    const wait = (this.nextPolls.get(adapter) ?? 0) - this.parts.clock.now()
+    const wait = this.polls.getDue(adapter) - this.parts.clock.now()
     return wait > 0 ? wait : this.unload(adapter)
   }
 
-  private buildLoad(adapter: AdapterName, version: AdapterVersion | undefined) {
-    return {
-      action: "load",
-      ...splitAdapter(adapter),
-      ...(version !== undefined && version > 0 ? { version } : {}),
-    } as const
-  }
-
-  /** Sends an order under the token that holds now. */
-  private async send(
-    order: Pick<EngineOrder, "action" | "model" | "adapter" | "version">,
-    takesSlot: boolean,
-  ): Promise<OrderAnswer | "unresolved"> {
-    const { control, self, orderTimeoutMs, clock } = this.parts
-    const fencingToken = this.parts.getToken()
-    if (fencingToken === undefined) return "unresolved"
-    const expectedSequence = this.places.sequence
-    const full = { ...order, expectedSequence, holder: self, fencingToken }
-    let answer: OrderAnswer | "unresolved"
-    try {
-      answer = await control.order(this.engine, full, orderTimeoutMs)
-    } catch (error) {
-      this.parts.log.info({ endpoint: this.engine.id, err: error }, "order got no answer")
-      answer = "unresolved"
-    }
-    this.lastOrderAt = clock.now()
-    this.logOrder(full, answer)
-    this.handleAnswer(answer, takesSlot)
-    return answer
-  }
-
-  private logOrder(order: EngineOrder, answer: OrderAnswer | "unresolved"): void {
-    const { action, adapter, version, expectedSequence, fencingToken: fence } = order
-    const fields = { endpoint: this.engine.id, action, adapter, version, expectedSequence, fence }
-    const isOrdinary = answer === "accepted" || answer === "already-done"
-    this.parts.log[isOrdinary ? "debug" : "info"]({ ...fields, answer }, "order answered")
-  }
-
-  private handleAnswer(answer: OrderAnswer | "unresolved", takesSlot: boolean): void {
+  /** Sends an order; the answer may show that the table is wrong. */
+  private async send(order: OrderBody, takesSlot: boolean): Promise<SentAnswer> {
+    const answer = await this.sender.send(order, this.places.sequence)
+    this.lastOrderAt = this.parts.clock.now()
     switch (answer) {
       case "accepted":
       case "already-done":
       case "refused":
-        return
+      case "no-authority":
+        break
       case "unresolved":
         // The next order names the same count of orders, so at most one of the two is carried out.
-        this.places.onUnresolved(takesSlot, this.parts.clock.now())
-        return
+        this.places.onUnresolved(takesSlot, this.lastOrderAt)
+        break
       case "conflict":
       case "fenced":
       case "wrong-endpoint":
         this.loseSync(`an order was answered with ${answer}`)
-        return
+        break
     }
+    return answer
   }
 
   private loseSync(reason: string): void {
@@ -449,17 +404,4 @@
     this.lastOrderAt = this.parts.clock.now()
     this.parts.log.info({ endpoint: this.engine.id, reason }, "engine state will be read again")
   }
-
-  private rememberCopy(adapter: AdapterName): void {
-    this.copies.delete(adapter)
-    this.copies.add(adapter)
-    const [oldest] = this.copies
-    if (this.copies.size > COPIES_KEPT && oldest !== undefined) this.copies.delete(oldest)
-  }
-}
-
-/** Splits `base/adapter` into its two names. */
-function splitAdapter(name: AdapterName): { model: string; adapter: string } {
-  const at = name.indexOf(ADAPTER_SEPARATOR)
-  return { model: name.slice(0, at), adapter: name.slice(at + 1) }
 }
--- /dev/null
+++ b/packages/entry/src/owner/order-sender.ts
@@ -0,0 +1,81 @@
+import type {
+  AdapterName,
+  AdapterVersion,
+  Clock,
+  EngineControl,
+  EngineOrder,
+  InstanceId,
+  Millis,
+  OrderAnswer,
+  Registration,
+} from "@galenaway/core"
+import type { Log } from "@galenaway/observe"
+
+/** What orders are sent with. */
+export interface SenderParts {
+  readonly self: InstanceId
+  readonly control: EngineControl
+  readonly clock: Clock
+  readonly log: Log
+  readonly orderTimeoutMs: Millis
+  /** Returns the fencing token for an order now, or undefined when none may be given. */
+  getToken(): number | undefined
+}
+
+/** What an order asks for. */
+export type OrderBody = Pick<EngineOrder, "action" | "model" | "adapter" | "version">
+
+/** An engine's answer; `unresolved` without one, `no-authority` when the order was not sent. */
+export type SentAnswer = OrderAnswer | "unresolved" | "no-authority"
+
+const ADAPTER_SEPARATOR = "/"
+
+/** Sends one engine its orders, each under the token that holds at that moment. */
+export class OrderSender {
+  constructor(
+    private readonly engine: Registration,
+    private readonly parts: SenderParts,
+  ) {}
+
+  /** Sends an order that the engine refuses unless it has accepted `expectedSequence` orders. */
+  async send(body: OrderBody, expectedSequence: number): Promise<SentAnswer> {
+    const { control, self, orderTimeoutMs, log } = this.parts
+    const fencingToken = this.parts.getToken()
+    if (fencingToken === undefined) return "no-authority"
+    const order = { ...body, expectedSequence, holder: self, fencingToken }
+    try {
+      const answer = await control.order(this.engine, order, orderTimeoutMs)
+      this.logAnswer(order, answer)
+      return answer
+    } catch (error) {
+      log.info({ endpoint: this.engine.id, err: error }, "order got no answer")
+      return "unresolved"
+    }
+  }
+
+  private logAnswer(order: EngineOrder, answer: OrderAnswer): void {
+    const { action, adapter, version, expectedSequence, fencingToken: fence } = order
+    const fields = { endpoint: this.engine.id, action, adapter, version, expectedSequence, fence }
+    const isOrdinary = answer === "accepted" || answer === "already-done"
+    this.parts.log[isOrdinary ? "debug" : "info"]({ ...fields, answer }, "order answered")
+  }
+}
+
+/** Builds the order to load an adapter. */
+export function buildLoad(adapter: AdapterName, version: AdapterVersion | undefined): OrderBody {
+  const names = splitAdapter(adapter)
+  return version !== undefined && version > 0
+    ? { action: "load", ...names, version }
+    : { action: "load", ...names }
+}
+
+/** Builds the order to unload an adapter. */
+export function buildUnload(adapter: AdapterName): OrderBody {
+  return { action: "unload", ...splitAdapter(adapter) }
+}
+
+/** Splits `base/adapter` into its two names. */
+function splitAdapter(name: AdapterName): { model: string; adapter: string } {
+  const at = name.indexOf(ADAPTER_SEPARATOR)
+  return { model: name.slice(0, at), adapter: name.slice(at + 1) }
+}
--- /dev/null
+++ b/packages/entry/src/tokens.ts
@@ -0,0 +1,34 @@
+import type { AuthorityTimes } from "@galenaway/coordination"
+import type { Clock, EngineControl, HeaderDialect, StorePort } from "@galenaway/core"
+import type { Log, MetricsRegistry } from "@galenaway/observe"
+import type { InjectionToken } from "tsyringe"
+import type { CatalogueFormat } from "./catalogue/index.js"
+import type { RegisteredInstance } from "./fleet/index.js"
+import type { ForwardParts } from "./forward/index.js"
+import type { EntrySettings } from "./settings.js"
+
+/** What an entry instance speaks to the world outside; the platform's adapter provides it. */
+export interface EntryPorts {
+  readonly store: StorePort
+  readonly control: EngineControl
+  readonly dialect: HeaderDialect
+  readonly format: CatalogueFormat
+}
+
+/** State that parts of the instance share. */
+export interface EntryState {
+  isStopping: boolean
+}
+
+/** Names of the parts that have no class of their own. */
+export const ENTRY_TOKENS = {
+  settings: Symbol("settings") as InjectionToken<EntrySettings>,
+  ports: Symbol("ports") as InjectionToken<EntryPorts>,
+  clock: Symbol("clock") as InjectionToken<Clock>,
+  log: Symbol("log") as InjectionToken<Log>,
+  metrics: Symbol("metrics") as InjectionToken<MetricsRegistry>,
+  self: Symbol("self") as InjectionToken<RegisteredInstance>,
+  times: Symbol("times") as InjectionToken<AuthorityTimes>,
+  state: Symbol("state") as InjectionToken<EntryState>,
+  forward: Symbol("forward") as InjectionToken<ForwardParts>,
+} as const
--- a/scripts/start.mjs
+++ b/scripts/start.mjs
@@ -3,7 +3,7 @@
 
 prepare()
 const isPlatform = process.argv.includes("--platform")
-const script = isPlatform ? "platform/dist/stand-in/main.js" : "packages/demo/dist/src/main.js"
+const script = isPlatform ? "platform/dist/test/stand-in/main.js" : "packages/demo/dist/src/main.js"
 const args = process.argv.slice(2).filter((arg) => arg !== "--platform")
 const demo = spawn(process.execPath, [script, ...args], {
   cwd: root,
