Tests of the entry package; request counts and times by rank on the metrics page

Requests, refusals, failures, cancellations, waits and times to the first byte by rank were defined and not fed on the platform path. Tests: configuration and list of endpoints, load queue, uses, fleet records, settings.

--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -1,4 +1,12 @@
-import type { Millis, RawHeaders, RequestFacts, Route, ServiceName } from "@galenaway/core"
+import {
+  type Millis,
+  type Rank,
+  RANKS,
+  type RawHeaders,
+  type RequestFacts,
+  type Route,
+  type ServiceName,
+} from "@galenaway/core"
 
 /** A caller's request that was read whole and has a route. */
 export interface Call {
@@ -41,6 +49,11 @@
   }
 }
 
+/** Returns the rank under which a call is measured. */
+export function getRank({ route }: Call): Rank {
+  return RANKS[Math.min(RANKS.length - 1, Math.max(0, Math.floor(route.priority)))] ?? "bulk"
+}
+
 /** Returns how a call is named in logs. */
 export function describeCall(call: Call): { request: string | undefined; route: string } {
   return { request: call.facts.attempt, route: call.route.name }
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -7,7 +7,7 @@
   type Patience,
   type WholeAnswer,
 } from "./attempt.js"
-import { type Call, describeCall, isRepeatable, isStream } from "./call.js"
+import { type Call, describeCall, getRank, isRepeatable, isStream } from "./call.js"
 import { DestinationSearch } from "./destinations.js"
 import { buildRefusal, buildTimeout, buildUnknown, type OwnAnswer } from "./errors.js"
 import type { ForwardParts } from "./parts.js"
@@ -61,12 +61,14 @@
   async run(): Promise<void> {
     const { parts, call } = this
     const { adapter } = call.facts
+    parts.metrics.countRank("requests", getRank(call))
     parts.getAllowance(call.service).onRequest(parts.clock.now())
     if (adapter !== undefined) parts.popularity.add(adapter, parts.clock.now())
     for (;;) {
       const verdict = await this.takeTurn()
       if (verdict.kind === "again") continue
       if (verdict.kind === "own") this.answerOwn(verdict.answer)
+      if (call.callerGone.aborted) parts.metrics.countRank("cancellations", getRank(call))
       return
     }
   }
@@ -91,10 +93,20 @@
     const sentAt = parts.clock.now()
     const result = await this.attempt.run()
     const ms = Math.round(parts.clock.now() - sentAt)
+    this.measure(sentAt)
     this.logAttempt(destination, result, Math.round(sentAt - call.arrivedAt), ms)
     return this.judge(destination, result)
   }
 
+  private measure(sentAt: Millis): void {
+    const { parts, call, attempt } = this
+    const waitedMs = sentAt - call.arrivedAt
+    const rank = getRank(call)
+    if (this.sends === 1) parts.metrics.timeRank("wait", rank, waitedMs)
+    if (attempt?.headMs !== undefined)
+      parts.metrics.timeRank("first-token", rank, waitedMs + attempt.headMs)
+  }
+
   private judge({ endpoint }: Destination, result: AttemptResult): Verdict {
     switch (result.kind) {
       case "streamed":
@@ -178,6 +190,8 @@
   }
 
   private answerOwn(answer: OwnAnswer): void {
+    const count = answer.outcome === "not-run" ? "refusals" : "failures"
+    this.parts.metrics.countRank(count, getRank(this.call))
     this.parts.log.write(
       { ...describeCall(this.call), status: answer.status, reason: answer.message },
       "answered by the instance",
--- /dev/null
+++ b/packages/entry/test/catalogue.test.ts
@@ -0,0 +1,99 @@
+import { expect } from "chai"
+import { Directory, Serving } from "@galenaway/entry"
+import { createManualClock } from "@galenaway/fakes"
+import { VersionTable } from "@galenaway/routing"
+import { buildEntry, buildItem, format, log } from "./support.js"
+
+it("a configuration of a lower version never replaces a higher one", () => {
+  const serving = createServing()
+  serving.apply(buildItem("op/config", { version: 7 }, 10), "watch")
+  serving.apply(buildItem("op/config", { version: 5 }, 11), "peer")
+  expect(serving.version).to.equal(7)
+})
+
+it("an item that can't be read leaves the one in force", () => {
+  const serving = createServing()
+  serving.apply(buildItem("op/config", { version: 7 }, 10), "watch")
+  serving.apply(buildItem("op/config", {}, 11), "watch")
+  expect(serving.version).to.equal(7)
+  expect(serving.listItems()).to.have.length(1)
+})
+
+it("a named adapter version is asked for", () => {
+  const serving = createServing()
+  serving.apply(buildItem("op/version/m.a", { adapter: "m/a", version: 3 }, 10), "watch")
+  expect(serving.versions.getNewest("m/a")).to.equal(3)
+})
+
+it("a leaving endpoint takes no new work and stays listed", () => {
+  const { directory } = createDirectory()
+  directory.apply([buildEntry("e", 1)], 1)
+  directory.apply([buildEntry("e", 2, { phase: "leaving" })], 2)
+  expect(directory.listLive("s")).to.deep.equal([])
+  expect(directory.listAll()).to.have.length(1)
+})
+
+it("an older reading changes nothing", () => {
+  const { directory } = createDirectory()
+  directory.apply([], 5)
+  directory.apply([buildEntry("e", 1)], 4)
+  expect(directory.listAll()).to.deep.equal([])
+})
+
+it("entries that lapsed in an outage are kept for two seconds after it", async () => {
+  const { directory, clock } = createDirectory()
+  directory.apply([buildEntry("e", 1), buildEntry("f", 2)], 2)
+  directory.onOutage()
+  directory.apply([buildEntry("f", 2)], 3)
+  expect(directory.listLive("s")).to.have.length(2)
+  await clock.advance(1999)
+  directory.apply([buildEntry("f", 2)], 4)
+  expect(directory.listLive("s")).to.have.length(2)
+  await clock.advance(1)
+  directory.apply([buildEntry("f", 2)], 5)
+  expect(directory.listLive("s").map(({ id }) => id)).to.deep.equal(["f"])
+})
+
+it("without an outage a missing entry is gone at once", () => {
+  const { directory } = createDirectory()
+  const gone: string[] = []
+  directory.on("gone", ({ id }) => gone.push(id))
+  directory.apply([buildEntry("e", 1)], 1)
+  directory.apply([], 2)
+  expect(directory.listAll()).to.deep.equal([])
+  expect(gone).to.deep.equal(["e"])
+})
+
+it("an endpoint that started anew under its id is told of", () => {
+  const { directory } = createDirectory()
+  const started: (number | undefined)[] = []
+  directory.on("started", ({ startedAt }) => started.push(startedAt))
+  directory.apply([buildEntry("e", 1, { startedAt: 100 })], 1)
+  directory.apply([buildEntry("e", 2, { startedAt: 100 })], 2)
+  directory.apply([buildEntry("e", 3, { startedAt: 200 })], 3)
+  expect(started).to.deep.equal([100, 200])
+})
+
+it("a registration that can't be read is skipped and the others hold", () => {
+  const { directory } = createDirectory()
+  directory.apply([buildItem("list/x", {}, 1), buildEntry("e", 2)], 2)
+  expect(directory.listAll().map(({ id }) => id)).to.deep.equal(["e"])
+})
+
+it("a peer's list counts only before the first own reading", () => {
+  const { directory } = createDirectory()
+  directory.applyFromPeer([buildEntry("p", 1)])
+  expect(directory.listAll()).to.have.length(1)
+  directory.apply([buildEntry("e", 2)], 2)
+  directory.applyFromPeer([buildEntry("p", 1)])
+  expect(directory.listAll().map(({ id }) => id)).to.deep.equal(["e"])
+})
+
+function createServing(): Serving {
+  return new Serving(format, new VersionTable(1000), createManualClock(), log)
+}
+
+function createDirectory() {
+  const clock = createManualClock()
+  return { directory: new Directory(format, clock, log), clock }
+}
--- /dev/null
+++ b/packages/entry/test/owner.test.ts
@@ -0,0 +1,92 @@
+import { expect } from "chai"
+import { type LoadAsk, LoadQueue, parseFleetRecords, UseTable } from "@galenaway/entry"
+import { createManualClock } from "@galenaway/fakes"
+import { buildItem } from "./support.js"
+
+const LOAD_MS = 250
+const ASK: LoadAsk = {
+  waitMs: 1000,
+  wasMissing: false,
+  canRedirect: true,
+  priority: 1,
+  objectiveInMs: 500,
+}
+
+it("loads that can still be on time go first, the most urgent before others", () => {
+  const { queue } = createQueue()
+  void queue.add("late", undefined, { ...ASK, priority: 0, objectiveInMs: 0 })
+  void queue.add("later", undefined, { ...ASK, priority: 2 })
+  void queue.add("urgent", undefined, { ...ASK, priority: 0 })
+  expect(queue.list().map(({ adapter }) => adapter)).to.deep.equal(["urgent", "later", "late"])
+})
+
+it("a load loses its place once it can't be on time any more", async () => {
+  const { queue, clock } = createQueue()
+  void queue.add("first", undefined, { ...ASK, priority: 0, objectiveInMs: 300 })
+  void queue.add("second", undefined, { ...ASK, priority: 1, objectiveInMs: 900 })
+  await clock.advance(100)
+  expect(queue.list()[0]?.adapter).to.equal("second")
+})
+
+it("everyone who waits for one adapter is told at once", async () => {
+  const { queue } = createQueue()
+  const outcomes = [queue.add("a", 1, ASK), queue.add("a", 2, ASK)]
+  expect(queue.list()).to.deep.equal([{ adapter: "a", version: 2, canRedirect: true }])
+  queue.resolve("a", 2)
+  expect(await Promise.all(outcomes)).to.deep.equal([
+    { kind: "held", version: 2 },
+    { kind: "held", version: 2 },
+  ])
+})
+
+it("a wait that is over is refused and nobody else's", async () => {
+  const { queue, clock } = createQueue()
+  const short = queue.add("a", undefined, { ...ASK, waitMs: 100 })
+  void queue.add("a", undefined, ASK)
+  await clock.advance(100)
+  queue.dropExpired()
+  expect((await short).kind).to.equal("refused")
+  expect(queue.has("a")).to.equal(true)
+})
+
+it("one who can't ask elsewhere keeps a load waiting for a slot", () => {
+  const { queue } = createQueue()
+  void queue.add("a", undefined, ASK)
+  void queue.add("a", undefined, { ...ASK, canRedirect: false })
+  expect(queue.list()[0]?.canRedirect).to.equal(false)
+})
+
+it("loads ahead are those that are at least as urgent", () => {
+  const { queue } = createQueue()
+  void queue.add("a", undefined, { ...ASK, priority: 0 })
+  void queue.add("b", undefined, { ...ASK, priority: 2 })
+  expect(queue.countAhead({ ...ASK, priority: 0 })).to.equal(1)
+  expect(queue.countAhead({ ...ASK, priority: 2 })).to.equal(2)
+})
+
+it("uses are told once for each change", () => {
+  const uses = new UseTable()
+  uses.add("e", "m/a")
+  uses.add("e", "m/a")
+  uses.remove("e", "m/a")
+  expect([...(uses.takeChanges().get("e") ?? [])]).to.deep.equal([["m/a", 1]])
+  expect(uses.takeChanges().size).to.equal(0)
+  uses.remove("e", "m/a")
+  expect([...(uses.takeChanges().get("e") ?? [])]).to.deep.equal([["m/a", 0]])
+})
+
+it("fleet items of others are named and the rest is read", () => {
+  const owner = { owner: "i", incarnation: "n", isHandedOver: false }
+  const { owners, unreadable } = parseFleetRecords([
+    buildItem("galenaway/owners/e", owner, 9),
+    buildItem("galenaway/owners/f", { owner: 1 }, 10),
+    buildItem("galenaway/other", {}, 11),
+  ])
+  expect(owners.get("e")).to.deep.equal({ endpoint: "e", ...owner, revision: 9 })
+  expect(unreadable).to.deep.equal(["galenaway/owners/f", "galenaway/other"])
+})
+
+function createQueue() {
+  const clock = createManualClock()
+  return { queue: new LoadQueue(clock, LOAD_MS), clock }
+}
--- /dev/null
+++ b/packages/entry/test/support.ts
@@ -0,0 +1,42 @@
+import type { Registration, StoreItem } from "@galenaway/core"
+import type { CatalogueFormat } from "@galenaway/entry"
+import { createLog } from "@galenaway/observe"
+
+/** A log that writes nowhere. */
+export const log = createLog(
+  "error",
+  { instance: "i", dataCentre: "dc" },
+  { write: () => undefined },
+)
+
+/** Reads items whose values are JSON of the decoded types. */
+export const format: CatalogueFormat = {
+  operatorPrefix: "op/",
+  registrationPrefix: "list/",
+  readOperatorItem: ({ value }) => {
+    const data = JSON.parse(value.toString()) as Record<string, unknown>
+    if (typeof data.adapter === "string")
+      return { kind: "adapter-version", adapter: data.adapter, version: Number(data.version) }
+    if (typeof data.version !== "number") return { kind: "foreign", reason: "no version" }
+    const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+    const configuration = { version: data.version, routes: [], services: new Map(), limits }
+    return { kind: "configuration", configuration }
+  },
+  readRegistration: ({ value }) => {
+    const registration = JSON.parse(value.toString()) as Registration
+    return typeof registration.id === "string"
+      ? { kind: "registration", registration }
+      : { kind: "foreign", reason: "no id" }
+  },
+}
+
+/** Builds a stored item. */
+export function buildItem(key: string, value: unknown, revision: number): StoreItem {
+  return { key, value: Buffer.from(JSON.stringify(value)), revision }
+}
+
+/** Builds an endpoint's item. */
+export function buildEntry(id: string, revision: number, changes: Partial<Registration> = {}) {
+  const base = { id, service: "s", address: "127.0.0.1:1", dataCentre: "dc", slots: 1 }
+  return buildItem(`list/${id}`, { ...base, phase: "live", ...changes }, revision)
+}
