--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -64,6 +64,7 @@
   private isSynced = false
   private lastOrderAt: Millis
   private modelOrderedAt: Millis | undefined
+  private pausedUntil: Millis = -Infinity
   private wake: () => void = () => undefined
 
   constructor(
@@ -169,6 +170,8 @@
     this.queue.dropExpired()
     this.queue.hasNews = false
     if (this.parts.getToken() === undefined) return NO_TOKEN_MS
+    const pause = this.pausedUntil - this.parts.clock.now()
+    if (pause > 0) return pause
     if (!this.isSynced) return this.sync()
     if (!this.places.hasModel(this.model)) return this.loadModel()
     const [leaving] = this.places.listLeaving()
@@ -377,6 +380,7 @@
 
   /** Sends an order; the answer may show that the table is wrong. */
   private async send(order: OrderBody, takesSlot: boolean): Promise<SentAnswer> {
+    const sentAt = this.parts.clock.now()
     const answer = await this.sender.send(order, this.places.sequence)
     this.lastOrderAt = this.parts.clock.now()
     switch (answer) {
@@ -388,6 +392,8 @@
       case "unresolved":
         // The next order names the same count of orders, so at most one of the two is carried out.
         this.places.onUnresolved(takesSlot, this.lastOrderAt)
+        // An engine that refuses connections fails at once.
+        this.pausedUntil = sentAt + this.parts.orderTimeoutMs
         break
       case "conflict":
       case "fenced":
--- /dev/null
+++ b/packages/entry/test/keeper.test.ts
@@ -0,0 +1,104 @@
+import { expect } from "chai"
+import type {
+  EngineControl,
+  EngineOrder,
+  EngineState,
+  OrderAnswer,
+  Registration,
+} from "@galenaway/core"
+import { EngineKeeper, type LoadAsk } from "@galenaway/entry"
+import { createManualClock } from "@galenaway/fakes"
+import { silentMetrics } from "@galenaway/observe"
+import { VersionTable } from "@galenaway/routing"
+import { log } from "./support.js"
+
+const ENGINE: Registration = {
+  id: "e",
+  service: "s",
+  address: "127.0.0.1:1",
+  dataCentre: "dc",
+  slots: 8,
+  phase: "live",
+}
+const ASK: LoadAsk = {
+  waitMs: 60_000,
+  wasMissing: false,
+  canRedirect: false,
+  priority: 0,
+  objectiveInMs: 500,
+}
+const HELD: EngineState = { models: ["m"], adapters: [], arriving: [], sequence: 0, isBusy: false }
+const TURNS = 200
+const TOKEN = 7
+
+it("an engine that refuses connections isn't asked again and again", async () => {
+  const { keeper, orders } = startKeeper(
+    HELD,
+    () => {
+      throw new Error("connection refused")
+    },
+    TOKEN,
+  )
+  void keeper.load("m/a", undefined, ASK)
+  await letRun()
+  keeper.stop("test")
+  expect(orders).to.have.length(1)
+})
+
+it("the base model is ordered before any adapter", async () => {
+  const { keeper, orders } = startKeeper({ ...HELD, models: [] }, () => "accepted", TOKEN)
+  void keeper.load("m/a", undefined, ASK)
+  await letRun()
+  keeper.stop("test")
+  expect(orders.map(({ model, adapter }) => ({ model, adapter }))).to.deep.equal([
+    { model: "m", adapter: undefined },
+  ])
+})
+
+it("an adapter that is there already is granted without another order", async () => {
+  const state = { ...HELD, adapters: [{ adapter: "m/a", version: 3 }] }
+  const { keeper, orders } = startKeeper(state, () => "accepted", TOKEN)
+  expect(await keeper.load("m/a", undefined, ASK)).to.deep.equal({ kind: "held", version: 3 })
+  keeper.stop("test")
+  expect(orders).to.deep.equal([])
+})
+
+it("nothing is ordered without the authority, and the stop refuses what waits", async () => {
+  const { keeper, orders } = startKeeper(HELD, () => "accepted", undefined)
+  const outcome = keeper.load("m/a", undefined, ASK)
+  await letRun()
+  keeper.stop("not owned any more")
+  expect(orders).to.deep.equal([])
+  expect(await outcome).to.deep.equal({ kind: "refused", reason: "not owned any more" })
+})
+
+function startKeeper(state: EngineState, answer: () => OrderAnswer, token: number | undefined) {
+  const orders: EngineOrder[] = []
+  const control: EngineControl = {
+    order: (_engine, order) => {
+      orders.push(order)
+      return Promise.resolve().then(answer)
+    },
+    readState: () => Promise.resolve(state),
+  }
+  const limits = { models: [{ name: "m", loadMs: 1 }], adapterSlots: 2, batchSize: 8 }
+  const keeper = new EngineKeeper(ENGINE, limits, "m", {
+    self: "i",
+    control,
+    clock: createManualClock(),
+    log,
+    orderTimeoutMs: 90,
+    startedAt: -1000,
+    versions: new VersionTable(1000),
+    metrics: silentMetrics,
+    getToken: () => token,
+    onChange: () => undefined,
+  })
+  keeper.start()
+  return { keeper, orders }
+}
+
+/** Lets everything run that waits for no timer. */
+async function letRun(): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn++) await Promise.resolve()
+}
