Links to owners only, messages paced by the number of links, holders found by an index

Every instance followed every other (1,122 streams), each owner told 33 followers 40 ms after each change, each request was told twice 30 ms later, and each placement looked at all engines.

Change: a data centre has an owner for 8 engines (two at least); instances link to owners only and ask the others in an outage alone; messages are gathered for 12 ms a link, 40 ms at least; uses go in one message an owner; heartbeats only where nothing else was sent; holders of an adapter come from an index, other engines are looked at only where a load is needed; a newer configuration is learned at most every 0.4 s, and from the peer while the store can't be reached.

Tests of the new parts fail without them (owners counted 24 and 4, no index, no peer's configuration).

--- a/packages/coordination/src/leased/claims.ts
+++ b/packages/coordination/src/leased/claims.ts
@@ -34,6 +34,10 @@
   readonly before: OwnerRecord | undefined
 }
 
+/** Endpoints that one owner takes before the data centre gets a further one. */
+const ENDPOINTS_PER_OWNER = 8
+/** Owners that a data centre has at least, where it has instances enough. */
+const MIN_OWNERS = 2
 /** An owner may have this many times the mean number of endpoints, or the mean rounded up. */
 const LOAD_FACTOR = 1.25
 
@@ -108,11 +112,11 @@
   counts: ReadonlyMap<InstanceId, number>,
 ): LiveInstance {
   const near = live.filter(({ dataCentre }) => dataCentre === endpoint.dataCentre)
-  const candidates = near.length > 0 ? near : live
   const shared =
     near.length > 0
       ? endpoints.filter(({ dataCentre }) => dataCentre === endpoint.dataCentre).length
       : endpoints.length
+  const candidates = chooseCandidates(near.length > 0 ? near : live, shared)
   const mean = shared / candidates.length
   const bound = Math.max(Math.ceil(mean), Math.floor(LOAD_FACTOR * mean))
   const ranked = rankInstances(endpoint.id, candidates)
@@ -121,8 +125,21 @@
   return found
 }
 
+/**
+ * Chooses the instances that own endpoints. Every instance keeps a connection
+ * to each owner, and every owner confirms its records at the store, so there
+ * are only as many as the endpoints need.
+ */
+function chooseCandidates(
+  instances: readonly LiveInstance[],
+  endpoints: number,
+): readonly LiveInstance[] {
+  const count = Math.max(MIN_OWNERS, Math.ceil(endpoints / ENDPOINTS_PER_OWNER))
+  return rankInstances("owner", instances).slice(0, count)
+}
+
 function rankInstances(
-  endpoint: EndpointId,
+  endpoint: string,
   instances: readonly LiveInstance[],
 ): readonly LiveInstance[] {
   return instances
--- a/packages/coordination/test/leased.test.ts
+++ b/packages/coordination/test/leased.test.ts
@@ -21,6 +21,16 @@
   expect(Math.max(...counts)).to.be.at.most(2)
 })
 
+it("a data centre has only as many owners as its engines need", () => {
+  const live = [...Array(40).keys()].map((index) => buildInstance(`i${index}`))
+  const many = [...Array(24).keys()].map((index) => ({ id: `e${index}`, dataCentre: "dc" }))
+  const claims = live.flatMap((self) => planClaims(self, live, many, new Map()))
+  expect(claims).to.have.length(24)
+  expect(new Set(claims.map(({ owner }) => owner.id)).size).to.equal(3)
+  const few = live.flatMap((self) => planClaims(self, live, many.slice(0, 4), new Map()))
+  expect(new Set(few.map(({ owner }) => owner.id)).size).to.equal(2)
+})
+
 it("an engine stays with its owner while that is live", () => {
   const live = ["a", "b"].map((id) => buildInstance(id))
   const records = new Map(engines.map(({ id }) => [id, buildRecord(id, "b")]))
--- a/packages/entry/src/catalogue/configuration-watch.ts
+++ b/packages/entry/src/catalogue/configuration-watch.ts
@@ -1,4 +1,4 @@
-import { type StorePort, waitFor } from "@galenaway/core"
+import { type InstanceId, type StoreItem, type StorePort, waitFor } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { DependencyState } from "./dependency.js"
 import type { CatalogueFormat } from "./format.js"
@@ -8,18 +8,26 @@
 /** How long one watch waits; a connection that went silent is noticed after it. */
 const WATCH_MS = 2500
 const RETRY_MS = 150
+/** Shortest time between two attempts to get what a peer has told of. */
+const LEARN_PAUSE_MS = 400
 
-/** Keeps the operators' items current: a read, then watches from its revision; a new read after each gap. */
+/**
+ * Keeps the operators' items current: a read, then watches from its revision;
+ * a new read after each gap. What a peer knows first is read at once, or taken
+ * from that peer while the store can't be reached.
+ */
 export class ConfigurationWatch {
   private readonly abort = new AbortController()
   private readonly dependency: DependencyState
-  private reading: Promise<number> | undefined
+  private isLearning = false
 
   constructor(
     private readonly store: StorePort,
     private readonly format: CatalogueFormat,
     private readonly serving: Serving,
     private readonly log: Log,
+    /** Fetches the items that a peer has of the store. Throws a GalenawayError. */
+    private readonly fetchFrom: (peer: InstanceId) => Promise<readonly StoreItem[]>,
   ) {
     this.dependency = new DependencyState("store-configuration", log)
   }
@@ -34,13 +42,27 @@
     this.abort.abort()
   }
 
-  /** Reads at once when a peer tells of a newer version. */
-  noticeVersion(version: number, peer: string): void {
-    if (version <= this.serving.version || this.reading) return
+  /** Notes a version that a peer has; resolves after what came of a newer one. */
+  async noticeVersion(version: number, peer: InstanceId): Promise<void> {
+    if (version <= this.serving.version || this.isLearning) return
+    this.isLearning = true
     this.log.info({ version, peer }, "peer has a newer configuration")
-    this.read().catch((error: unknown) => {
-      this.dependency.onFailure(error)
-    })
+    try {
+      await this.learn(peer)
+    } catch (error) {
+      this.log.info({ peer, err: error }, "newer configuration not learned")
+    }
+    await waitFor(LEARN_PAUSE_MS, this.abort.signal)
+    this.isLearning = false
+  }
+
+  private async learn(peer: InstanceId): Promise<void> {
+    if (!this.dependency.isLost) {
+      await this.read()
+      return
+    }
+    for (const item of await this.fetchFrom(peer))
+      if (item.key.startsWith(this.format.operatorPrefix)) this.serving.apply(item, `peer ${peer}`)
   }
 
   private async run(): Promise<void> {
@@ -69,14 +91,7 @@
     return Math.max(revision, result.revision)
   }
 
-  private read(): Promise<number> {
-    this.reading ??= this.readOnce().finally(() => {
-      this.reading = undefined
-    })
-    return this.reading
-  }
-
-  private async readOnce(): Promise<number> {
+  private async read(): Promise<number> {
     const range = await this.store.readRange(this.format.operatorPrefix, "latest", READ_TIMEOUT_MS)
     for (const item of range.items) this.serving.apply(item, "read")
     return range.revision
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -10,7 +10,7 @@
 import { ConfigurationWatch, Directory, DirectoryPoll, Serving } from "./catalogue/index.js"
 import { Membership, Ownership } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
-import { Links, LinkServer, UseTable } from "./links/index.js"
+import { fetchCatalogue, Links, LinkServer, UseTable } from "./links/index.js"
 import { Owner } from "./owner/index.js"
 import { RequestLog } from "./request-log.js"
 import { CallerServer } from "./server.js"
@@ -108,7 +108,14 @@
   registerCached(
     parts,
     ConfigurationWatch,
-    (c) => new ConfigurationWatch(store, format, c.resolve(Serving), c.resolve(ENTRY_TOKENS.log)),
+    (c) =>
+      new ConfigurationWatch(
+        store,
+        format,
+        c.resolve(Serving),
+        c.resolve(ENTRY_TOKENS.log),
+        (peer) => fetchCatalogue(c.resolve(Ownership).instances.get(peer)?.peerAddress ?? peer),
+      ),
   )
   registerCached(
     parts,
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -104,6 +104,16 @@
     return record && this.findInstance(record.owner)
   }
 
+  /** Lists the instances that are recorded as owners of engines. */
+  listOwners(): ReadonlyMap<InstanceId, RegisteredInstance> {
+    const owners = new Map<InstanceId, RegisteredInstance>()
+    for (const { owner } of this.recordsById.values()) {
+      const instance = owners.has(owner) ? undefined : this.findInstance(owner)
+      if (instance) owners.set(owner, instance)
+    }
+    return owners
+  }
+
   /** Returns what this instance's last linearizable read showed. */
   tellOwners(): ToldOwners | undefined {
     return this.confirmations.tell(this.recordsById)
--- a/packages/entry/src/links/index.ts
+++ b/packages/entry/src/links/index.ts
@@ -1,4 +1,5 @@
 export * from "./client.js"
 export * from "./links.js"
+export * from "./pace.js"
 export * from "./server.js"
 export * from "./uses.js"
--- a/packages/entry/src/links/links.ts
+++ b/packages/entry/src/links/links.ts
@@ -7,10 +7,12 @@
   type InstanceId,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
+import type { EndpointUse } from "../generated/fleet.js"
 import type { ToldOwners } from "../fleet/confirmations.js"
 import type { Ownership } from "../fleet/ownership.js"
 import type { LoadAsk, LoadOutcome, Owner } from "../owner/index.js"
 import { Link, type LinkEvents } from "./client.js"
+import { computeGatherMs } from "./pace.js"
 import type { UseTable } from "./uses.js"
 
 /** What the links need. */
@@ -25,13 +27,17 @@
 }
 
 const TICK_MS = 250
-/** Uses are gathered for so long before they are told. */
-const GATHER_MS = 30
 const ANSWER_MARGIN_MS = 60
 
-/** Links to all other instances, and the way to an engine's owner whether it is this instance or another. */
+/**
+ * Links to the instances that own engines, and the way to an engine's owner
+ * whether it is this instance or another. Other instances are connected to
+ * only while they have to be asked about an outage of the store.
+ */
 export class Links {
   private readonly byPeer = new Map<InstanceId, Link>()
+  /** Connections to instances that own nothing, made for questions. */
+  private readonly askedOnly = new Map<InstanceId, Link>()
   private readonly loading = new Map<string, Promise<LoadOutcome>>()
   private timer: NodeJS.Timeout | undefined
   private useTimer: NodeJS.Timeout | undefined
@@ -47,16 +53,15 @@
     this.timer = setInterval(() => {
       this.tick()
     }, TICK_MS)
-    this.useTimer = setInterval(() => {
-      this.tellChanges()
-    }, GATHER_MS)
+    this.scheduleTelling()
   }
 
   /** Closes all links. */
   stop(): void {
     clearInterval(this.timer)
-    clearInterval(this.useTimer)
+    clearTimeout(this.useTimer)
     for (const link of this.byPeer.values()) link.close()
+    this.closeAskedOnly()
   }
 
   /** Tells whether an engine's owner can be asked for loads. */
@@ -70,9 +75,9 @@
     return this.byPeer.get(id)?.isAlive ?? false
   }
 
-  /** Asks all instances that are heard of for the owner records that they have read. */
+  /** Asks all other instances for the owner records that they have read. */
   async askOwners(): Promise<readonly ToldOwners[]> {
-    const links = [...this.byPeer.values()].filter(({ isAlive }) => isAlive)
+    const links = this.listAskable()
     const replies = await Promise.allSettled(links.map((link) => link.tellOwners()))
     return replies.flatMap((reply, index) => {
       if (reply.status === "rejected") {
@@ -131,40 +136,73 @@
     return owner && this.byPeer.get(owner.id)
   }
 
+  /** Links that are heard of, and connections to the instances that own nothing. */
+  private listAskable(): readonly Link[] {
+    const { self, ownership } = this.parts
+    const others = [...ownership.instances.values()].filter(
+      ({ id }) => id !== self && !this.byPeer.has(id),
+    )
+    for (const { id, peerAddress } of others)
+      if (this.askedOnly.get(id)?.address !== peerAddress) {
+        this.askedOnly.get(id)?.close()
+        this.askedOnly.set(id, this.createLink(id, peerAddress))
+      }
+    const heard = [...this.byPeer.values()].filter(({ isAlive }) => isAlive)
+    return [...heard, ...this.askedOnly.values()]
+  }
+
+  private closeAskedOnly(): void {
+    for (const link of this.askedOnly.values()) link.close()
+    this.askedOnly.clear()
+  }
+
+  /** Called when the store was read, so nobody has to be asked in its place. */
   private update(): void {
-    const { instances } = this.parts.ownership
-    for (const { id, peerAddress } of instances.values()) {
-      if (id === this.parts.self || this.byPeer.get(id)?.address === peerAddress) continue
+    const { ownership, self } = this.parts
+    this.closeAskedOnly()
+    const owners = ownership.listOwners()
+    for (const { id, peerAddress } of owners.values()) {
+      if (id === self || this.byPeer.get(id)?.address === peerAddress) continue
       this.byPeer.get(id)?.close()
-      const { self, events, clock, log } = this.parts
-      const link = new Link(self, id, peerAddress, events, clock, log)
+      const link = this.createLink(id, peerAddress)
       this.byPeer.set(id, link)
       link.keepOpen()
     }
     for (const [id, link] of this.byPeer) {
-      if (instances.has(id) || link.isAlive) continue
+      if (owners.has(id) || (!ownership.instances.has(id) && link.isAlive)) continue
       link.close()
       this.byPeer.delete(id)
-      this.parts.owner.removeHolder(id)
     }
   }
 
+  private createLink(id: InstanceId, address: string): Link {
+    const { self, events, clock, log } = this.parts
+    return new Link(self, id, address, events, clock, log)
+  }
+
   private tick(): void {
     for (const link of this.byPeer.values()) link.keepOpen()
   }
 
-  private tellChanges(): void {
-    for (const [endpoint, adapters] of this.parts.uses.takeChanges())
-      this.tellUses(endpoint, adapters)
+  private scheduleTelling(): void {
+    this.useTimer = setTimeout(() => {
+      this.tellChanges()
+      this.scheduleTelling()
+    }, computeGatherMs(this.byPeer.size))
   }
 
-  private tellUses(endpoint: EndpointId, adapters: ReadonlyMap<AdapterName, number>): void {
-    const { owner, self } = this.parts
-    if (owner.hasEngine(endpoint)) {
-      for (const [adapter, inFlight] of adapters) owner.onUse(endpoint, adapter, self, inFlight)
-      return
+  /** Tells each owner what has changed at its engines, in one message. */
+  private tellChanges(): void {
+    const { owner, self, uses } = this.parts
+    const byLink = new Map<Link, EndpointUse[]>()
+    for (const { endpoint, adapters } of uses.takeChanges()) {
+      if (owner.hasEngine(endpoint)) {
+        for (const { adapter, inFlight } of adapters) owner.onUse(endpoint, adapter, self, inFlight)
+        continue
+      }
+      const link = this.findLink(endpoint)
+      if (link) byLink.set(link, [...(byLink.get(link) ?? []), { endpoint, adapters }])
     }
-    const uses = [...adapters].map(([adapter, inFlight]) => ({ adapter, inFlight }))
-    this.findLink(endpoint)?.sendUses([{ endpoint, adapters: uses }])
+    for (const [link, changes] of byLink) link.sendUses(changes)
   }
 }
--- /dev/null
+++ b/packages/entry/src/links/pace.ts
@@ -0,0 +1,17 @@
+import type { Millis } from "@galenaway/core"
+
+/** Shortest time over which changes are gathered. */
+const MIN_GATHER_MS = 40
+/** Longest time; by then the engines' registrations tell what they hold. */
+const MAX_GATHER_MS = 1000
+/** Mean time between the messages that an instance sends over all its links. */
+const MESSAGE_SPACING_MS = 12
+
+/**
+ * Computes for how long changes are gathered before they are told to each of
+ * `links` peers. It grows with their number, so the messages that an instance
+ * sends in a second stay bounded however large the fleet is.
+ */
+export function computeGatherMs(links: number): Millis {
+  return Math.min(MAX_GATHER_MS, Math.max(MIN_GATHER_MS, links * MESSAGE_SPACING_MS))
+}
--- a/packages/entry/src/links/server.ts
+++ b/packages/entry/src/links/server.ts
@@ -23,6 +23,7 @@
 } from "../generated/fleet.js"
 import type { ToldOwners } from "../fleet/confirmations.js"
 import type { EngineNews, LoadOutcome } from "../owner/index.js"
+import { computeGatherMs } from "./pace.js"
 
 /** What an instance does when its peers call. */
 export interface LinkHandlers {
@@ -32,12 +33,12 @@
   listItems(): readonly StoreItem[]
   getConfigurationVersion(): number
   tellOwners(): ToldOwners | undefined
+  /** A peer doesn't follow any more: it has stopped, or can't be reached. */
+  onFollowerGone(instance: InstanceId): void
 }
 
 type Follower = ServerDuplexStream<FollowerUpdate, OwnerUpdate>
 
-/** Changes are gathered for so long before they are told. */
-const GATHER_MS = 40
 /** Longest silence between updates. */
 const HEARTBEAT_MS = 500
 /** Updates that a follower may leave unread before it is cut off. */
@@ -51,6 +52,8 @@
   private readonly dropped = new Set<string>()
   private timer: NodeJS.Timeout | undefined
   private heartbeat: NodeJS.Timeout | undefined
+  /** Whether the followers were told something since the last heartbeat. */
+  private hasFlushed = false
 
   constructor(
     private readonly handlers: LinkHandlers,
@@ -68,7 +71,8 @@
       })
     })
     this.heartbeat = setInterval(() => {
-      this.flush()
+      if (!this.hasFlushed) this.flush()
+      this.hasFlushed = false
     }, HEARTBEAT_MS)
   }
 
@@ -96,10 +100,11 @@
   private schedule(): void {
     this.timer ??= setTimeout(() => {
       this.flush()
-    }, GATHER_MS)
+    }, computeGatherMs(this.followers.size))
   }
 
   private flush(): void {
+    this.hasFlushed = true
     clearTimeout(this.timer)
     this.timer = undefined
     const update = this.buildUpdate([...this.changed.values()], [...this.dropped])
@@ -165,7 +170,12 @@
       this.followers.set(call, update.instance)
       this.handlers.onUpdate(update)
     })
-    const remove = () => this.followers.delete(call)
+    const remove = () => {
+      const instance = this.followers.get(call)
+      this.followers.delete(call)
+      const isFollowing = [...this.followers.values()].some((other) => other === instance)
+      if (instance !== undefined && !isFollowing) this.handlers.onFollowerGone(instance)
+    }
     call.on("error", remove)
     call.on("cancelled", remove)
     call.on("end", () => {
--- a/packages/entry/src/links/uses.ts
+++ b/packages/entry/src/links/uses.ts
@@ -1,5 +1,11 @@
 import type { AdapterName, EndpointId } from "@galenaway/core"
 
+/** Requests of this instance that use the adapters of one engine, where their number changed. */
+export interface EndpointChanges {
+  readonly endpoint: EndpointId
+  readonly adapters: { adapter: AdapterName; inFlight: number }[]
+}
+
 /** Requests of this instance by engine and adapter; an owner evicts what nobody uses. */
 export class UseTable {
   private readonly inFlight = new Map<EndpointId, Map<AdapterName, number>>()
@@ -16,12 +22,15 @@
   }
 
   /** Takes the counts that changed since the last call. */
-  takeChanges(): ReadonlyMap<EndpointId, ReadonlyMap<AdapterName, number>> {
-    const result = new Map<EndpointId, ReadonlyMap<AdapterName, number>>()
-    for (const [endpoint, adapters] of this.changed) {
+  takeChanges(): readonly EndpointChanges[] {
+    const result = [...this.changed].map(([endpoint, names]) => {
       const counts = this.inFlight.get(endpoint)
-      result.set(endpoint, new Map([...adapters].map((name) => [name, counts?.get(name) ?? 0])))
-    }
+      const adapters = [...names].map((adapter) => ({
+        adapter,
+        inFlight: counts?.get(adapter) ?? 0,
+      }))
+      return { endpoint, adapters }
+    })
     this.changed.clear()
     return result
   }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -55,7 +55,7 @@
       load: ({ endpoint, adapter, version, ...ask }) =>
         owner.load(endpoint, adapter, version > 0 ? version : undefined, ask),
       onUpdate: ({ instance, configurationVersion, uses }) => {
-        c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, instance)
+        void c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, instance)
         for (const { endpoint, adapters } of uses)
           for (const { adapter, inFlight } of adapters)
             owner.onUse(endpoint, adapter, instance, inFlight)
@@ -64,6 +64,9 @@
       listItems: () => [...serving.listItems(), ...c.resolve(Directory).listItems()],
       getConfigurationVersion: () => serving.version,
       tellOwners: () => c.resolve(Ownership).tellOwners(),
+      onFollowerGone: (instance) => {
+        owner.removeHolder(instance)
+      },
     },
     c.resolve(ENTRY_TOKENS.log),
   )
@@ -84,7 +87,7 @@
     events: {
       getConfigurationVersion: () => c.resolve(Serving).version,
       onUpdate: (peer, { configurationVersion, engines, dropped }) => {
-        c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, peer)
+        void c.resolve(ConfigurationWatch).noticeVersion(configurationVersion, peer)
         const endpoints = told.get(peer) ?? new Set<string>()
         told.set(peer, endpoints)
         for (const endpoint of dropped) endpoints.delete(endpoint)
@@ -132,6 +135,10 @@
     countInstances,
     buildView: (service) => ({
       engines: directory.listLive(service),
+      findEngine: (id) => {
+        const engine = directory.find(id)
+        return engine?.service === service && engine.phase === "live" ? engine : undefined
+      },
       health,
       residency,
       versions,
--- a/packages/entry/test/catalogue.test.ts
+++ b/packages/entry/test/catalogue.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai"
-import { Directory, Serving } from "@galenaway/entry"
+import type { StorePort } from "@galenaway/core"
+import { ConfigurationWatch, Directory, Serving } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { VersionTable } from "@galenaway/routing"
 import { buildEntry, buildItem, format, log } from "./support.js"
@@ -89,6 +90,40 @@
   expect(directory.listAll().map(({ id }) => id)).to.deep.equal(["e"])
 })
 
+it("a newer configuration is taken from the peer that told of it while the store is away", async () => {
+  const store = createBrokenStore()
+  const fetched: string[] = []
+  const serving = createServing()
+  const watch = new ConfigurationWatch(store.port, format, serving, log, (peer) => {
+    fetched.push(peer)
+    return Promise.resolve([buildItem("op/config", { version: 9 }, 3), buildEntry("e", 4)])
+  })
+  watch.start()
+  await Promise.resolve()
+  await new Promise((resolve) => setImmediate(resolve))
+  const learned = watch.noticeVersion(9, "p")
+  void watch.noticeVersion(9, "q")
+  await new Promise((resolve) => setImmediate(resolve))
+  watch.stop()
+  await learned
+  expect(serving.version).to.equal(9)
+  expect(fetched).to.deep.equal(["p"])
+  expect(store.reads).to.equal(1)
+})
+
+function createBrokenStore() {
+  const state = {
+    reads: 0,
+    port: {
+      readRange: () => {
+        state.reads++
+        return Promise.reject(new Error("store away"))
+      },
+    } as unknown as StorePort,
+  }
+  return state
+}
+
 function createServing(): Serving {
   return new Serving(format, new VersionTable(1000), createManualClock(), log)
 }
--- a/packages/entry/test/owner.test.ts
+++ b/packages/entry/test/owner.test.ts
@@ -1,5 +1,11 @@
 import { expect } from "chai"
-import { type LoadAsk, LoadQueue, parseFleetRecords, UseTable } from "@galenaway/entry"
+import {
+  computeGatherMs,
+  type LoadAsk,
+  LoadQueue,
+  parseFleetRecords,
+  UseTable,
+} from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { buildItem } from "./support.js"
 
@@ -69,10 +75,19 @@
   uses.add("e", "m/a")
   uses.add("e", "m/a")
   uses.remove("e", "m/a")
-  expect([...(uses.takeChanges().get("e") ?? [])]).to.deep.equal([["m/a", 1]])
-  expect(uses.takeChanges().size).to.equal(0)
+  const told = (inFlight: number) => [{ endpoint: "e", adapters: [{ adapter: "m/a", inFlight }] }]
+  expect(uses.takeChanges()).to.deep.equal(told(1))
+  expect(uses.takeChanges()).to.deep.equal([])
   uses.remove("e", "m/a")
-  expect([...(uses.takeChanges().get("e") ?? [])]).to.deep.equal([["m/a", 0]])
+  expect(uses.takeChanges()).to.deep.equal(told(0))
+})
+
+it("the messages of all links stay within the budget however many there are", () => {
+  for (const links of [1, 3, 9, 33, 117, 329]) {
+    const messagesPerSecond = (links * 1000) / computeGatherMs(links)
+    expect(messagesPerSecond, `${links} links`).to.be.at.most(links > 83 ? links : 84)
+  }
+  expect(computeGatherMs(1)).to.equal(computeGatherMs(3))
 })
 
 it("fleet items of others are named and the rest is read", () => {
--- a/packages/routing/src/place.ts
+++ b/packages/routing/src/place.ts
@@ -26,6 +26,8 @@
 export interface PlacementView {
   /** Live engines of the service. */
   readonly engines: readonly Registration[]
+  /** Finds a live engine of the service. */
+  findEngine(id: EndpointId): Registration | undefined
   readonly health: EndpointHealth
   readonly residency: Residency
   readonly versions: VersionTable
@@ -57,6 +59,8 @@
 const CACHE_SLACK_MS = 60
 const LONG_SHARED_TOKENS = 1000
 
+const NOBODY: ReadonlySet<EndpointId> = new Set()
+
 interface Candidate {
   readonly endpoint: Registration
   readonly cost: number
@@ -74,12 +78,11 @@
   excluded: ReadonlySet<EndpointId>,
   now: Millis,
 ): Placement {
-  const usable = view.engines.filter(({ id }) => !excluded.has(id) && view.health.isUsable(id, now))
   const { adapter, model } = facts
-  const best = chooseHolder(view, listHolders(view, usable, facts, now), facts, now)
+  const best = chooseHolder(view, listHolders(view, facts, excluded, now), facts, now)
   if (best) return buildSend(view, best.endpoint, adapter)
   if (adapter === undefined) return { kind: "none" }
-  const loadable = usable.filter(({ id }) => canBringIn(view, id, model))
+  const loadable = listUsable(view, excluded, now).filter(({ id }) => canBringIn(view, id, model))
   // An engine may have to wait before it can replace an older version.
   const empty = loadable.filter(({ id }) => !hasAny(view, id, adapter))
   const target = chooseHome(view, empty.length > 0 ? empty : loadable, adapter, now)
@@ -94,21 +97,21 @@
 ): Registration | undefined {
   const { adapter, model } = facts
   if (adapter === undefined) return undefined
-  const usable = view.engines.filter(({ id }) => view.health.isUsable(id, now))
-  const holders = listHolders(view, usable, facts, now)
+  const holders = listHolders(view, facts, NOBODY, now)
   if (holders.length === 0) return undefined
-  const others = usable.filter(
-    ({ id }) => !hasAny(view, id, adapter) && canBringIn(view, id, model),
-  )
+  const listOthers = () =>
+    listUsable(view, NOBODY, now).filter(
+      ({ id }) => !hasAny(view, id, adapter) && canBringIn(view, id, model),
+    )
   if (!holders.some(({ id }) => hasNewest(view, id, adapter)))
-    return chooseHome(view, others, adapter, now)
+    return chooseHome(view, listOthers(), adapter, now)
   const count = view.popularity.get(adapter, now)
   const isNear = ({ dataCentre }: Registration) => dataCentre === view.home
   if (count >= LOCAL_COUNT && !holders.some(isNear))
-    return chooseHome(view, others.filter(isNear), adapter, now)
+    return chooseHome(view, listOthers().filter(isNear), adapter, now)
   const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, now)))
   const limit = count >= POPULAR_COUNT ? REPLICATE_POPULAR_MS : REPLICATE_ANY_MS
-  return cheapest >= limit ? chooseHome(view, others, adapter, now) : undefined
+  return cheapest >= limit ? chooseHome(view, listOthers(), adapter, now) : undefined
 }
 
 /** Ranks engines for an adapter by rendezvous hashing; every instance finds the same order. */
@@ -118,24 +121,50 @@
 ): readonly Registration[] {
   const key = hashText(adapter)
   return engines
-    .map((endpoint) => ({ endpoint, score: mergeHashes(hashText(endpoint.id), key) }))
+    .map((endpoint) => ({ endpoint, score: mergeHashes(hashEndpoint(endpoint), key) }))
     .sort((a, b) => b.score - a.score)
     .map(({ endpoint }) => endpoint)
 }
 
+const endpointHashes = new WeakMap<Registration, number>()
+
+/** The hash of an endpoint's id, kept since each cold request ranks all engines. */
+function hashEndpoint(endpoint: Registration): number {
+  const known = endpointHashes.get(endpoint)
+  if (known !== undefined) return known
+  const hash = hashText(endpoint.id)
+  endpointHashes.set(endpoint, hash)
+  return hash
+}
+
 /** Lists the engines that hold what a request needs: those with the newest version, else those with one that will still do. */
 function listHolders(
   view: PlacementView,
-  engines: readonly Registration[],
   { model, adapter }: RequestFacts,
+  excluded: ReadonlySet<EndpointId>,
   now: Millis,
 ): readonly Registration[] {
-  const holders = engines.filter(({ id }) => isHolder(view, id, model, adapter, now))
+  const known =
+    adapter === undefined
+      ? view.engines
+      : view.residency.listHolders(adapter).flatMap((id) => view.findEngine(id) ?? [])
+  const holders = known.filter(
+    ({ id }) =>
+      !excluded.has(id) && view.health.isUsable(id, now) && isHolder(view, id, model, adapter, now),
+  )
   if (adapter === undefined) return holders
   const newest = holders.filter(({ id }) => hasNewest(view, id, adapter))
   return newest.length > 0 ? newest : holders
 }
 
+function listUsable(
+  { engines, health }: PlacementView,
+  excluded: ReadonlySet<EndpointId>,
+  now: Millis,
+): readonly Registration[] {
+  return engines.filter(({ id }) => !excluded.has(id) && health.isUsable(id, now))
+}
+
 function hasNewest(
   { residency, versions }: PlacementView,
   endpoint: EndpointId,
@@ -177,11 +206,11 @@
   adapter: AdapterName,
   now: Millis,
 ): Registration | undefined {
-  const costs = engines.map((endpoint) => estimateCost(view, endpoint, now))
-  const mean = costs.reduce((sum, cost) => sum + cost, 0) / Math.max(1, costs.length)
-  const bound = mean + HOME_SLACK_MS
+  const costs = new Map(engines.map((endpoint) => [endpoint, estimateCost(view, endpoint, now)]))
+  const sum = [...costs.values()].reduce((total, cost) => total + cost, 0)
+  const bound = sum / Math.max(1, costs.size) + HOME_SLACK_MS
   const order = rankHomes(engines, adapter)
-  return order.find((endpoint) => estimateCost(view, endpoint, now) <= bound) ?? order[0]
+  return order.find((endpoint) => (costs.get(endpoint) ?? 0) <= bound) ?? order[0]
 }
 
 function isHolder(
--- a/packages/routing/src/residency.ts
+++ b/packages/routing/src/residency.ts
@@ -18,6 +18,7 @@
 /** What one instance believes that each engine holds. */
 export class Residency {
   private readonly views = new Map<EndpointId, EngineView>()
+  private readonly holders = new Map<AdapterName, Set<EndpointId>>()
 
   /** Takes what an owner or a registration says of an engine. */
   update(
@@ -30,7 +31,7 @@
     const known = this.views.get(endpoint)
     const isNewsFresh = known?.source === "owner" && now - known.updatedAt < OWNER_NEWS_LIFETIME_MS
     if (source === "registration" && isNewsFresh) return
-    this.views.set(endpoint, {
+    this.setView({
       endpoint,
       source,
       models: new Set(models),
@@ -39,6 +40,11 @@
     })
   }
 
+  /** Lists the engines that hold an adapter, in any version. */
+  listHolders(adapter: AdapterName): readonly EndpointId[] {
+    return [...(this.holders.get(adapter) ?? [])]
+  }
+
   /** Notes that an owner still vouches for what it told of an engine. */
   confirm(endpoint: EndpointId, now: Millis): void {
     const view = this.views.get(endpoint)
@@ -49,10 +55,7 @@
   add(endpoint: EndpointId, adapter: AdapterName, version: AdapterVersion): void {
     const view = this.views.get(endpoint)
     if (!view) return
-    this.views.set(endpoint, {
-      ...view,
-      adapters: new Map(view.adapters).set(adapter, version),
-    })
+    this.setView({ ...view, adapters: new Map(view.adapters).set(adapter, version) })
   }
 
   /** Notes that an engine turned a request away because it doesn't hold the adapter. */
@@ -61,7 +64,7 @@
     if (!view?.adapters.has(adapter)) return
     const adapters = new Map(view.adapters)
     adapters.delete(adapter)
-    this.views.set(endpoint, { ...view, adapters })
+    this.setView({ ...view, adapters })
   }
 
   /** Returns what is believed of an engine. */
@@ -71,11 +74,31 @@
 
   /** Forgets engines that are gone. */
   keepOnly(listed: ReadonlySet<EndpointId>): void {
-    for (const id of this.views.keys()) if (!listed.has(id)) this.views.delete(id)
+    for (const id of this.views.keys()) if (!listed.has(id)) this.reset(id)
   }
 
   /** Forgets what an engine held, since it has started anew. */
   reset(endpoint: EndpointId): void {
+    this.removeHolder(endpoint)
     this.views.delete(endpoint)
   }
+
+  private setView(view: EngineView): void {
+    const { endpoint, adapters } = view
+    this.removeHolder(endpoint)
+    this.views.set(endpoint, view)
+    for (const adapter of adapters.keys()) {
+      const holders = this.holders.get(adapter)
+      if (holders) holders.add(endpoint)
+      else this.holders.set(adapter, new Set([endpoint]))
+    }
+  }
+
+  private removeHolder(endpoint: EndpointId): void {
+    for (const adapter of this.views.get(endpoint)?.adapters.keys() ?? []) {
+      const holders = this.holders.get(adapter)
+      holders?.delete(endpoint)
+      if (holders?.size === 0) this.holders.delete(adapter)
+    }
+  }
 }
--- a/packages/routing/test/place.test.ts
+++ b/packages/routing/test/place.test.ts
@@ -87,3 +87,16 @@
   view.residency.add("e1", "m/a", 1)
   expect(choosePlacement(view, buildFacts(), new Set(["e1"]), 0).kind).to.equal("none")
 })
+
+it("an adapter's holders are found after each kind of change", () => {
+  const { residency } = buildView(engines)
+  residency.update("e1", "owner", ["m"], [{ adapter: "m/a", version: 1 }], 0)
+  residency.add("e2", "m/a", 1)
+  expect(residency.listHolders("m/a")).to.have.members(["e1", "e2"])
+  residency.update("e1", "owner", ["m"], [{ adapter: "m/b", version: 1 }], 1)
+  residency.remove("e2", "m/a")
+  expect(residency.listHolders("m/a")).to.deep.equal([])
+  expect(residency.listHolders("m/b")).to.deep.equal(["e1"])
+  residency.keepOnly(new Set(["e2"]))
+  expect(residency.listHolders("m/b")).to.deep.equal([])
+})
--- a/packages/routing/test/support.ts
+++ b/packages/routing/test/support.ts
@@ -64,6 +64,7 @@
   for (const { id } of engines) residency.update(id, "owner", ["m"], [], 0)
   return {
     engines,
+    findEngine: (id) => engines.find((engine) => engine.id === id),
     health: new EndpointHealth(),
     residency,
     versions: new VersionTable(graceMs),
