Late requests behind those that can be on time; loads beside full holders; shorter waits

Requests that couldn't be on time any more stood before fresh ones in the engines' queues, and requests without an adapter were held to their deadline.

Tried and taken back: a lookup that two endpoints answered with an error sent again to the same two.

--- a/packages/coordination/src/leased/authority.ts
+++ b/packages/coordination/src/leased/authority.ts
@@ -12,7 +12,7 @@
 }
 
 const CONFIRMED_SHARE = 0.6
-const ORDER_SHARE = 0.03
+const ORDER_SHARE = 0.015
 
 /** Derives the times from the lease's length. The last order of an owner that can't confirm its records has ended before a successor's first. */
 export function computeAuthorityTimes(leaseMs: Millis): AuthorityTimes {
--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -176,6 +176,8 @@
   /** Time left for the endpoint, in ms. */
   readonly remainingMs: number
   readonly priority: number
+  /** The request is past its latency objective, or will be: it goes behind those that can be on time. */
+  readonly isLate: boolean
   /** The adapter's version that must run it. */
   readonly version?: AdapterVersion
   /** Continue a stream after this event. */
--- a/packages/entry/src/catalogue/directory-poll.ts
+++ b/packages/entry/src/catalogue/directory-poll.ts
@@ -3,7 +3,7 @@
 import { DependencyState } from "./dependency.js"
 import type { Directory } from "./directory.js"
 
-const INTERVAL_MS = 400
+const INTERVAL_MS = 500
 const TIMEOUT_MS = 1000
 
 /**
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -6,7 +6,7 @@
 import { systemClock } from "@galenaway/core"
 import { createLog, createMetrics } from "@galenaway/observe"
 import { EndpointHealth, Popularity, Residency, VersionTable } from "@galenaway/routing"
-import { pino } from "pino"
+import { type DestinationStream, pino } from "pino"
 import { ConfigurationWatch, Directory, DirectoryPoll, Serving } from "./catalogue/index.js"
 import { Membership, Ownership } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
@@ -19,6 +19,9 @@
 import { createForwardParts, createLinks, createLinkServer, createOwner } from "./wiring.js"
 
 const STANDARD_OUTPUT = 1
+const LOG_BLOCK_BYTES = 8192
+/** Longest time that a line waits to be written; a killed process loses no more than that. */
+const LOG_FLUSH_MS = 250
 const REQUEST_LINES_PER_SECOND = 400
 /** Longest gap between two looks at the clocks that isn't a pause of the process. */
 const MAX_GAP_MS = 250
@@ -46,7 +49,7 @@
     peerAddress: peerListen,
     isStopping: false,
   })
-  const output = pino.destination({ dest: STANDARD_OUTPUT, sync: false })
+  const output = openOutput()
   const log = createLog(settings.logLevel, { instance: id, dataCentre }, output)
   parts.registerInstance(ENTRY_TOKENS.log, log)
   registerTables(parts, settings)
@@ -56,6 +59,20 @@
   return parts
 }
 
+/** Opens the standard output for log lines; they are written in blocks, since each write costs a switch of threads. */
+function openOutput(): DestinationStream {
+  const output = pino.destination({
+    dest: STANDARD_OUTPUT,
+    sync: false,
+    minLength: LOG_BLOCK_BYTES,
+    periodicFlush: LOG_FLUSH_MS,
+  })
+  process.once("exit", () => {
+    output.flushSync()
+  })
+  return output
+}
+
 function registerCached<T>(
   parts: DependencyContainer,
   token: InjectionToken<T>,
--- a/packages/entry/src/fleet/confirmations.ts
+++ b/packages/entry/src/fleet/confirmations.ts
@@ -36,7 +36,7 @@
   onConfirmed(owners: ReadonlyMap<EndpointId, OwnerRecord>, lost: readonly EndpointId[]): void
 }
 
-const TICK_MS = 25
+const TICK_MS = 50
 /** How often the records are confirmed, as a share of the time that a confirmation counts. */
 const CONFIRM_SHARE = 0.5
 /** A read that takes longer is asked of peers. */
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -52,7 +52,7 @@
   onListed(isListed: boolean): void
 }
 
-const POLL_MS = 400
+const POLL_MS = 500
 const TIMEOUT_MS = 700
 /** A process leaves others' engines alone for so long after its start, until all have had time to register. */
 const SETTLE_MS = 2500
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -37,6 +37,8 @@
   readonly endpoint: Registration
   /** The adapter's version that must run it. */
   readonly version?: AdapterVersion
+  /** The request is past its latency objective, or will be when the endpoint begins with it. */
+  readonly isLate: boolean
 }
 
 /** Takes an answer's parts as they come; the attempt decides what they mean for the call. */
@@ -68,6 +70,7 @@
   private readonly exchange: Exchange
   private readonly startedAt: Millis
   private isHeadTaken = false
+  private isPending = false
   private notRunCause: NotRunCause | undefined
   private status = 0
   private timer: NodeJS.Timeout | undefined
@@ -110,14 +113,25 @@
     const { adapter } = call.facts
     parts.health.onSend(endpoint.id, estimatePromptMs(call.facts), this.startedAt)
     if (adapter !== undefined) parts.uses.add(endpoint.id, adapter)
+    if (call.facts.model !== undefined) {
+      this.isPending = true
+      parts.health.onPending(endpoint.id, destination.isLate)
+    }
     try {
       return await this.exchangeOnce()
     } finally {
+      this.endPending()
       parts.health.onEnd(endpoint.id, this.outcome, parts.clock.now())
       if (adapter !== undefined) parts.uses.remove(endpoint.id, adapter)
     }
   }
 
+  private endPending(): void {
+    if (!this.isPending) return
+    this.isPending = false
+    this.parts.health.onPendingOver(this.destination.endpoint.id, this.destination.isLate)
+  }
+
   /** Stops reading until it is resumed, for a caller that reads slowly. */
   pause(): void {
     this.exchange.pause()
@@ -157,6 +171,7 @@
       endpoint: endpoint.id,
       remainingMs,
       priority: call.route.priority,
+      isLate: destination.isLate,
       ...(version !== undefined && { version }),
       ...(lastEventId !== undefined && { lastEventId }),
     })
@@ -194,6 +209,7 @@
     if (facts.load) parts.health.onLoad(id, facts.load, now)
     this.status = status
     this.headMs = Math.round(now - this.startedAt)
+    this.endPending()
     const cause = this.findNotRunCause(facts)
     if (cause) {
       this.notRunCause = cause
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -1,5 +1,11 @@
-import type { EndpointId, Millis, Registration } from "@galenaway/core"
-import { chooseEndpoint, choosePlacement, chooseReplica, type Placement } from "@galenaway/routing"
+import type { AdapterVersion, EndpointId, Millis, Registration } from "@galenaway/core"
+import {
+  chooseEndpoint,
+  choosePlacement,
+  chooseReplica,
+  estimatePromptMs,
+  type Placement,
+} from "@galenaway/routing"
 import { BACKGROUND_PRIORITY, type LoadAsk } from "../owner/index.js"
 import type { Destination } from "./attempt.js"
 import type { Call } from "./call.js"
@@ -13,6 +19,8 @@
 /** A load is given up after this time, so that another engine can be asked. */
 const LOAD_WAIT_MS = 3000
 const MIN_LOAD_WAIT_MS = 30
+/** Longest wait for loads, in latency objectives. */
+const LOAD_PATIENCE = 2
 /** After so many refusals a load waits for a slot. */
 const MAX_REDIRECTS = 3
 const BACKGROUND_ASK: LoadAsk = {
@@ -46,8 +54,8 @@
     this.missing.add(endpoint)
   }
 
-  /** Finds the next endpoint; may wait for an adapter to load. */
-  async find(): Promise<Search> {
+  /** Finds the next endpoint; may wait for an adapter to load, longer where the answer has begun. */
+  async find(hasBegun: boolean): Promise<Search> {
     const now = this.parts.clock.now()
     if (this.call.facts.model === undefined) return this.findPlain(now)
     const view = this.parts.buildView(this.call.service)
@@ -57,9 +65,22 @@
       this.call.facts,
       this.excluded,
       now,
+      refused.size === 0,
     )
     if (placement.kind === "send") this.replicate(now)
-    return this.resolve(placement)
+    return this.resolve(placement, hasBegun)
+  }
+
+  private buildFound(
+    endpoint: Registration,
+    version: AdapterVersion | undefined,
+    waitMs: Millis,
+  ): Search {
+    const { arrivedAt, route, facts } = this.call
+    const beginsAt = this.parts.clock.now() + waitMs + estimatePromptMs(facts)
+    const isLate = beginsAt > arrivedAt + route.objectiveMs
+    const destination = { endpoint, isLate, ...(version !== undefined && { version }) }
+    return { kind: "found", destination }
   }
 
   private findPlain(now: Millis): Search {
@@ -67,31 +88,31 @@
     const endpoints = directory.listLive(this.call.service)
     const endpoint = chooseEndpoint(endpoints, health, home, this.excluded, now)
     return endpoint
-      ? { kind: "found", destination: { endpoint } }
+      ? { kind: "found", destination: { endpoint, isLate: false } }
       : { kind: "none", reason: `no usable endpoint of ${endpoints.length}` }
   }
 
-  private async resolve(placement: Placement): Promise<Search> {
+  private async resolve(placement: Placement, hasBegun: boolean): Promise<Search> {
     switch (placement.kind) {
       case "none":
         return { kind: "none", reason: "no engine can be used" }
       case "send": {
-        const { endpoint, version } = placement
-        const destination = version === undefined ? { endpoint } : { endpoint, version }
-        return { kind: "found", destination }
+        const { endpoint, version, waitMs } = placement
+        return this.buildFound(endpoint, version, waitMs)
       }
       case "load":
-        return this.load(placement.endpoint)
+        return this.load(placement.endpoint, hasBegun)
     }
   }
 
-  private async load(endpoint: Registration): Promise<Search> {
+  private async load(endpoint: Registration, hasBegun: boolean): Promise<Search> {
     const { parts, call } = this
     const { adapter } = call.facts
     if (adapter === undefined) return { kind: "none", reason: "no engine holds the model" }
     const startedAt = parts.clock.now()
     const version = parts.versions.getNewest(adapter)
-    const waitMs = Math.min(LOAD_WAIT_MS, call.deadline - startedAt)
+    const until = hasBegun ? call.deadline : this.getLoadLimit()
+    const waitMs = Math.min(LOAD_WAIT_MS, until - startedAt)
     if (waitMs < MIN_LOAD_WAIT_MS) return { kind: "none", reason: "no time to load" }
     const wasMissing = this.missing.delete(endpoint.id)
     const canRedirect = this.loadRefused.size < MAX_REDIRECTS
@@ -104,10 +125,7 @@
     if (outcome.kind === "held") {
       parts.residency.add(endpoint.id, adapter, outcome.version)
       const isNewest = version !== undefined && outcome.version >= version
-      return {
-        kind: "found",
-        destination: isNewest ? { endpoint, version } : { endpoint },
-      }
+      return this.buildFound(endpoint, isNewest ? version : undefined, 0)
     }
     this.loadRefused.add(endpoint.id)
     const request = call.facts.attempt
@@ -115,7 +133,13 @@
       { request, adapter, endpoint: endpoint.id, reason: outcome.reason, stalledMs },
       "load refused",
     )
-    return this.find()
+    return this.find(hasBegun)
+  }
+
+  /** A request that has missed its objective by as much again is told to come back. */
+  private getLoadLimit(): Millis {
+    const { arrivedAt, route, deadline } = this.call
+    return Math.min(deadline, arrivedAt + LOAD_PATIENCE * route.objectiveMs)
   }
 
   /** Has the adapter loaded on another engine too when those that hold it are busy. */
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -76,7 +76,7 @@
   private async takeTurn(): Promise<Verdict> {
     if (this.call.callerGone.aborted) return OVER
     if (this.getRemaining() < MIN_SEND_MS) return this.giveUpOnTime()
-    const search = await this.search.find()
+    const search = await this.search.find(this.stream.hasBegun)
     if (search.kind === "none") return this.waitForEndpoint(search.reason)
     if (this.getRemaining() < MIN_SEND_MS) return this.giveUpOnTime()
     if (this.sends > 0 && !this.takeAllowance()) return this.giveUp("the retry limit is reached")
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -23,6 +23,9 @@
   excludedUntil: Millis
   /** Whether a trial request is under way. */
   isOnTrial: boolean
+  /** Requests of this instance without a head of their answer yet: those that can be on time, and the others. */
+  pendingOnTime: number
+  pendingLate: number
   /** Prompt work sent and not yet done, in ms of the endpoint's time, as of `backlogAt`. */
   backlogMs: Millis
   backlogAt: Millis
@@ -92,6 +95,29 @@
     return this.rows.get(endpoint)?.inFlight ?? 0
   }
 
+  /** Notes that a model request waits at an endpoint for the head of its answer. */
+  onPending(endpoint: EndpointId, isLate: boolean): void {
+    const row = this.getRow(endpoint)
+    if (isLate) row.pendingLate++
+    else row.pendingOnTime++
+  }
+
+  /** Notes that such a request waits no longer. */
+  onPendingOver(endpoint: EndpointId, isLate: boolean): void {
+    const row = this.getRow(endpoint)
+    if (isLate) row.pendingLate = Math.max(0, row.pendingLate - 1)
+    else row.pendingOnTime = Math.max(0, row.pendingOnTime - 1)
+  }
+
+  /** Returns how many requests would wait ahead of one that can be on time; endpoints admit the late ones last. */
+  countAhead(endpoint: EndpointId, slots: number, now: Millis): number {
+    const waiting = Math.max(0, this.countRunning(endpoint, now) + 1 - slots)
+    const row = this.rows.get(endpoint)
+    if (!row || waiting === 0) return waiting
+    const { pendingOnTime, pendingLate } = row
+    return (waiting * (pendingOnTime + 1)) / (pendingOnTime + pendingLate + 1)
+  }
+
   /** Returns the prompt work that this instance has sent and that isn't done yet, in ms. */
   getBacklog(endpoint: EndpointId, now: Millis): Millis {
     const row = this.rows.get(endpoint)
@@ -116,8 +142,8 @@
 
   /** Forgets what was known of an endpoint that has started anew. */
   reset(endpoint: EndpointId): void {
-    const inFlight = this.countOwn(endpoint)
-    this.rows.set(endpoint, { ...createRow(), inFlight })
+    const { inFlight, pendingOnTime, pendingLate } = this.getRow(endpoint)
+    this.rows.set(endpoint, { ...createRow(), inFlight, pendingOnTime, pendingLate })
   }
 
   private getRow(endpoint: EndpointId): Row {
@@ -139,6 +165,8 @@
     backoffMs: FIRST_BACKOFF_MS,
     excludedUntil: 0,
     isOnTrial: false,
+    pendingOnTime: 0,
+    pendingLate: 0,
     backlogMs: 0,
     backlogAt: 0,
     slowness: 1,
--- a/packages/routing/src/place.ts
+++ b/packages/routing/src/place.ts
@@ -16,7 +16,13 @@
 /** Where a model request goes. */
 export type Placement =
   /** The engine holds what the request needs. */
-  | { readonly kind: "send"; readonly endpoint: Registration; readonly version?: AdapterVersion }
+  | {
+      readonly kind: "send"
+      readonly endpoint: Registration
+      readonly version?: AdapterVersion
+      /** Expected wait at the engine until it reads the prompt. */
+      readonly waitMs: Millis
+    }
   /** The engine's owner is asked to load the adapter first. */
   | { readonly kind: "load"; readonly endpoint: Registration }
   /** No engine can be used. */
@@ -42,8 +48,10 @@
 const HOP_MS = 8
 /** Cost of each request in the batch, as a share of a full batch. */
 const BATCH_MS = 30
-/** Wait for a place in a full batch. */
-const FULL_MS = 60
+/** Wait for each request ahead at a full engine: the time to read its prompt beside the batch. */
+const AHEAD_MS = 22
+/** Time to bring in an adapter from the weight store. */
+const LOAD_MS = 260
 const FAILING_MS = 400
 /** Above this cost another engine is asked to load a popular adapter too. */
 const REPLICATE_POPULAR_MS = 50
@@ -71,21 +79,29 @@
   return facts.promptTokens / PROMPT_TOKENS_PER_MS
 }
 
-/** Chooses the engine for a request: among those that hold the adapter the cheapest, else the first in the adapter's own order that has room. */
+/**
+ * Chooses the engine for a request: among those that hold the adapter the
+ * cheapest, else the first in the adapter's own order that has room. With
+ * `canLoadBeside` a further engine loads the adapter where that is faster than
+ * waiting at the holders.
+ */
 export function choosePlacement(
   view: PlacementView,
   facts: RequestFacts,
   excluded: ReadonlySet<EndpointId>,
   now: Millis,
+  canLoadBeside = true,
 ): Placement {
   const { adapter, model } = facts
   const best = chooseHolder(view, listHolders(view, facts, excluded, now), facts, now)
-  if (best) return buildSend(view, best.endpoint, adapter)
+  if (best && (best.cost < LOAD_MS || !canLoadBeside)) return buildSend(view, best, adapter)
   if (adapter === undefined) return { kind: "none" }
   const loadable = listUsable(view, excluded, now).filter(({ id }) => canBringIn(view, id, model))
   // An engine may have to wait before it can replace an older version.
   const empty = loadable.filter(({ id }) => !hasAny(view, id, adapter))
   const target = chooseHome(view, empty.length > 0 ? empty : loadable, adapter, now)
+  if (best && (!target || estimateCost(view, target, now) + LOAD_MS >= best.cost))
+    return buildSend(view, best, adapter)
   return target ? { kind: "load", endpoint: target } : { kind: "none" }
 }
 
@@ -237,15 +253,15 @@
 
 function buildSend(
   { residency, versions }: PlacementView,
-  endpoint: Registration,
+  { endpoint, cost: waitMs }: Candidate,
   adapter: AdapterName | undefined,
 ): Placement {
-  if (adapter === undefined) return { kind: "send", endpoint }
+  if (adapter === undefined) return { kind: "send", endpoint, waitMs }
   const newest = versions.getNewest(adapter)
   const held = residency.getView(endpoint.id)?.adapters.get(adapter)
   return newest !== undefined && held !== undefined && held >= newest
-    ? { kind: "send", endpoint, version: newest }
-    : { kind: "send", endpoint }
+    ? { kind: "send", endpoint, version: newest, waitMs }
+    : { kind: "send", endpoint, waitMs }
 }
 
 function estimateCost(
@@ -253,9 +269,9 @@
   { id, slots, dataCentre }: Registration,
   now: Millis,
 ): Millis {
-  const running = health.countRunning(id, now)
+  const running = Math.min(slots, health.countRunning(id, now))
   const load = (running * BATCH_MS) / Math.max(1, slots)
-  const wait = Math.max(0, running + 1 - slots) * (FULL_MS / Math.max(1, slots)) * 4
+  const wait = health.countAhead(id, slots, now) * AHEAD_MS
   const hop = dataCentre === home ? 0 : HOP_MS
   const slow = Math.max(1, health.getSlowness(id))
   const busy = (load + wait + health.getBacklog(id, now)) * slow
