--- a/bench/src/policy/runner.ts
+++ b/bench/src/policy/runner.ts
@@ -1,3 +1,4 @@
+import { createRandom } from "@galenaway/fakes"
 import type { PolicySettings } from "@galenaway/policy"
 import { DEFAULT_POLICY, hashText, rankEndpoints } from "@galenaway/policy"
 import { CoordinatedStrategy, type Placement } from "./coordinated.js"
@@ -8,7 +9,6 @@
 import {
   buildWorkload,
   type CaseName,
-  createRandom,
   DRAIN_MS,
   DURING_MS,
   END_MS,
--- a/bench/src/policy/workload.ts
+++ b/bench/src/policy/workload.ts
@@ -1,7 +1,6 @@
+import { createRandom } from "@galenaway/fakes"
 import type { AdapterKey, Rank, RouteRequest } from "@galenaway/core"
 import { DEFAULT_POLICY } from "@galenaway/policy"
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus"
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64"
 
 /** When each case disturbs the fleet, in milliseconds from the start. */
 export const BEFORE_MS = { start: 15_000, end: 40_000 }
@@ -39,12 +38,6 @@
 /** The name of a case. */
 export type CaseName = (typeof CASES)[number]
 
-/** Returns a source of numbers from 0 up to 1 that depends on the seed alone. */
-export function createRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed)
-  return () => uniformFloat64(generator)
-}
-
 /** Builds the arrivals of a case, in order. The same seed gives the same work to every strategy. */
 export function buildWorkload(name: CaseName, seed: number): RouteRequest[] {
   const random = createRandom(seed)
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -19,7 +19,7 @@
 import { createForwardParts, createLinks, createLinkServer, createOwner } from "./wiring.js"
 
 const STANDARD_OUTPUT = 1
-const LOG_BLOCK_BYTES = 8192
+const LOG_BLOCK_BYTES = 2048
 /** Longest time that a line waits to be written; a killed process loses no more than that. */
 const LOG_FLUSH_MS = 250
 const REQUEST_LINES_PER_SECOND = 400
