Instances that aren't listed yet take their engines back; two to four loads at an engine; docs

Cause: after a power loss an instance's own registration has lapsed, and its first reading of the list, without it, planned no claims: its engines had no owner for another 0.4 s. The keeper then waited 0.45 s from the start of the user's code for orders of the process before, which ended before this process began.

The test of the claim fails without the change.

--- a/packages/entry/src/catalogue/configuration-watch.ts
+++ b/packages/entry/src/catalogue/configuration-watch.ts
@@ -7,7 +7,7 @@
 const READ_TIMEOUT_MS = 1200
 /** How long one watch waits; a connection that went silent is noticed after it. */
 const WATCH_MS = 2500
-const RETRY_MS = 150
+const RETRY_MS = 400
 /** Shortest time between two attempts to get what a peer has told of. */
 const LEARN_PAUSE_MS = 400
 
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -255,9 +255,9 @@
       const isRecent = now - (this.seenAt.get(owner) ?? now) < MISSING_MS
       return isRecent ? [{ id: owner, incarnation, dataCentre: "", isStopping: false }] : []
     })
-    return [...this.instancesById.values(), ...missing].map((instance) =>
-      instance.id === this.self.id ? this.self : instance,
-    )
+    // This process lives even where its registration isn't listed yet, or as an earlier process's.
+    const others = [...this.instancesById.values()].filter(({ id }) => id !== this.self.id)
+    return [this.self, ...others, ...missing]
   }
 
   private mayClaim({ before }: OwnershipClaim): boolean {
--- a/packages/entry/src/owner/arrival-polls.ts
+++ b/packages/entry/src/owner/arrival-polls.ts
@@ -3,6 +3,12 @@
 /** Time of a load from the weight store while few are on their way. */
 export const LOAD_MS = 255
 const MAX_LOAD_MS = 2000
+/** Engines take no more at once. */
+const MAX_ARRIVING = 4
+const MIN_ARRIVING = 2
+/** Load times, as multiples of the usual one, up to which more loads are begun. */
+const UNSLOWED = 1.06
+const SLIGHTLY_SLOWED = 1.25
 /** An engine's own copy of an adapter loads in about a tenth of the time. */
 const COPY_LOAD_SHARE = 0.105
 const NEXT_POLL_MS = 15
@@ -22,6 +28,13 @@
     return this.ms
   }
 
+  /** How many loads an engine should have on their way: fewer when the weight store is slowed by too many. */
+  get maxArriving(): number {
+    const slowness = this.ms / LOAD_MS
+    if (slowness <= UNSLOWED) return MAX_ARRIVING
+    return slowness <= SLIGHTLY_SLOWED ? MAX_ARRIVING - 1 : MIN_ARRIVING
+  }
+
   /** Takes a load that was found to be there after so long, and how often it was asked for. */
   record(ms: Millis, questions: number): void {
     if (questions <= 1) this.ms = Math.max(LOAD_MS, this.ms - EARLIER_MS)
--- a/packages/entry/src/owner/engine-keeper.ts
+++ b/packages/entry/src/owner/engine-keeper.ts
@@ -22,8 +22,6 @@
   readonly loadTime: LoadTime
 }
 
-/** More loads at once, over all engines, would make each of them slower. */
-const MAX_ARRIVING = 2
 /** A load that would wait for so many others is refused where another engine can be asked. */
 const MAX_AHEAD = 3
 /** An adapter that is brought in ahead of need is refused while so many are wanted. */
@@ -62,7 +60,7 @@
     private readonly model: string,
     private readonly parts: KeeperParts,
   ) {
-    this.places = new AdapterPlaces(limits.adapterSlots, MAX_ARRIVING)
+    this.places = new AdapterPlaces(limits.adapterSlots, parts.loadTime.maxArriving)
     this.queue = new LoadQueue(parts.clock, LOAD_MS)
     this.sender = new OrderSender(engine, parts)
     this.polls = new ArrivalPolls(parts.loadTime)
@@ -168,6 +166,7 @@
     if (pause > 0) return pause
     if (!this.isSynced) return this.sync()
     if (!this.places.hasModel(this.model)) return this.loadModel()
+    this.places.maxArriving = this.parts.loadTime.maxArriving
     return this.loader.step()
   }
 
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -35,7 +35,8 @@
     log: c.resolve(ENTRY_TOKENS.log),
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
-    startedAt: clock.now(),
+    // The monotonic clock begins with the process.
+    startedAt: 0,
     onNews: (news) => {
       residency.update(news.endpoint, "owner", news.models, news.adapters, clock.now())
       c.resolve(LinkServer).publish(news)
--- a/packages/entry/test/keeper.test.ts
+++ b/packages/entry/test/keeper.test.ts
@@ -63,6 +63,15 @@
   expect(Math.max(...questions.slice(15))).to.be.at.most(2)
 })
 
+it("fewer loads are begun at once while the weight store is slowed", () => {
+  const loadTime = new LoadTime()
+  expect(loadTime.maxArriving).to.equal(4)
+  for (let i = 0; i < 20; i++) loadTime.record(600, 5)
+  expect(loadTime.maxArriving).to.equal(2)
+  for (let i = 0; i < 600; i++) loadTime.record(255, 1)
+  expect(loadTime.maxArriving).to.equal(4)
+})
+
 it("the base model is ordered before any adapter", async () => {
   const { keeper, orders } = startKeeper({ ...HELD, models: [] }, () => "accepted", TOKEN)
   void keeper.load("m/a", undefined, ASK)
--- /dev/null
+++ b/packages/entry/test/ownership.test.ts
@@ -0,0 +1,55 @@
+import { expect } from "chai"
+import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
+import { formatOwner, formatOwnerKey, Ownership, type RegisteredInstance } from "@galenaway/entry"
+import { createManualClock, LeaseStore } from "@galenaway/fakes"
+import { log } from "./support.js"
+
+const TURNS = 50
+
+it("a restarted instance takes its engine back before it is listed, and no other one's", async () => {
+  const { ownership, store, gained } = createOwnership()
+  await putOwner(store, "own", buildInstance("i", "earlier"))
+  await putOwner(store, "other", buildInstance("j", "j1"))
+  ownership.start()
+  await letRun()
+  ownership.stop()
+  expect(gained).to.deep.equal(["own"])
+  expect(ownership.getToken("own")).to.equal(undefined)
+  expect(ownership.findOwner("other")).to.equal(undefined)
+})
+
+function createOwnership() {
+  const clock = createManualClock()
+  const store = new LeaseStore(() => clock.now())
+  const ownership = new Ownership(buildInstance("i", "now"), {
+    store,
+    authority: new OrderAuthority(computeAuthorityTimes(3000)),
+    suspension: new SuspensionDetector(clock, 250),
+    clock,
+    log,
+    listEngines: () => ["own", "other"].map((id) => ({ id, dataCentre: "dc" })),
+    isHeard: () => false,
+    askOwners: () => Promise.resolve([]),
+    onListed: () => undefined,
+  })
+  const gained: string[] = []
+  ownership.on("gained", (endpoint) => gained.push(endpoint))
+  return { ownership, store, gained }
+}
+
+function buildInstance(id: string, incarnation: string): RegisteredInstance {
+  return { id, incarnation, dataCentre: "dc", peerAddress: "127.0.0.1:1", isStopping: false }
+}
+
+async function putOwner(
+  store: LeaseStore,
+  endpoint: string,
+  owner: RegisteredInstance,
+): Promise<void> {
+  const put = { key: formatOwnerKey(endpoint), value: formatOwner(owner, false) }
+  await store.runTransaction({ conditions: [], puts: [put], removals: [] })
+}
+
+async function letRun(): Promise<void> {
+  for (let i = 0; i < TURNS; i++) await Promise.resolve()
+}
--- a/packages/policy/src/places.ts
+++ b/packages/policy/src/places.ts
@@ -71,7 +71,8 @@
 
   constructor(
     private readonly slots: number,
-    private readonly maxArriving: number,
+    /** Adapters that may be on their way at once. */
+    public maxArriving: number,
   ) {}
 
   /** Orders that the engine has accepted, as far as is known. */
