Load times are learned from answered questions only, and forgotten sooner

While orders stay unanswered a load seemed to take up to two seconds, and the learned time fell by 1 ms a load afterwards, so each load was asked for far too late.

Change: a question without an answer ends the timing of its load; the learned time loses a tenth of its excess with each load that had arrived by the first question.

The test fails without the change.

--- a/packages/entry/src/owner/adapter-loader.ts
+++ b/packages/entry/src/owner/adapter-loader.ts
@@ -151,7 +151,8 @@
       this.onArrived(adapter, orderedAt)
       return
     }
-    this.polls.onNotThere(adapter, orderedAt, now)
+    if (answer === "accepted") this.polls.onNotThere(adapter, orderedAt, now)
+    else this.polls.onNotAnswered(adapter, now)
   }
 
   private onArrived(adapter: AdapterName, orderedAt: Millis): void {
--- a/packages/entry/src/owner/arrival-polls.ts
+++ b/packages/entry/src/owner/arrival-polls.ts
@@ -16,6 +16,7 @@
 const MEMORY = 0.25
 /** After a load that had arrived by the first question, the next one is asked for a little earlier. */
 const EARLIER_MS = 1
+const EARLIER_SHARE = 0.1
 /** Adapters of which an engine is expected to have a copy still. */
 const COPIES_KEPT = 60
 
@@ -37,7 +38,8 @@
 
   /** Takes a load that was found to be there after so long, and how often it was asked for. */
   record(ms: Millis, questions: number): void {
-    if (questions <= 1) this.ms = Math.max(LOAD_MS, this.ms - EARLIER_MS)
+    const excess = this.ms - LOAD_MS
+    if (questions <= 1) this.ms -= Math.min(excess, EARLIER_MS + EARLIER_SHARE * excess)
     else this.ms = Math.min(MAX_LOAD_MS, this.ms + MEMORY * Math.max(0, ms - this.ms))
   }
 }
@@ -45,7 +47,8 @@
 interface Arrival {
   due: Millis
   questions: number
-  readonly isCopy: boolean
+  /** Whether the time until it is there tells how long loads from the weight store take. */
+  readonly isTimed: boolean
 }
 
 /** When to ask an engine whether an adapter has arrived. */
@@ -60,29 +63,35 @@
   onOrdered(adapter: AdapterName, now: Millis): void {
     const isCopy = this.copies.has(adapter)
     const ms = this.loadTime.expectedMs * (isCopy ? COPY_LOAD_SHARE : 1)
-    this.arrivals.set(adapter, { due: now + ms, questions: 0, isCopy })
+    this.arrivals.set(adapter, { due: now + ms, questions: 0, isTimed: !isCopy })
   }
 
   /** Notes that an adapter wasn't there: a missing copy takes as long as a load from the store. */
   onNotThere(adapter: AdapterName, orderedAt: Millis, now: Millis): void {
+    const before = this.arrivals.get(adapter)
     const next = now + NEXT_POLL_MS
     const expected = orderedAt + this.loadTime.expectedMs
     const due = now < expected ? Math.max(next, expected) : next
-    const questions = (this.arrivals.get(adapter)?.questions ?? 0) + 1
-    this.arrivals.set(adapter, { due, questions, isCopy: false })
+    const questions = (before?.questions ?? 0) + 1
+    this.arrivals.set(adapter, { due, questions, isTimed: before?.isTimed ?? true })
+  }
+
+  /** Notes a question that got no answer: when it was there can't be told from then on. */
+  onNotAnswered(adapter: AdapterName, now: Millis): void {
+    this.arrivals.set(adapter, { due: now + NEXT_POLL_MS, questions: 0, isTimed: false })
   }
 
   /** Notes that an adapter has arrived. */
   onArrived(adapter: AdapterName, orderedAt: Millis, now: Millis): void {
     const arrival = this.arrivals.get(adapter)
-    if (arrival && !arrival.isCopy) this.loadTime.record(now - orderedAt, arrival.questions + 1)
+    if (arrival?.isTimed === true) this.loadTime.record(now - orderedAt, arrival.questions + 1)
     this.arrivals.delete(adapter)
     this.rememberCopy(adapter)
   }
 
   /** Sets the next time by hand. */
   delay(adapter: AdapterName, until: Millis): void {
-    this.arrivals.set(adapter, { due: until, questions: 0, isCopy: true })
+    this.arrivals.set(adapter, { due: until, questions: 0, isTimed: false })
   }
 
   /** Returns when to ask next; 0 for at once. */
--- a/packages/entry/test/keeper.test.ts
+++ b/packages/entry/test/keeper.test.ts
@@ -63,6 +63,19 @@
   expect(Math.max(...questions.slice(15))).to.be.at.most(2)
 })
 
+it("questions without an answer teach nothing of load times, and slow loads are soon forgotten", () => {
+  const loadTime = new LoadTime()
+  const polls = new ArrivalPolls(loadTime)
+  polls.onOrdered("m/a", 0)
+  polls.onNotThere("m/a", 0, 255)
+  polls.onNotAnswered("m/a", 320)
+  polls.onArrived("m/a", 0, 900)
+  expect(loadTime.expectedMs).to.equal(255)
+  for (let i = 0; i < 20; i++) loadTime.record(800, 9)
+  for (let i = 0; i < 60; i++) loadTime.record(loadTime.expectedMs, 1)
+  expect(loadTime.expectedMs).to.be.lessThan(270)
+})
+
 it("fewer loads are begun at once while the weight store is slowed", () => {
   const loadTime = new LoadTime()
   expect(loadTime.maxArriving).to.equal(4)
