Late requests at the end of an engine's queue aren't taken for silent engines

Change: the patience before a first event counts the expected wait, and two seconds more for a late request; one that was late says nothing of the engine when it is given up.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -39,6 +39,8 @@
   readonly version?: AdapterVersion
   /** The request is past its latency objective, or will be when the endpoint begins with it. */
   readonly isLate: boolean
+  /** Expected wait at the endpoint until it begins. */
+  readonly waitMs: Millis
 }
 
 /** Takes an answer's parts as they come; the attempt decides what they mean for the call. */
@@ -120,13 +122,13 @@
     try {
       return await this.exchangeOnce()
     } finally {
-      this.endPending()
+      this.settlePending()
       parts.health.onEnd(endpoint.id, this.outcome, parts.clock.now())
       if (adapter !== undefined) parts.uses.remove(endpoint.id, adapter)
     }
   }
 
-  private endPending(): void {
+  private settlePending(): void {
     if (!this.isPending) return
     this.isPending = false
     this.parts.health.onPendingOver(this.destination.endpoint.id, this.destination.isLate)
@@ -209,7 +211,7 @@
     if (facts.load) parts.health.onLoad(id, facts.load, now)
     this.status = status
     this.headMs = Math.round(now - this.startedAt)
-    this.endPending()
+    this.settlePending()
     const cause = this.findNotRunCause(facts)
     if (cause) {
       this.notRunCause = cause
@@ -282,7 +284,9 @@
     clearTimeout(this.timer)
     if (ms === Infinity) return
     this.timer = setTimeout(() => {
-      this.giveUp({ kind: "failed", cause: "silent" }, "silent")
+      // One that waits behind all others before its first byte says nothing of the endpoint.
+      const isQueued = this.destination.isLate && !this.isHeadTaken
+      this.giveUp({ kind: "failed", cause: "silent" }, isQueued ? undefined : "silent")
     }, ms)
   }
 
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -79,7 +79,7 @@
     const { arrivedAt, route, facts } = this.call
     const beginsAt = this.parts.clock.now() + waitMs + estimatePromptMs(facts)
     const isLate = beginsAt > arrivedAt + route.objectiveMs
-    const destination = { endpoint, isLate, ...(version !== undefined && { version }) }
+    const destination = { endpoint, isLate, waitMs, ...(version !== undefined && { version }) }
     return { kind: "found", destination }
   }
 
@@ -88,7 +88,7 @@
     const endpoints = directory.listLive(this.call.service)
     const endpoint = chooseEndpoint(endpoints, health, home, this.excluded, now)
     return endpoint
-      ? { kind: "found", destination: { endpoint, isLate: false } }
+      ? { kind: "found", destination: { endpoint, isLate: false, waitMs: 0 } }
       : { kind: "none", reason: `no usable endpoint of ${endpoints.length}` }
   }
 
--- a/packages/entry/src/forward/index.ts
+++ b/packages/entry/src/forward/index.ts
@@ -1,3 +1,5 @@
+export * from "./attempt.js"
+export * from "./call.js"
 export * from "./errors.js"
 export * from "./handler.js"
 export * from "./parts.js"
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -26,6 +26,8 @@
 /** A first event may wait behind long prompts; another engine would often have to load the adapter first. */
 const FIRST_EVENT_MS = 1000
 const PROMPT_FACTOR = 3
+/** A request that can't be on time waits behind those that can. */
+const LATE_PATIENCE_MS = 2000
 const SILENT_STREAM_MS = 900
 const SERVER_ERROR_STATUS = 500
 const NEVER: Patience = { firstByteMs: Infinity, betweenBytesMs: Infinity }
@@ -85,7 +87,7 @@
 
   private async send(destination: Destination): Promise<Verdict> {
     const { parts, call } = this
-    const patience = this.choosePatience()
+    const patience = this.choosePatience(destination)
     const getFlow = (): Flow => this.attempt ?? { pause: ignore, resume: ignore }
     const sink = isStream(call) ? this.stream.build(getFlow) : new WholeSink(this.reply, getFlow)
     this.sends++
@@ -160,11 +162,12 @@
     return AGAIN
   }
 
-  private choosePatience(): Patience {
+  private choosePatience({ isLate, waitMs }: Destination): Patience {
     const { route, facts } = this.call
     if (!isRepeatable(this.call) || this.runs + 1 >= route.maxAttempts) return NEVER
     if (isStream(this.call)) {
-      const firstByteMs = FIRST_EVENT_MS + PROMPT_FACTOR * estimatePromptMs(facts)
+      const queueMs = waitMs + (isLate ? LATE_PATIENCE_MS : 0)
+      const firstByteMs = FIRST_EVENT_MS + queueMs + PROMPT_FACTOR * estimatePromptMs(facts)
       return { firstByteMs, betweenBytesMs: SILENT_STREAM_MS }
     }
     const share = FIRST_BYTE_SHARE * route.objectiveMs
--- a/packages/entry/src/owner/arrival-polls.ts
+++ b/packages/entry/src/owner/arrival-polls.ts
@@ -16,7 +16,7 @@
 const MEMORY = 0.25
 /** After a load that had arrived by the first question, the next one is asked for a little earlier. */
 const EARLIER_MS = 1
-const EARLIER_SHARE = 0.1
+const EARLIER_SHARE = 0.04
 /** Adapters of which an engine is expected to have a copy still. */
 const COPIES_KEPT = 60
 
