A stream that has begun is resumed with its own urgency

A stream whose engine broke off was resumed as late, since its objective is about the first event, and waited behind fresh requests. Test: a stream that has begun goes on with the urgency that it had.

--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -49,6 +49,11 @@
   }
 }
 
+/** Tells whether a call misses its latency objective when an endpoint begins with it at `beginsAt`. An answer that has begun has met or missed it already, and goes on as fast as it can. */
+export function isLateAt({ arrivedAt, route }: Call, beginsAt: Millis, hasBegun: boolean): boolean {
+  return !hasBegun && beginsAt > arrivedAt + route.objectiveMs
+}
+
 /** Returns the rank under which a call is measured. */
 export function getRank({ route }: Call): Rank {
   return RANKS[Math.min(RANKS.length - 1, Math.max(0, Math.floor(route.priority)))] ?? "bulk"
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -8,7 +8,7 @@
 } from "@galenaway/routing"
 import { BACKGROUND_PRIORITY, type LoadAsk } from "../owner/index.js"
 import type { Destination } from "./attempt.js"
-import type { Call } from "./call.js"
+import { type Call, isLateAt } from "./call.js"
 import type { ForwardParts } from "./parts.js"
 
 /** A place to send a call to, or why there is none now. */
@@ -75,10 +75,10 @@
     endpoint: Registration,
     version: AdapterVersion | undefined,
     waitMs: Millis,
+    hasBegun: boolean,
   ): Search {
-    const { arrivedAt, route, facts } = this.call
-    const beginsAt = this.parts.clock.now() + waitMs + estimatePromptMs(facts)
-    const isLate = beginsAt > arrivedAt + route.objectiveMs
+    const beginsAt = this.parts.clock.now() + waitMs + estimatePromptMs(this.call.facts)
+    const isLate = isLateAt(this.call, beginsAt, hasBegun)
     const destination = { endpoint, isLate, waitMs, ...(version !== undefined && { version }) }
     return { kind: "found", destination }
   }
@@ -98,7 +98,7 @@
         return { kind: "none", reason: "no engine can be used" }
       case "send": {
         const { endpoint, version, waitMs } = placement
-        return this.buildFound(endpoint, version, waitMs)
+        return this.buildFound(endpoint, version, waitMs, hasBegun)
       }
       case "load":
         return this.load(placement.endpoint, hasBegun)
@@ -125,7 +125,7 @@
     if (outcome.kind === "held") {
       parts.residency.add(endpoint.id, adapter, outcome.version)
       const isNewest = version !== undefined && outcome.version >= version
-      return this.buildFound(endpoint, isNewest ? version : undefined, 0)
+      return this.buildFound(endpoint, isNewest ? version : undefined, 0, hasBegun)
     }
     this.loadRefused.add(endpoint.id)
     const request = call.facts.attempt
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai"
 import type { HeaderDialect, Registration } from "@galenaway/core"
-import { Attempt, type AnswerSink, type Call, type ForwardParts } from "@galenaway/entry"
+import { Attempt, type AnswerSink, type Call, type ForwardParts, isLateAt } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { EndpointHealth, VersionTable } from "@galenaway/routing"
 
@@ -32,6 +32,14 @@
   expect(health.countOwn("e")).to.equal(0)
 })
 
+it("a stream that has begun goes on with the urgency that it had", () => {
+  const call = buildCall()
+  const { objectiveMs } = call.route
+  expect(isLateAt(call, objectiveMs, false)).to.equal(false)
+  expect(isLateAt(call, objectiveMs + 1, false)).to.equal(true)
+  expect(isLateAt(call, objectiveMs + 1, true)).to.equal(false)
+})
+
 async function runSilentAttempts(isLate: boolean): Promise<EndpointHealth> {
   const health = new EndpointHealth()
   const parts = buildParts(health)
