--- a/scripts/report.mjs
+++ b/scripts/report.mjs
@@ -17,6 +17,8 @@
     `KNOWN-RED ${title}: ${isRed ? "failed as listed" : "did not fail, take it off the list"}`,
   )
 }
+for (const day of readBenchDays(`${root}/KNOWN-RED.txt`))
+  console.log(`KNOWN-RED on the bench: ${day}`)
 const failedCount = fresh.length + Number(otherFailures)
 console.log(`${passes.length} passed, ${failedCount} failed`)
 process.exit(failedCount === 0 && passes.length > 0 ? 0 : 1)
@@ -32,3 +34,9 @@
   if (!existsSync(path)) return []
   return [...readFileSync(path, "utf8").matchAll(/^test: (.*)$/gm)].map((match) => match[1])
 }
+
+/** Reads the days of the users' bench that fail: lines `bench: COMMAND`. They are only printed. */
+function readBenchDays(path) {
+  if (!existsSync(path)) return []
+  return [...readFileSync(path, "utf8").matchAll(/^bench: (.*)$/gm)].map((match) => match[1])
+}
