Log the shared prompt parts and the progress of a failed attempt

An ended engine showed only as attempts with cause=broken, so content, overload and bad orders looked alike. A failed attempt's line now has the shared parts of its prompt and how often its answer continued.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -44,6 +44,8 @@
   headMs: Millis | undefined
   /** Longest time between two events of a stream, in ms. */
   maxPauseMs: Millis = 0
+  /** Number of times that the answer's body continued; for a stream at most its number of events. */
+  progressCount = 0
 
   constructor(
     private readonly context: ForwardContext,
@@ -239,6 +241,7 @@
     if (this.notRunCause || !this.isHeadAccepted) return
     switch (this.sink.onData(chunk)) {
       case "used":
+        this.progressCount++
         this.startTimeout(this.timeouts.betweenBytesMs)
         this.recordEvent(this.context.clock.now())
         return
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -261,6 +261,10 @@
         maxPauseMs: this.attempt?.maxPauseMs,
         isLate,
         ms,
+        ...(result.kind === "failed" && {
+          parts: this.call.facts.sharedParts.map(({ id }) => id).join(),
+          progress: this.attempt?.progressCount,
+        }),
       },
       "attempt ended",
     )
