Prompt parts that end engines are found by evidence of all instances, and held back

Cause: a request whose engine ends was resumed at another engine, and each caller came back, whatever was known of its content; no instance related the ends of engines to what they were answering (poison message: a fault that is carried by the work itself, and spread by retries). Evidence: in the log of one prompt part was at each of 26 ends, each time in an attempt that had got its head and no event; no other rare part was there more than 5 times.

Change: an end (connection broken, and a new one refused by the kernel) counts against the parts whose answers had at most begun; three bytes' arrivals or a complete answer clear a part of the ends before it (CrashEvidence, pure). Three owners collect the evidence of all instances, over the links at once, and list suspects; a suspect is sent once at a time by each instance. Requests with it are refused at once as not run; those that wait at engines are ended.

Why it works: evidence needs an end, and only a sound answer clears it, so the part that is at each end stays, whichever instances see them.

--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -21,11 +21,18 @@
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer, AdapterUseTable } from "./links/index.js"
 import { Owner } from "./owner/index.js"
+import { PartGuard, PartStore } from "./quarantine/index.js"
 import { RequestLog } from "./request-log.js"
 import { CallerServer } from "./server.js"
 import type { EntrySettings } from "./settings.js"
 import { ENTRY_TOKENS, type EntryPorts } from "./tokens.js"
-import { createForwardContext, createLinks, createLinkServer, createOwner } from "./wiring.js"
+import {
+  createForwardContext,
+  createLinks,
+  createLinkServer,
+  createOwner,
+  createPartGuard,
+} from "./wiring.js"
 
 const STDOUT_FD = 1
 const LOG_BLOCK_BYTES = 2048
@@ -185,6 +192,10 @@
         listEngines: () => c.resolve(Owner).listEngines(),
         isAlive: (id) => c.resolve(PeerLinks).isAlive(id),
         fetchOwnerReports: () => c.resolve(PeerLinks).fetchOwnerReports(),
+        onParts: (parts) => {
+          c.resolve(PartGuard).onStored(parts)
+          c.resolve(PartStore).onRead(parts, c.resolve(PartGuard).listStates())
+        },
         onListed: (isListed) => {
           c.resolve(Membership).onListed(isListed)
         },
@@ -193,6 +204,18 @@
   registerCached(container, Owner, (c) => createOwner(c, engineClient))
   registerCached(container, LinkServer, createLinkServer)
   registerCached(container, PeerLinks, createLinks)
+  registerCached(container, PartGuard, createPartGuard)
+  registerCached(
+    container,
+    PartStore,
+    (c) =>
+      new PartStore({
+        store,
+        clock: c.resolve(ENTRY_TOKENS.clock),
+        log: c.resolve(ENTRY_TOKENS.log),
+        isFirstWriter: () => c.resolve(PeerLinks).isFirstCollector(),
+      }),
+  )
 }
 
 function registerForwarding(
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -18,6 +18,7 @@
   waitFor,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
+import type { PartState } from "@galenaway/routing"
 import { DependencyState } from "../catalogue/dependency.js"
 import { OwnershipConfirmer, type OwnerReport } from "./ownership-confirmer.js"
 import {
@@ -50,6 +51,8 @@
   isAlive(id: InstanceId): boolean
   /** Fetches the owner records of the other instances. Instances that don't answer are omitted. */
   fetchOwnerReports(): Promise<readonly OwnerReport[]>
+  /** Called after each read with the stored states of prompt parts. */
+  onParts(parts: readonly PartState[]): void
   /** Called after each read with whether the registration of this process was listed. */
   onListed(isListed: boolean): void
 }
@@ -208,11 +211,12 @@
     const range = await this.deps.store.readRange(FLEET_PREFIX, "stale", STORE_TIMEOUT_MS)
     if (range.revision < this.listRevision) return
     this.listRevision = range.revision
-    const { instances, owners, unreadable } = parseFleetRecords(range.items)
+    const { instances, owners, parts, unreadable } = parseFleetRecords(range.items)
     for (const key of unreadable) this.deps.log.warn({ key }, "unreadable fleet item skipped")
     this.instancesById = instances
     for (const [id, instance] of instances) this.lastListed.set(id, instance)
     this.mergeRecords(owners)
+    this.deps.onParts(parts)
     this.deps.onListed(instances.get(this.self.id)?.incarnation === this.self.incarnation)
     this.emit("read")
     await this.claim()
--- a/packages/entry/src/fleet/records.ts
+++ b/packages/entry/src/fleet/records.ts
@@ -1,12 +1,17 @@
+import { createHash } from "node:crypto"
 import { z } from "zod"
 import type { LiveInstance, OwnerRecord } from "@galenaway/coordination"
 import type { EndpointId, InstanceId, StoreItem } from "@galenaway/core"
+import type { PartId, PartState } from "@galenaway/routing"
 
 /** Prefix of all items that the instances write to the store for their own coordination. */
 export const FLEET_PREFIX = "galenaway/"
 /** Prefix of the owner records, one for each engine. */
 export const OWNER_PREFIX = `${FLEET_PREFIX}owners/`
 const INSTANCE_PREFIX = `${FLEET_PREFIX}instances/`
+const PART_PREFIX = `${FLEET_PREFIX}parts/`
+/** Callers choose the ids of parts, so keys have a hash of this length, in characters. */
+const PART_HASH_LENGTH = 32
 
 /** The registration that an instance publishes about itself. */
 export interface RegisteredInstance extends LiveInstance {
@@ -18,6 +23,8 @@
 export interface FleetRecords {
   readonly instances: ReadonlyMap<InstanceId, RegisteredInstance>
   readonly owners: ReadonlyMap<EndpointId, OwnerRecord>
+  /** The states of prompt parts, the longest unchanged first. */
+  readonly parts: readonly PartState[]
   /** Keys that are unknown or whose values can't be parsed. */
   readonly unreadable: readonly string[]
 }
@@ -29,6 +36,12 @@
   isStopping: z.boolean(),
 })
 
+const PART_SCHEMA = z.object({
+  part: z.string(),
+  generation: z.number().int().positive(),
+  endCount: z.number().int(),
+})
+
 const OWNER_SCHEMA = z.object({
   owner: z.string(),
   incarnation: z.string(),
@@ -41,12 +54,37 @@
   const owners = new Map<EndpointId, OwnerRecord>()
   const unreadable: string[] = []
   for (const item of items) {
+    if (item.key.startsWith(PART_PREFIX)) continue
     const isRead = item.key.startsWith(OWNER_PREFIX)
       ? addOwner(owners, item)
       : addInstance(instances, item)
     if (!isRead) unreadable.push(item.key)
   }
-  return { instances, owners, unreadable }
+  const parts = parseParts(items)
+  return { instances, owners, parts, unreadable }
+}
+
+/** Parses the states of prompt parts among items, the longest unchanged first. Never throws; omits items that can't be parsed. */
+export function parseParts(items: readonly StoreItem[]): readonly PartState[] {
+  return items
+    .filter(({ key }) => key.startsWith(PART_PREFIX))
+    .sort((a, b) => a.revision - b.revision)
+    .flatMap(({ value }) => parseJson(PART_SCHEMA, value) ?? [])
+}
+
+/** Formats the key of a prompt part's state. */
+export function formatPartKey(part: PartId): string {
+  return PART_PREFIX + createHash("sha256").update(part).digest("hex").slice(0, PART_HASH_LENGTH)
+}
+
+/** Builds the item of a prompt part's state for a peer that can't reach the store. */
+export function formatPartItem(state: PartState): StoreItem {
+  return { key: formatPartKey(state.part), value: formatPart(state), revision: 0 }
+}
+
+/** Formats the state of a prompt part as a stored value. */
+export function formatPart({ part, generation, endCount }: PartState): Buffer {
+  return Buffer.from(JSON.stringify({ part, generation, endCount }))
 }
 
 /** Formats the key of an instance's registration. */
--- a/packages/entry/src/forward/answer.ts
+++ b/packages/entry/src/forward/answer.ts
@@ -18,6 +18,16 @@
   readonly body: Buffer
 }
 
+/** Why an attempt that an endpoint may have run has no complete answer. */
+export type FailureCause =
+  | "broken"
+  | "silent"
+  | "wrong-answer"
+  /** The version of the adapter became too old before the answer began. */
+  | "outdated"
+  /** A part of the prompt was quarantined before the answer had begun. */
+  | "quarantined"
+
 /** How an attempt ended. Kinds and causes are logged. */
 export type AttemptResult =
   | { readonly kind: "answered"; readonly answer: CompleteAnswer }
@@ -25,7 +35,7 @@
   | { readonly kind: "streamed" }
   | { readonly kind: "not-run"; readonly cause: NotRunCause }
   /** The request may have run, and no complete answer was received. */
-  | { readonly kind: "failed"; readonly cause: "broken" | "silent" | "wrong-answer" | "outdated" }
+  | { readonly kind: "failed"; readonly cause: FailureCause }
   /** The deadline of the call passed. */
   | { readonly kind: "out-of-time" }
   /** The caller closed its connection. */
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -11,6 +11,7 @@
 import { type Call, isRetryable, isStream } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import { HttpExchange } from "./exchange.js"
+import type { AttemptGuard } from "../quarantine/index.js"
 
 /** Expected time to the first byte, to which the time for the prompt is added. */
 const BASE_FIRST_BYTE_MS = 30
@@ -35,6 +36,7 @@
   private deadlineTimer: NodeJS.Timeout | undefined
   private versionTimer: NodeJS.Timeout | undefined
   private readonly pace: PaceEstimator
+  private readonly guard: AttemptGuard
   /** Time of the last event of a stream. Undefined before the head. */
   private lastEventAt: Millis | undefined
   private resolveOnce: (result: AttemptResult) => void = () => undefined
@@ -56,6 +58,9 @@
   ) {
     this.startedAt = context.clock.now()
     this.pace = context.paces.get(call.service)
+    this.guard = context.guard.start(destination.endpoint, call.facts.sharedParts, () => {
+      this.abort({ kind: "failed", cause: "quarantined" }, undefined)
+    })
     this.exchange = new HttpExchange({
       onHead: (status, headers) => {
         this.onHead(status, headers)
@@ -87,6 +92,7 @@
     try {
       return await this.runExchange()
     } finally {
+      this.guard.onEnd()
       this.clearPending()
       context.health.onEnd(endpoint.id, this.outcome, context.clock.now())
       if (adapter !== undefined) context.uses.remove(endpoint.id, adapter)
@@ -242,6 +248,7 @@
     switch (this.sink.onData(chunk)) {
       case "used":
         this.progressCount++
+        this.guard.onProgress()
         this.startTimeout(this.timeouts.betweenBytesMs)
         this.recordEvent(this.context.clock.now())
         return
@@ -266,8 +273,14 @@
     }
     this.outcome = this.status >= SERVER_ERROR_STATUS ? "error" : "answered"
     const result = this.sink.onEnd()
-    if (result.kind === "streamed") this.pace.recordRun(this.context.clock.now() - this.startedAt)
-    if (result.kind === "failed") this.outcome = "broken"
+    if (result.kind === "streamed") {
+      this.pace.recordRun(this.context.clock.now() - this.startedAt)
+      this.guard.onComplete()
+    }
+    if (result.kind === "failed") {
+      this.outcome = "broken"
+      this.guard.onBroken()
+    }
     this.resolveOnce(result)
   }
 
@@ -277,6 +290,7 @@
       return
     }
     this.outcome = "broken"
+    if (mayHaveBeenSent) this.guard.onBroken()
     this.resolveOnce(
       mayHaveBeenSent
         ? { kind: "failed", cause: "broken" }
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -12,6 +12,7 @@
 import type { EndpointDirectory } from "../catalogue/directory.js"
 import type { OperatorCatalogue } from "../catalogue/operator-catalogue.js"
 import type { PeerLinks, AdapterUseTable } from "../links/index.js"
+import type { PartGuard } from "../quarantine/index.js"
 import type { RequestLog } from "../request-log.js"
 import type { EndpointPools } from "./pools.js"
 
@@ -28,6 +29,8 @@
   readonly residency: Residency
   readonly versions: VersionTable
   readonly popularity: Popularity
+  /** Keeps prompt parts that end engines away from them. */
+  readonly guard: PartGuard
   readonly links: PeerLinks
   /** The requests of this instance that use each adapter. */
   readonly uses: AdapterUseTable
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -48,6 +48,8 @@
   private sendCount = 0
   /** Number of sends that an endpoint may have run. */
   private runCount = 0
+  /** Whether the call tests a quarantined part of its prompt. */
+  private isTrial = false
   /** The last server error of an endpoint, sent when no later attempt succeeds. */
   private fallbackAnswer: CompleteAnswer | undefined
 
@@ -79,10 +81,15 @@
   private async runStep(): Promise<NextAction> {
     if (this.call.disconnectSignal.aborted) return DONE
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
+    const held = this.checkParts()
+    if (held) return held
     const search = await this.search.find(this.stream.hasStarted)
     if (search.kind === "none") return this.waitForEndpoint(search.reason)
     if (search.kind === "overloaded") return this.rejectOverload(search.waitMs)
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
+    // The wait for admission or a load may have been long.
+    const heldMeanwhile = this.checkParts()
+    if (heldMeanwhile) return heldMeanwhile
     if (this.sendCount > 0 && !this.acquireRetry()) return this.reject("the retry limit is reached")
     return this.send(search.destination)
   }
@@ -161,6 +168,27 @@
     )
   }
 
+  /** Returns what happens to a call whose prompt has a part that ends engines, or may do so; undefined if the call may be sent. */
+  private checkParts(): Promise<NextAction> | undefined {
+    if (this.isTrial) return undefined
+    const { context, call } = this
+    const verdict = context.guard.check(call.facts.sharedParts)
+    switch (verdict.kind) {
+      case "allowed":
+        return undefined
+      case "trial":
+        this.isTrial = true
+        return undefined
+      case "suspected":
+        return this.waitForEndpoint("a part of the prompt may end engines")
+      case "quarantined":
+        context.metrics.count("quarantine-refusals")
+        return Promise.resolve(
+          this.reject(`the prompt part ${verdict.part} ends engines`, verdict.retryAfterMs),
+        )
+    }
+  }
+
   private async waitForEndpoint(reason: string): Promise<NextAction> {
     const searchMs = this.context.clock.now() - this.call.arrivedAt
     const isSearchOver = searchMs > MAX_SEARCH_SHARE * this.call.route.objectiveMs
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -10,10 +10,11 @@
   OperatorCatalogue,
 } from "./catalogue/index.js"
 import { createEntryContainer } from "./container.js"
-import { Membership, Ownership } from "./fleet/index.js"
+import { Membership, Ownership, parseParts } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer } from "./links/index.js"
 import { Owner } from "./owner/index.js"
+import { PartGuard } from "./quarantine/index.js"
 import { startProbeServers } from "./probe-server.js"
 import { reloadSettings } from "./reload.js"
 import { CallerServer } from "./server.js"
@@ -156,8 +157,10 @@
   const { format } = container.resolve(ENTRY_TOKENS.ports)
   const isRegistration = ({ key }: StoreItem) => key.startsWith(format.registrationPrefix)
   for (const item of items)
-    if (!isRegistration(item)) container.resolve(OperatorCatalogue).apply(item, `peer ${peer}`)
+    if (item.key.startsWith(format.operatorPrefix))
+      container.resolve(OperatorCatalogue).apply(item, `peer ${peer}`)
   container.resolve(EndpointDirectory).applyFromPeer(items.filter(isRegistration))
+  container.resolve(PartGuard).onStored(parseParts(items))
 }
 
 async function stopInstance(
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -9,6 +9,7 @@
 } from "@grpc/grpc-js"
 import { type Clock, describeError, type InstanceId, type StoreItem } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
+import type { PartId, PartState } from "@galenaway/routing"
 import {
   type AdmitReply,
   type AdmitRequest,
@@ -36,6 +37,10 @@
   admit(request: AdmitRequest, signal: AbortSignal): Promise<AdmissionOutcome>
   /** Called for each update that a follower sends. */
   onUpdate(update: FollowerUpdate): void
+  /** Lists the states of all known prompt parts, which a new follower receives first. */
+  listPartStates(): readonly PartState[]
+  /** Lists the prompt parts that may end engines. */
+  listSuspects(): readonly PartId[]
   /** Lists the snapshots of all owned engines, which a new follower receives first. */
   listSnapshots(): readonly EngineSnapshot[]
   /** Lists the items of the store that this instance has read. */
@@ -55,6 +60,8 @@
 const HEARTBEAT_INTERVAL_MS = 500
 /** Size of unread updates above which a follower's connection is closed. */
 const MAX_UNREAD_BYTES = 256 * 1024
+/** Time between two updates about prompt parts, which don't wait for the next batch. */
+const URGENT_INTERVAL_MS = 50
 
 /** The server for peers: it sends them updates about the owned engines, and loads adapters for them. */
 export class LinkServer {
@@ -63,6 +70,8 @@
   private readonly changed = new Map<string, EngineSnapshot>()
   private readonly published: PublishedEngines
   private readonly dropped = new Set<string>()
+  private partStates: PartState[] = []
+  private urgentTimer: NodeJS.Timeout | undefined
   private timer: NodeJS.Timeout | undefined
   private heartbeat: NodeJS.Timeout | undefined
   /** Whether an update was sent since the heartbeat timer last fired. */
@@ -106,8 +115,18 @@
     this.scheduleUpdates()
   }
 
+  /** Sends changed states of prompt parts and the suspects to the followers, before the next batch. */
+  publishParts(states: readonly PartState[]): void {
+    this.partStates.push(...states)
+    this.urgentTimer ??= setTimeout(() => {
+      this.urgentTimer = undefined
+      this.sendUpdates()
+    }, URGENT_INTERVAL_MS)
+  }
+
   /** Stops listening and ends all connections. */
   stop(): void {
+    clearTimeout(this.urgentTimer)
     clearInterval(this.heartbeat)
     clearTimeout(this.timer)
     this.server.forceShutdown()
@@ -124,7 +143,8 @@
     clearTimeout(this.timer)
     this.timer = undefined
     const messages = [...this.changed.values()].map((snapshot) => this.published.publish(snapshot))
-    const update = this.buildUpdate(messages, [...this.dropped])
+    const update = this.buildUpdate(messages, [...this.dropped], this.partStates)
+    this.partStates = []
     this.changed.clear()
     this.dropped.clear()
     for (const [follower, instance] of this.followers) this.send(follower, instance, update)
@@ -139,12 +159,18 @@
     }
   }
 
-  private buildUpdate(messages: readonly EngineMessage[], dropped: string[]): OwnerUpdate {
+  private buildUpdate(
+    messages: readonly EngineMessage[],
+    dropped: string[],
+    partStates: readonly PartState[],
+  ): OwnerUpdate {
     return {
       configurationVersion: this.handlers.getConfigurationVersion(),
       engines: messages.flatMap((message) => (message.kind === "complete" ? [message.news] : [])),
       changes: messages.flatMap((message) => (message.kind === "change" ? [message.change] : [])),
       dropped,
+      partStates: [...partStates],
+      suspects: [...this.handlers.listSuspects()],
     }
   }
 
@@ -235,7 +261,7 @@
     const messages = this.handlers
       .listSnapshots()
       .map((snapshot) => ({ kind: "complete", news: formatComplete(snapshot) }) as const)
-    call.write(this.buildUpdate(messages, []))
+    call.write(this.buildUpdate(messages, [], this.handlers.listPartStates()))
   }
 }
 
--- a/packages/entry/src/links/peer-link.ts
+++ b/packages/entry/src/links/peer-link.ts
@@ -7,6 +7,7 @@
   type StoreItem,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
+import type { PartState } from "@galenaway/routing"
 import {
   type AdmitReply,
   type AdmitRequest,
@@ -19,6 +20,7 @@
   type OwnersReply,
   type OwnerUpdate,
 } from "../generated/fleet.js"
+import type { PartReport } from "../quarantine/index.js"
 import { AdmitStream } from "./admit-stream.js"
 
 /** Handlers that connect the links to the other modules of the instance. */
@@ -27,6 +29,8 @@
   onUpdate(peer: InstanceId, update: OwnerUpdate): void
   /** Returns the version of this instance's configuration, which is sent to peers. */
   getConfigurationVersion(): number
+  /** Lists the states of all known prompt parts, which a peer receives when the connection opens. */
+  listPartStates(): readonly PartState[]
 }
 
 /** A peer that has sent no update for this time receives no load requests. */
@@ -35,6 +39,7 @@
 const RECONNECT_TIMEOUT_MS = 1800
 const RECONNECT_DELAY_MS = 250
 const CATALOGUE_TIMEOUT_MS = 1000
+const EMPTY_REPORT: PartReport = { ends: [], soundParts: [], states: [] }
 const OWNERS_TIMEOUT_MS = 250
 
 /** The connection to one peer. It receives the peer's updates and sends it use counts and load requests. */
@@ -75,10 +80,22 @@
 
   /** Sends the peer the use counts of its engines. Does nothing without a connection. */
   sendUses(uses: EndpointUse[]): void {
+    this.send(uses, EMPTY_REPORT)
+  }
+
+  /** Sends the peer what this instance has seen of prompt parts. Does nothing without a connection. */
+  sendReport(report: PartReport): void {
+    this.send([], report)
+  }
+
+  private send(uses: EndpointUse[], { ends, soundParts, states }: PartReport): void {
     this.stream?.write({
       instance: this.self,
       configurationVersion: this.handlers.getConfigurationVersion(),
       uses,
+      ends: ends.map(({ endpoint, parts }) => ({ endpoint, parts: [...parts] })),
+      soundParts: [...soundParts],
+      partStates: [...states],
     })
   }
 
@@ -147,7 +164,7 @@
     stream.on("end", () => {
       remove()
     })
-    this.sendUses([])
+    this.sendReport({ ...EMPTY_REPORT, states: this.handlers.listPartStates() })
   }
 }
 
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -8,6 +8,7 @@
   type Millis,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
+import { hashText } from "@galenaway/policy"
 import type { AdmitRequest, EndpointUse } from "../generated/fleet.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { Ownership } from "../fleet/ownership.js"
@@ -18,6 +19,7 @@
   LoadOutcome,
   Owner,
 } from "../owner/index.js"
+import type { PartReport } from "../quarantine/index.js"
 import { PeerLink, type PeerLinkHandlers } from "./peer-link.js"
 import { computeBatchIntervalMs } from "./batch-interval.js"
 import type { AdapterUseTable } from "./adapter-use-table.js"
@@ -45,6 +47,8 @@
 /** A request shares the message of another one that waits for at least this share of its own time. */
 const SHARED_WAIT_SHARE = 0.5
 const TICK_MS = 250
+/** More than one, so that the evidence outlives an owner. */
+const COLLECTOR_COUNT = 3
 /** Added to the wait for a load, as time for the message and its answer. */
 const ANSWER_MARGIN_MS = 60
 
@@ -99,6 +103,25 @@
     return this.findLink(endpoint)?.isAlive ?? false
   }
 
+  /** Sends what this instance has seen of prompt parts to the instances that collect it. */
+  sendReport(report: PartReport): void {
+    for (const id of this.listCollectors()) this.linksByPeer.get(id)?.sendReport(report)
+  }
+
+  /** Returns whether this instance is the first of those that collect what is seen of prompt parts. */
+  isFirstCollector(): boolean {
+    return this.listCollectors()[0] === this.deps.self
+  }
+
+  /** Lists the owners that collect what is seen of prompt parts: the first reachable ones in an order that all instances compute. */
+  private listCollectors(): readonly InstanceId[] {
+    const { self, ownership } = this.deps
+    return [...ownership.listOwners().keys()]
+      .filter((id) => id === self || this.isAlive(id))
+      .sort((a, b) => hashText(a) - hashText(b))
+      .slice(0, COLLECTOR_COUNT)
+  }
+
   /** Returns whether an instance has sent an update recently. */
   isAlive(id: InstanceId): boolean {
     return this.linksByPeer.get(id)?.isAlive ?? false
--- /dev/null
+++ b/packages/entry/src/quarantine/part-guard.ts
@@ -0,0 +1,350 @@
+import type {
+  Clock,
+  EndpointId,
+  InstanceId,
+  Millis,
+  PromptPart,
+  Registration,
+} from "@galenaway/core"
+import type { Log, Metrics } from "@galenaway/observe"
+import {
+  CrashEvidence,
+  isHeld,
+  type PartId,
+  PartQuarantine,
+  type PartState,
+  type QuarantinedPart,
+} from "@galenaway/routing"
+import { type GuardedRun, RunningParts } from "./running-parts.js"
+
+/** Whether a request may be sent, as far as the parts of its prompt decide it. */
+export type PartVerdict =
+  | { readonly kind: "allowed" }
+  /** The request may be sent to test a quarantined part. */
+  | { readonly kind: "trial" }
+  /** A part may end engines, and another request with it runs. */
+  | { readonly kind: "suspected" }
+  /** `retryAfterMs` is the time until the part may be tried again. */
+  | { readonly kind: "quarantined"; readonly part: PartId; readonly retryAfterMs: Millis }
+
+/** What an instance has seen of prompt parts since its last report. */
+export interface PartReport {
+  readonly ends: readonly { readonly endpoint: EndpointId; readonly parts: readonly PartId[] }[]
+  readonly soundParts: readonly { readonly part: PartId; readonly ageMs: Millis }[]
+  readonly states: readonly PartState[]
+}
+
+interface PeerSuspects {
+  readonly parts: Set<PartId>
+  readonly until: Millis
+}
+
+/** The dependencies of {@link PartGuard}. */
+export interface PartGuardDependencies {
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: Metrics
+  /** Returns whether nothing listens at an endpoint's address any more. Never rejects. */
+  hasEnded(endpoint: Registration): Promise<boolean>
+  /** Sends a report to the instances that collect the evidence. */
+  sendReport(report: PartReport): void
+  /** Sends changed states and the suspects to the instances that follow this one. */
+  publish(states: readonly PartState[]): void
+  /** Writes a changed state to the store. Never rejects. */
+  store(state: PartState): void
+  /** Returns whether trials are up to this instance. At most one instance of a fleet should try a part. */
+  isTester(): boolean
+}
+
+/** Parts of a prompt that are considered, the last ones. */
+const MAX_PART_COUNT = 64
+const MAX_PART_ID_LENGTH = 128
+/** Parts in whose answers this many times bytes followed the head have not ended their engine. */
+const SOUND_PROGRESS_COUNT = 3
+/** Evidence is evaluated and sent together over this time. */
+const BATCH_MS = 10
+/** A peer's suspects count for this time. Peers list them at least twice a second. */
+const SUSPECT_LIFETIME_MS = 1500
+/** A sound answer in this time clears a peer's suspect. */
+const RECENT_SOUND_MS = 1000
+/** At the start, prompts wait this long for the states that other instances have stored. */
+const STARTUP_WAIT_MS = 2000
+const ALLOWED: PartVerdict = { kind: "allowed" }
+
+/**
+ * Keeps prompt parts that end engines away from them. It collects which parts were
+ * being answered when an engine ended and which were answered soundly, shares both
+ * with the other instances, and refuses requests with a part once it is quarantined.
+ */
+export class PartGuard {
+  private readonly evidence = new CrashEvidence()
+  private readonly quarantine = new PartQuarantine()
+  private readonly running = new RunningParts()
+  private suspects: ReadonlySet<PartId> = new Set()
+  private readonly suspectsByPeer = new Map<InstanceId, PeerSuspects>()
+  private readonly checks = new Map<EndpointId, Promise<boolean>>()
+  private ends: PartReport["ends"][number][] = []
+  private soundParts: PartReport["soundParts"][number][] = []
+  private changedStates: PartState[] = []
+  private timer: NodeJS.Timeout | undefined
+  private isLoaded = false
+  private readonly startedAt: Millis
+
+  constructor(private readonly deps: PartGuardDependencies) {
+    this.startedAt = deps.clock.now()
+  }
+
+  /** Decides whether a request with these parts may be sent now. */
+  check(parts: readonly PromptPart[]): PartVerdict {
+    const ids = selectIds(parts)
+    if (ids.length === 0) return ALLOWED
+    const now = this.deps.clock.now()
+    const held = ids.filter((part) => this.quarantine.has(part))
+    const [part] = held
+    if (part !== undefined) return this.checkHeld(part, held, now)
+    if (!this.isLoaded && now - this.startedAt < STARTUP_WAIT_MS) return { kind: "suspected" }
+    const isBusy = ids.some((id) => this.isSuspect(id, now) && this.running.has(id))
+    return isBusy ? { kind: "suspected" } : ALLOWED
+  }
+
+  /** Records that a request is sent. `abort` is called when one of its parts is quarantined before the answer has proved sound. */
+  start(endpoint: Registration, parts: readonly PromptPart[], abort: () => void): AttemptGuard {
+    const ids = selectIds(parts)
+    const run = this.running.add(ids, abort)
+    let progressCount = 0
+    let isSound = false
+    const onSound = () => {
+      if (!isSound) this.onSound(run)
+      isSound = true
+    }
+    return {
+      onProgress: () => {
+        progressCount++
+        if (progressCount >= SOUND_PROGRESS_COUNT) onSound()
+      },
+      onComplete: () => {
+        onSound()
+        for (const id of ids) this.release(id, this.deps.clock.now())
+      },
+      onBroken: () => {
+        if (!isSound && ids.length > 0) void this.onBroken(endpoint, ids)
+      },
+      onEnd: () => {
+        this.running.remove(run)
+      },
+    }
+  }
+
+  /** Handles the evidence and the states that another instance has sent. */
+  onReport({ ends, soundParts, states }: PartReport): void {
+    const now = this.deps.clock.now()
+    for (const { endpoint, parts } of ends) this.recordEnd(endpoint, parts, now)
+    for (const { part, ageMs } of soundParts) this.evidence.recordSound(part, now - ageMs)
+    this.mergeStates(states)
+    if (ends.length > 0 || soundParts.length > 0) this.schedule()
+  }
+
+  /** Handles all suspects of a peer and the changed states that it publishes. */
+  onPublished(peer: InstanceId, suspects: readonly PartId[], states: readonly PartState[]): void {
+    const now = this.deps.clock.now()
+    this.mergeStates(states)
+    this.suspectsByPeer.delete(peer)
+    if (suspects.length === 0) return
+    const parts = new Set<PartId>()
+    for (const part of suspects) {
+      const soundAt = this.evidence.getSoundTime(part) ?? -Infinity
+      if (now - soundAt < RECENT_SOUND_MS) this.reportSound(part, now - soundAt)
+      else parts.add(part)
+    }
+    this.suspectsByPeer.set(peer, { parts, until: now + SUSPECT_LIFETIME_MS })
+  }
+
+  /** Handles the states in the store. */
+  onStored(states: readonly PartState[]): void {
+    this.isLoaded = true
+    this.mergeStates(states)
+  }
+
+  /** Takes a part out of quarantine, as an operator asks. Returns false if it isn't there. */
+  clear(part: PartId): boolean {
+    return this.clearHeld(part, "operator")
+  }
+
+  /** Lists the parts in quarantine. */
+  listHeld(): readonly QuarantinedPart[] {
+    return this.quarantine.listHeld(this.deps.clock.now())
+  }
+
+  /** Lists the states of all known parts, for an instance that connects. */
+  listStates(): readonly PartState[] {
+    return this.quarantine.listStates()
+  }
+
+  /** Lists the parts that this instance suspects. */
+  listSuspects(): readonly PartId[] {
+    return [...this.suspects]
+  }
+
+  private checkHeld(part: PartId, held: readonly PartId[], now: Millis): PartVerdict {
+    const isTrial =
+      held.length === 1 && this.deps.isTester() && this.quarantine.acquireTrial(part, now)
+    if (!isTrial)
+      return { kind: "quarantined", part, retryAfterMs: this.quarantine.getTrialWait(part, now) }
+    this.deps.log.info({ part }, "quarantined prompt part tried")
+    return { kind: "trial" }
+  }
+
+  private isSuspect(part: PartId, now: Millis): boolean {
+    if (this.suspects.has(part)) return true
+    return [...this.suspectsByPeer.values()].some(
+      ({ parts, until }) => until > now && parts.has(part),
+    )
+  }
+
+  private onSound(run: GuardedRun): void {
+    const now = this.deps.clock.now()
+    this.running.remove(run)
+    for (const part of run.parts) {
+      this.evidence.recordSound(part, now)
+      if (this.isSuspect(part, now)) this.reportSound(part, 0)
+      for (const { parts } of this.suspectsByPeer.values()) parts.delete(part)
+    }
+  }
+
+  /** A complete answer shows that a part was quarantined wrongly or doesn't end engines any more. */
+  private release(part: PartId, now: Millis): void {
+    this.evidence.recordSound(part, now)
+    this.clearHeld(part, "complete answer")
+  }
+
+  private clearHeld(part: PartId, reason: string): boolean {
+    const now = this.deps.clock.now()
+    const state = this.quarantine.clear(part, now)
+    if (!state) return false
+    this.evidence.clear(part, now)
+    this.deps.log.warn({ part, generation: state.generation, reason }, "prompt part released")
+    this.onChanged(state)
+    this.deps.store(state)
+    return true
+  }
+
+  private async onBroken(endpoint: Registration, parts: readonly PartId[]): Promise<void> {
+    if (!(await this.checkEnded(endpoint))) return
+    const now = this.deps.clock.now()
+    this.recordEnd(endpoint.id, parts, now)
+    for (const part of parts) if (this.quarantine.isTried(part)) this.hold(part, [endpoint.id], now)
+    this.ends.push({ endpoint: endpoint.id, parts })
+    this.schedule()
+  }
+
+  /** Checks once for all requests of one end. */
+  private checkEnded(endpoint: Registration): Promise<boolean> {
+    const { id } = endpoint
+    const running = this.checks.get(id)
+    if (running) return running
+    const check = this.deps.hasEnded(endpoint).then((hasEnded) => {
+      this.checks.delete(id)
+      if (hasEnded) {
+        this.deps.metrics.count("engine-ends")
+        this.deps.log.warn({ endpoint: id }, "an engine ended while it answered requests")
+      }
+      return hasEnded
+    })
+    this.checks.set(id, check)
+    return check
+  }
+
+  private recordEnd(endpoint: EndpointId, parts: readonly PartId[], now: Millis): void {
+    const cause = parts.find((part) => this.quarantine.has(part))
+    this.evidence.recordEnd(endpoint, parts, now, cause)
+  }
+
+  private reportSound(part: PartId, ageMs: Millis): void {
+    this.soundParts.push({ part, ageMs })
+    this.schedule()
+  }
+
+  private schedule(): void {
+    this.timer ??= setTimeout(() => {
+      this.timer = undefined
+      this.evaluate()
+      this.flush()
+    }, BATCH_MS)
+  }
+
+  private evaluate(): void {
+    const now = this.deps.clock.now()
+    for (;;) {
+      const culprit = this.evidence.findCulprit(now)
+      if (!culprit) break
+      this.hold(culprit.part, culprit.endpoints, now)
+    }
+    const suspects = this.evidence.listSuspects(now)
+    const isChanged =
+      suspects.length !== this.suspects.size || suspects.some((part) => !this.suspects.has(part))
+    if (!isChanged) return
+    this.suspects = new Set(suspects)
+    this.deps.metrics.setGauge("suspected-parts", suspects.length)
+    this.deps.log.info({ parts: suspects.join() }, "suspected prompt parts")
+    this.deps.publish([])
+  }
+
+  private hold(part: PartId, endpoints: readonly EndpointId[], now: Millis): void {
+    const state = this.quarantine.add(part, endpoints.length, now)
+    this.evidence.setCause(part)
+    const { generation } = state
+    const fields = { part, generation, ends: endpoints.length, endpoints: endpoints.join() }
+    this.deps.log.warn(fields, "prompt part quarantined")
+    this.onChanged(state)
+    this.deps.store(state)
+  }
+
+  private mergeStates(states: readonly PartState[]): void {
+    for (const state of states) {
+      if (!this.quarantine.merge(state, this.deps.clock.now())) continue
+      const { part, generation } = state
+      if (isHeld(state)) this.evidence.setCause(part)
+      else this.evidence.clear(part, this.deps.clock.now())
+      const isHeldNow = isHeld(state)
+      this.deps.log.info({ part, generation, isHeld: isHeldNow }, "state of a prompt part received")
+      this.onChanged(state)
+    }
+  }
+
+  /** Passes a changed state on, and ends the requests whose answers have not proved sound. */
+  private onChanged(state: PartState): void {
+    this.changedStates.push(state)
+    this.deps.metrics.setGauge("quarantined-parts", this.listHeld().length)
+    if (isHeld(state)) this.running.abort(state.part)
+    this.deps.publish([state])
+    this.schedule()
+  }
+
+  private flush(): void {
+    const { ends, soundParts, changedStates } = this
+    if (ends.length + soundParts.length + changedStates.length === 0) return
+    this.deps.sendReport({ ends, soundParts, states: changedStates })
+    this.ends = []
+    this.soundParts = []
+    this.changedStates = []
+  }
+}
+
+/** Records how the answer to one sent request goes on. */
+export interface AttemptGuard {
+  /** Bytes of the answer's body have arrived. */
+  onProgress(): void
+  /** The answer is complete. */
+  onComplete(): void
+  /** The connection to the engine broke. */
+  onBroken(): void
+  /** The attempt has ended, in whatever way. */
+  onEnd(): void
+}
+
+function selectIds(parts: readonly PromptPart[]): readonly PartId[] {
+  return parts
+    .slice(-MAX_PART_COUNT)
+    .map(({ id }) => id)
+    .filter(({ length }) => length <= MAX_PART_ID_LENGTH)
+}
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,5 +1,11 @@
 import type { DependencyContainer } from "tsyringe"
-import type { EngineClient, HeaderCodec, Registration, ServiceName } from "@galenaway/core"
+import type {
+  EngineClient,
+  HeaderCodec,
+  Registration,
+  ServiceName,
+  StoreItem,
+} from "@galenaway/core"
 import {
   EndpointHealth,
   PaceTable,
@@ -9,10 +15,11 @@
   VersionTable,
 } from "@galenaway/routing"
 import { ConfigurationWatcher, EndpointDirectory, OperatorCatalogue } from "./catalogue/index.js"
-import { Ownership } from "./fleet/index.js"
+import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
 import { PeerLinks, LinkServer, AdapterUseTable } from "./links/index.js"
 import { type GatePace, Owner } from "./owner/index.js"
+import { hasEnded, PartGuard, PartStore } from "./quarantine/index.js"
 import { RequestLog } from "./request-log.js"
 import type { EntrySettings } from "./settings.js"
 import { ENTRY_TOKENS } from "./tokens.js"
@@ -75,7 +82,8 @@
         owner.admit(endpoint, instance, options, signal),
       load: ({ endpoint, adapter, version, ...options }) =>
         owner.load(endpoint, adapter, version > 0 ? version : undefined, options),
-      onUpdate: ({ instance, configurationVersion, uses }) => {
+      onUpdate: ({ instance, configurationVersion, uses, ends, soundParts, partStates }) => {
+        c.resolve(PartGuard).onReport({ ends, soundParts, states: partStates })
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, instance)
         for (const { endpoint, adapters, running } of uses) {
           owner.onRunning(endpoint, instance, running)
@@ -84,7 +92,9 @@
         }
       },
       listSnapshots: () => owner.listSnapshots(),
-      listItems: () => [...catalogue.listItems(), ...c.resolve(EndpointDirectory).listItems()],
+      listPartStates: () => c.resolve(PartGuard).listStates(),
+      listSuspects: () => c.resolve(PartGuard).listSuspects(),
+      listItems: () => listItems(c),
       getConfigurationVersion: () => catalogue.version,
       getOwnerReport: () => c.resolve(Ownership).getOwnerReport(),
       onFollowerGone: (instance) => {
@@ -96,6 +106,35 @@
   )
 }
 
+/** Lists the items of the store that an instance needs to start while the store can't be reached. */
+function listItems(c: DependencyContainer): readonly StoreItem[] {
+  return [
+    ...c.resolve(OperatorCatalogue).listItems(),
+    ...c.resolve(EndpointDirectory).listItems(),
+    ...c.resolve(PartGuard).listStates().map(formatPartItem),
+  ]
+}
+
+/** Creates the guard that keeps prompt parts which end engines away from them. */
+export function createPartGuard(c: DependencyContainer): PartGuard {
+  return new PartGuard({
+    clock: c.resolve(ENTRY_TOKENS.clock),
+    log: c.resolve(ENTRY_TOKENS.log),
+    metrics: c.resolve(ENTRY_TOKENS.metrics),
+    hasEnded,
+    sendReport: (report) => {
+      c.resolve(PeerLinks).sendReport(report)
+    },
+    publish: (states) => {
+      c.resolve(LinkServer).publishParts(states)
+    },
+    store: (state) => {
+      c.resolve(PartStore).write(state)
+    },
+    isTester: () => c.resolve(PeerLinks).isFirstCollector(),
+  })
+}
+
 /** Creates the links to peers. Their updates are written to the residency table. */
 export function createLinks(c: DependencyContainer): PeerLinks {
   const residency = c.resolve(Residency)
@@ -111,7 +150,10 @@
     log: c.resolve(ENTRY_TOKENS.log),
     handlers: {
       getConfigurationVersion: () => c.resolve(OperatorCatalogue).version,
-      onUpdate: (peer, { configurationVersion, engines, changes, dropped }) => {
+      listPartStates: () => c.resolve(PartGuard).listStates(),
+      onUpdate: (peer, update) => {
+        const { configurationVersion, engines, changes, dropped, suspects, partStates } = update
+        c.resolve(PartGuard).onPublished(peer, suspects, partStates)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, peer)
         const endpoints = endpointsByPeer.get(peer) ?? new Set<string>()
         endpointsByPeer.set(peer, endpoints)
@@ -154,6 +196,7 @@
     residency,
     versions,
     popularity: c.resolve(Popularity),
+    guard: c.resolve(PartGuard),
     links,
     uses: c.resolve(AdapterUseTable),
     clock: c.resolve(ENTRY_TOKENS.clock),
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -10,7 +10,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { EndpointHealth, PaceTable, VersionTable } from "@galenaway/routing"
-import { ENGINE } from "./support.js"
+import { ENGINE, OPEN_GUARD } from "./support.js"
 
 /** More than the consecutive failures after which an endpoint is excluded. */
 const ATTEMPT_COUNT = 5
@@ -119,6 +119,7 @@
     clock: createManualClock(),
     versions: new VersionTable(1000),
     paces: new PaceTable(),
+    guard: OPEN_GUARD,
     uses: { add: () => undefined, remove: () => undefined },
     pools: { get: () => dispatcher },
     computeConnectionLimit: () => 1,
--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -13,7 +13,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { EndpointHealth, PaceTable, VersionTable } from "@galenaway/routing"
-import { ENGINE } from "./support.js"
+import { ENGINE, OPEN_GUARD } from "./support.js"
 
 const CHUNK = "x".repeat(16 * 1024)
 const MEBIBYTE = 1024 * 1024
@@ -65,6 +65,7 @@
     clock: createManualClock(),
     versions: new VersionTable(1000),
     paces: new PaceTable(),
+    guard: OPEN_GUARD,
     pools,
     computeConnectionLimit: () => 1,
   }
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -68,6 +68,7 @@
     isAlive: () => false,
     fetchOwnerReports: () => Promise.resolve([]),
     onListed: () => undefined,
+    onParts: () => undefined,
   })
   const gained: string[] = []
   const lost: string[] = []
--- a/packages/entry/test/support.ts
+++ b/packages/entry/test/support.ts
@@ -1,5 +1,5 @@
 import type { Registration, StoreItem } from "@galenaway/core"
-import type { CatalogueFormat } from "@galenaway/entry"
+import type { AttemptGuard, CatalogueFormat } from "@galenaway/entry"
 import { createLog } from "@galenaway/observe"
 
 /** A log that discards all lines. */
@@ -30,6 +30,19 @@
   },
 }
 
+const IGNORING_ATTEMPT_GUARD: AttemptGuard = {
+  onProgress: () => undefined,
+  onComplete: () => undefined,
+  onBroken: () => undefined,
+  onEnd: () => undefined,
+}
+
+/** A guard that holds nothing back. */
+export const OPEN_GUARD = {
+  check: () => ({ kind: "allowed" }),
+  start: () => IGNORING_ATTEMPT_GUARD,
+}
+
 /** Builds a stored item. */
 export function buildItem(key: string, value: unknown, revision: number): StoreItem {
   return { key, value: Buffer.from(JSON.stringify(value)), revision }
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -19,8 +19,11 @@
   | "platform-failures"
   | "resumes"
   | "claims"
+  | "engine-ends"
+  | "quarantine-refusals"
 /** Metrics with a current value. */
-export type GaugeMetric = "batch-fill" | "queued" | "running"
+export type GaugeMetric =
+  "batch-fill" | "queued" | "running" | "suspected-parts" | "quarantined-parts"
 
 /**
  * Records the metrics of one process. Its methods don't throw and don't block.
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -50,12 +50,16 @@
   "platform-failures": "Calls to the platform's service that failed.",
   resumes: "Streams resumed on a fresh connection.",
   claims: "Idempotency keys claimed.",
+  "engine-ends": "Engines that ended while they answered requests of this instance.",
+  "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
   "batch-fill": "Share of the owned engines' batches in use, 0 to 1.",
   queued: "Requests queued as an owner.",
   running: "Requests running on owned endpoints.",
+  "suspected-parts": "Prompt parts that may end engines.",
+  "quarantined-parts": "Prompt parts that no engine gets.",
 }
 
 /** Metrics that can be read. Their memory is allocated at creation and doesn't grow. */
