A refusal counts only with the call's own id

What callers saw (reported by another operator, looked for here): a faulty engine writes an earlier refusal once more on a kept connection; the caller is told 'not run, try again' for a request that runs, or it runs at a second engine. Cause: Attempt looked for a refusal before it compared the ids. Change: a refusal (Not-Run, or another engine's 421) is believed only with the call's id, which engines echo; any other one is a wrong answer, its outcome unknown. Looked for and not found: a refusal written twice in one segment ends its connection, and an answer that stops within its head is never complete, at any byte of four heads, also on a kept connection (tests; HTTP client holds it).

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -221,7 +221,9 @@
     this.lastEventAt = now
   }
 
+  /** Finds why the endpoint hasn't run the call. A refusal without the call's id may be that of an earlier request on the connection. */
   private findNotRunCause(facts: AnswerMetadata): NotRunCause | undefined {
+    if (facts.attempt !== this.call.facts.attempt) return undefined
     if (facts.isMisdirected)
       return facts.answeredBy === undefined || facts.answeredBy === this.destination.endpoint.id
         ? "missing"
@@ -233,10 +235,10 @@
    * Returns whether an answer belongs to this call. A success or a server error
    * must have the endpoint's signature. A success must carry the request id of
    * this call, and no answer may carry another one. An encoded body is never
-   * accepted.
+   * accepted, nor a refusal, which would say that this call hasn't run.
    */
   private isMatchingAnswer(facts: AnswerMetadata, status: number): boolean {
-    if (facts.hasEncodedBody) return false
+    if (facts.hasEncodedBody || facts.isNotRun || facts.isMisdirected) return false
     const isSuccess = status >= OK_STATUS && status < FIRST_ERROR_STATUS
     if (!facts.isSigned && (isSuccess || status >= SERVER_ERROR_STATUS)) return false
     return facts.attempt === undefined ? !isSuccess : facts.attempt === this.call.facts.attempt
