Nothing of a second engine's error enters a stream; one that ends within an event is broken

Causes: an error of more than 256 KiB from the engine that should continue a stream was streamed to the caller (BufferingSink); bytes without an event in a 200 with a length were appended and ended the stream as complete; an answer with neither a length nor an event ended as complete. Change: the body of an error is ignored once a stream has begun; a stream that ends within an event, or has no event and no length, was broken off.

--- a/packages/entry/src/forward/sinks.ts
+++ b/packages/entry/src/forward/sinks.ts
@@ -102,13 +102,15 @@
     const errorSink = new BufferingSink(this.reply, getFlowControl)
     const splitter = new EventSplitter()
     let head: StreamHead | undefined
+    let isEmpty = true
     return {
       onHead: (status, headers) => {
         if (status < FIRST_ERROR_STATUS) head = { status, headers }
         else errorSink.onHead(status, headers)
       },
       onData: (chunk) => {
-        if (!head) return errorSink.onData(chunk)
+        if (!head) return this.hasStarted ? "kept" : errorSink.onData(chunk)
+        isEmpty = false
         const events = splitter.add(chunk)
         if (splitter.pendingBytes > MAX_EVENT_BYTES) return "rejected"
         if (this.isResumable) return this.writeEvents(events, head, getFlowControl())
@@ -116,7 +118,7 @@
         writeWithBackpressure(this.reply, chunk, getFlowControl())
         return events.length > 0 ? "used" : "kept"
       },
-      onEnd: () => (head ? this.endStream(head, splitter) : errorSink.onEnd()),
+      onEnd: () => (head ? this.endStream(head, splitter, isEmpty) : errorSink.onEnd()),
       getLastEventId: () => this.lastEventId,
     }
   }
@@ -154,12 +156,12 @@
     if (!this.reply.hasHead) this.reply.writeHead(status, headers)
   }
 
-  /** Ends the answer. An event that was cut off by the end of the connection shows that the answer isn't complete. */
-  private endStream(head: StreamHead, splitter: EventSplitter): AttemptResult {
-    if (splitter.pendingBytes > 0 && !hasLength(head.headers))
+  /** Ends the answer. A stream that ends within an event, or that has none and no length, was broken off. */
+  private endStream(head: StreamHead, splitter: EventSplitter, isEmpty: boolean): AttemptResult {
+    if (splitter.pendingBytes > 0 || (isEmpty && !hasLength(head.headers)))
       return { kind: "failed", cause: "broken" }
     this.writeHeadOnce(head)
-    this.reply.end(this.isResumable ? splitter.removePending() : undefined)
+    this.reply.end()
     return { kind: "streamed" }
   }
 }
--- a/packages/routing/src/event-splitter.ts
+++ b/packages/routing/src/event-splitter.ts
@@ -38,14 +38,6 @@
   get pendingBytes(): number {
     return this.buffered.length
   }
-
-  /** Removes and returns the buffered bytes of an incomplete event. */
-  removePending(): Buffer {
-    const { buffered } = this
-    this.buffered = EMPTY
-    this.scanned = 0
-    return buffered
-  }
 }
 
 /** Returns the index after the next blank line, or -1 if there is none. */
