Operators see, explain and release quarantined prompt parts

What was missing: a part in quarantine showed in log lines and gauges only, and nobody could release it before its trial. A release reaches all instances over the links and the store. Tests: the command line against the interface; real instances that are all killed still hold the part (from the store), and one release lets it through on all three (1.6 s).

--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -70,6 +70,11 @@
     return this.call<ChangeResult>(path, body)
   }
 
+  /** Posts a request that may be sent again. Throws a {@link CommandError} if no instance answers or one refuses it. */
+  async send<T>(path: string, body: { readonly id: string }): Promise<InstanceAnswer<T>> {
+    return this.call<T>(path, body)
+  }
+
   /**
    * Reads a path from all instances at once. Instances that fail or refuse are
    * listed in the failures. Throws a {@link CommandError} if no instance answers.
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 import { runConfigDiff, runConfigGet, runConfigHistory } from "./commands/config.js"
 import { runDrain } from "./commands/drain.js"
 import { runExplain } from "./commands/explain.js"
+import { runQuarantineList, runQuarantineRelease } from "./commands/quarantine.js"
 import { runStatus } from "./commands/status.js"
 import { runTimeline } from "./commands/timeline.js"
 import { type CommandContext, createContext } from "./context.js"
@@ -45,6 +46,7 @@
   addReadCommands(program, shell)
   addConfigCommands(program, shell)
   addDrainCommands(program, shell)
+  addQuarantineCommands(program, shell)
   return program
 }
 
@@ -120,6 +122,25 @@
   }
 }
 
+function addQuarantineCommands(program: Command, shell: Shell): void {
+  const quarantine = program
+    .command("quarantine")
+    .description("prompt parts that end engines; --urls has metrics addresses of entry instances")
+  quarantine
+    .command("list")
+    .description("the parts that are held back, and those that are suspected")
+    .action(createAction(shell, (context) => runQuarantineList(context)))
+  const release = quarantine
+    .command("release")
+    .description("let requests with a part through again, on all instances")
+    .argument("<part>", "id of the part")
+  addChangeOptions(release).action(
+    createAction(shell, (context, [part], options) =>
+      runQuarantineRelease(context, part ?? "", readChangeOptions(options)),
+    ),
+  )
+}
+
 function addChangeOptions(command: Command): Command {
   return command
     .option(
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -49,7 +49,9 @@
   const log = container.resolve(ENTRY_TOKENS.log)
   log.info({ store: settings.store, listen: settings.listen }, "starting")
   registerListeners(container)
-  const probes = await startProbeServers([settings.readyListen, settings.metricsListen], {
+  const probes = await startProbeServers(settings, {
+    quarantine: container.resolve(PartGuard),
+    log,
     isReady: () => isReady(container),
     formatMetrics: () => container.resolve(ENTRY_TOKENS.metrics).formatMetrics(),
   })
--- a/packages/entry/src/probe-server.ts
+++ b/packages/entry/src/probe-server.ts
@@ -1,26 +1,40 @@
 import { createServer, type Server } from "node:http"
 import { App } from "@tinyhttp/app"
+import type { Log } from "@galenaway/observe"
+import { type QuarantineSource, registerQuarantineRoutes } from "./quarantine/index.js"
 import { parseAddress } from "./server.js"
+import type { EntrySettings } from "./settings.js"
 
-/** Provides the state that the load balancer and the metrics collector request. */
+/** Provides the state that the load balancer, the metrics collector and operators request. */
 export interface ProbeSource {
+  readonly quarantine: QuarantineSource
+  readonly log: Log
   isReady(): boolean
   formatMetrics(): string
 }
 
 /**
- * Starts a server on each distinct address. `/-/ready` is answered with 200 or
- * 503, `/metrics` with text. Rejects when an address can't be listened on.
+ * Starts a server on each of the two addresses, one if they are equal. `/-/ready`
+ * is answered with 200 or 503, `/metrics` with text. Only the metrics address has
+ * the operators' interface. Rejects when an address can't be listened on.
  */
 export async function startProbeServers(
-  addresses: readonly string[],
+  { readyListen, metricsListen }: Pick<EntrySettings, "readyListen" | "metricsListen">,
   source: ProbeSource,
 ): Promise<readonly Server[]> {
-  return Promise.all([...new Set(addresses)].map((address) => startServer(address, source)))
+  const addresses = [...new Set([readyListen, metricsListen])]
+  return Promise.all(
+    addresses.map((address) => startServer(address, source, address === metricsListen)),
+  )
 }
 
-function startServer(address: string, source: ProbeSource): Promise<Server> {
+function startServer(
+  address: string,
+  source: ProbeSource,
+  isForOperators: boolean,
+): Promise<Server> {
   const app = new App()
+  if (isForOperators) registerQuarantineRoutes(app, source.quarantine, source.log)
   app.get("/-/ready", (_request, response) => {
     response.status(source.isReady() ? 200 : 503).end()
   })
--- a/packages/entry/src/quarantine/index.ts
+++ b/packages/entry/src/quarantine/index.ts
@@ -1,4 +1,5 @@
 export * from "./end-check.js"
 export * from "./part-guard.js"
 export * from "./part-store.js"
+export * from "./routes.js"
 export * from "./running-parts.js"
