--- a/packages/entry/src/quarantine/part-guard.ts
+++ b/packages/entry/src/quarantine/part-guard.ts
@@ -62,7 +62,7 @@
 /** Parts in whose answers this many times bytes followed the head have not ended their engine. */
 const SOUND_PROGRESS_COUNT = 3
 /** Evidence is evaluated and sent together over this time. */
-const BATCH_MS = 10
+const BATCH_MS = 20
 /** A peer's suspects count for this time. Peers list them at least twice a second. */
 const SUSPECT_LIFETIME_MS = 1500
 /** A sound answer in this time clears a peer's suspect. */
--- a/packages/routing/src/crash-evidence.ts
+++ b/packages/routing/src/crash-evidence.ts
@@ -19,10 +19,15 @@
   cause: PartId | undefined
 }
 
-interface Candidate extends Culprit {
-  readonly endCount: number
+interface Candidate {
+  readonly part: PartId
+  readonly endpoints: EndpointId[]
+  /** Ends that are far enough apart to have different causes. */
+  endCount: number
+  /** Time of the last end that was counted. */
+  countedAt: Millis
   readonly wasSound: boolean
-  readonly position: number
+  position: number
 }
 
 /** An end is evidence for this time. */
@@ -116,24 +121,36 @@
     return end
   }
 
+  /** Lists the parts of unexplained ends. The ends are in the order of their times. */
   private listCandidates(now: Millis): readonly Candidate[] {
-    const unexplained = this.ends.filter(({ at, cause }) => !cause && now - at < RETENTION_MS)
-    const parts = new Set(unexplained.flatMap(({ positions }) => [...positions.keys()]))
-    return [...parts].map((part) => this.buildCandidate(part, unexplained))
+    const candidates = new Map<PartId, Candidate>()
+    for (const end of this.ends) {
+      if (end.cause !== undefined || now - end.at >= RETENTION_MS) continue
+      for (const [part, position] of end.positions)
+        this.addToCandidate(candidates, part, end, position)
+    }
+    return [...candidates.values()]
   }
 
-  private buildCandidate(part: PartId, unexplained: readonly EngineEnd[]): Candidate {
+  private addToCandidate(
+    candidates: Map<PartId, Candidate>,
+    part: PartId,
+    { endpoint, at }: EngineEnd,
+    position: number,
+  ): void {
     const soundAt = this.soundAt.get(part)
-    const ends = unexplained.filter(
-      ({ at, positions }) => positions.has(part) && at > (soundAt ?? -Infinity),
-    )
-    return {
-      part,
-      endpoints: ends.map(({ endpoint }) => endpoint),
-      endCount: countCauses(ends.map(({ at }) => at)),
-      wasSound: soundAt !== undefined,
-      position: Math.max(0, ...ends.map(({ positions }) => positions.get(part) ?? 0)),
+    if (soundAt !== undefined && soundAt >= at) return
+    let candidate = candidates.get(part)
+    if (!candidate) {
+      const wasSound = soundAt !== undefined
+      candidate = { part, endpoints: [], endCount: 0, countedAt: -Infinity, wasSound, position }
+      candidates.set(part, candidate)
     }
+    candidate.endpoints.push(endpoint)
+    candidate.position = Math.max(candidate.position, position)
+    if (at - candidate.countedAt < COMMON_CAUSE_MS) return
+    candidate.endCount++
+    candidate.countedAt = at
   }
 }
 
@@ -149,15 +166,3 @@
     (a.part < b.part ? -1 : 1)
   )
 }
-
-/** Counts ends that are far enough apart to have different causes. The times are in order. */
-function countCauses(times: readonly Millis[]): number {
-  let count = 0
-  let last = -Infinity
-  for (const at of times) {
-    if (at - last < COMMON_CAUSE_MS) continue
-    count++
-    last = at
-  }
-  return count
-}
