Adapters whose requests end engines are held back like prompt parts

The same fault elsewhere: a faulty version of an adapter ends each engine that answers a request with it, and retries and loads carry it on. A request's adapter, in the newest version that is in force, counts as a part of it (adapter:NAME@VERSION; prompt parts have no colon, so no caller can name one), before the prompt's parts, so that of equal evidence the rarer part is held. A new version has a new id and is free at once. An adapter that ends engines at its load, before any request, isn't covered.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -58,7 +58,7 @@
   ) {
     this.startedAt = context.clock.now()
     this.pace = context.paces.get(call.service)
-    this.guard = context.guard.start(destination.endpoint, call.facts.sharedParts, () => {
+    this.guard = context.guard.start(destination.endpoint, call.parts, () => {
       this.abort({ kind: "failed", cause: "quarantined" }, undefined)
     })
     this.exchange = new HttpExchange({
--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -7,6 +7,7 @@
   type Route,
   type ServiceName,
 } from "@galenaway/core"
+import type { PartId } from "@galenaway/routing"
 
 /** A caller's request with its complete body and its route. */
 export interface Call {
@@ -16,6 +17,8 @@
   readonly headers: RawHeaders
   readonly body: Buffer
   readonly facts: RequestMetadata
+  /** What the request has in common with others and what may end engines. */
+  readonly parts: readonly PartId[]
   readonly route: Route
   readonly service: ServiceName
   /** Monotonic time at which the head of the request arrived. */
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http"
-import type { Route } from "@galenaway/core"
-import { chooseService } from "@galenaway/routing"
+import type { RequestMetadata, Route } from "@galenaway/core"
+import { chooseService, type PartId } from "@galenaway/routing"
 import { readBody } from "./body.js"
 import type { Call } from "./call.js"
 import type { ForwardContext } from "./context.js"
@@ -12,6 +12,7 @@
   NO_ROUTE,
   TOO_LARGE,
 } from "./errors.js"
+import { listRequestParts } from "../quarantine/index.js"
 import { ForwardJob } from "./job.js"
 import { CallerReply } from "./reply.js"
 
@@ -89,6 +90,7 @@
       headers,
       body,
       facts,
+      parts: this.listParts(facts),
       route,
       service,
       arrivedAt,
@@ -98,6 +100,12 @@
     await new ForwardJob(this.context, call, reply).run()
   }
 
+  private listParts(facts: RequestMetadata): readonly PartId[] {
+    const { adapter } = facts
+    const { versions } = this.context
+    return listRequestParts(facts, adapter === undefined ? undefined : versions.getNewest(adapter))
+  }
+
   private sendRefusal(request: IncomingMessage, reply: CallerReply, answer: ErrorAnswer): void {
     const { attempt } = this.context.headerCodec.readRequest(request.rawHeaders)
     this.context.log.write(
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -172,7 +172,7 @@
   private checkParts(): Promise<NextAction> | undefined {
     if (this.isTrial) return undefined
     const { context, call } = this
-    const verdict = context.guard.check(call.facts.sharedParts)
+    const verdict = context.guard.check(call.parts)
     switch (verdict.kind) {
       case "allowed":
         return undefined
@@ -244,7 +244,7 @@
   }
 
   private rejectQuarantined(part: string, retryAfterMs: Millis): NextAction {
-    return this.reject(`the prompt part ${part} ends engines`, retryAfterMs, "quarantined")
+    return this.reject(`engines end on ${part}`, retryAfterMs, "quarantined")
   }
 
   private rejectOnTimeout(): NextAction {
@@ -293,7 +293,7 @@
         isLate,
         ms,
         ...(result.kind === "failed" && {
-          parts: this.call.facts.sharedParts.map(({ id }) => id).join(),
+          parts: this.call.parts.join(),
           progress: this.attempt?.progressCount,
         }),
       },
--- a/packages/entry/src/quarantine/part-guard.ts
+++ b/packages/entry/src/quarantine/part-guard.ts
@@ -1,11 +1,4 @@
-import type {
-  Clock,
-  EndpointId,
-  InstanceId,
-  Millis,
-  PromptPart,
-  Registration,
-} from "@galenaway/core"
+import type { Clock, EndpointId, InstanceId, Millis, Registration } from "@galenaway/core"
 import type { Log, Metrics } from "@galenaway/observe"
 import {
   CrashEvidence,
@@ -56,9 +49,6 @@
   isTester(): boolean
 }
 
-/** Parts of a prompt that are considered, the last ones. */
-const MAX_PART_COUNT = 64
-const MAX_PART_ID_LENGTH = 128
 /** Parts in whose answers this many times bytes followed the head have not ended their engine. */
 const SOUND_PROGRESS_COUNT = 3
 /** Evidence is evaluated and sent together over this time. */
@@ -95,8 +85,7 @@
   }
 
   /** Decides whether a request with these parts may be sent now. */
-  check(parts: readonly PromptPart[]): PartVerdict {
-    const ids = selectIds(parts)
+  check(ids: readonly PartId[]): PartVerdict {
     if (ids.length === 0) return ALLOWED
     const now = this.deps.clock.now()
     const held = ids.filter((part) => this.quarantine.has(part))
@@ -108,8 +97,7 @@
   }
 
   /** Records that a request is sent. `abort` is called when one of its parts is quarantined before the answer has proved sound. */
-  start(endpoint: Registration, parts: readonly PromptPart[], abort: () => void): AttemptGuard {
-    const ids = selectIds(parts)
+  start(endpoint: Registration, ids: readonly PartId[], abort: () => void): AttemptGuard {
     const run = this.running.add(ids, abort)
     let progressCount = 0
     let isSound = false
@@ -341,10 +329,3 @@
   /** The attempt has ended, in whatever way. */
   onEnd(): void
 }
-
-function selectIds(parts: readonly PromptPart[]): readonly PartId[] {
-  return parts
-    .slice(-MAX_PART_COUNT)
-    .map(({ id }) => id)
-    .filter(({ length }) => length <= MAX_PART_ID_LENGTH)
-}
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -155,6 +155,7 @@
     headers: [],
     body: Buffer.alloc(0),
     facts,
+    parts: [],
     route,
     service: "s",
     arrivedAt: 0,
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -75,5 +75,13 @@
   const route = { kind, objectiveMs: 500, priority: 0 }
   const disconnectSignal = new AbortController().signal
   const call = { method: "GET", path: "/", headers: [], body: Buffer.alloc(0), service: "s" }
-  return { ...call, facts, route, arrivedAt: 0, deadline: 60_000, disconnectSignal } as never
+  return {
+    ...call,
+    facts,
+    parts: [],
+    route,
+    arrivedAt: 0,
+    deadline: 60_000,
+    disconnectSignal,
+  } as never
 }
--- a/packages/entry/test/part-guard.test.ts
+++ b/packages/entry/test/part-guard.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai"
-import type { Registration } from "@galenaway/core"
-import { PartGuard, type PartReport } from "@galenaway/entry"
+import type { Registration, RequestMetadata } from "@galenaway/core"
+import { listRequestParts, PartGuard, type PartReport } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { createMetrics } from "@galenaway/observe"
 import type { PartState } from "@galenaway/routing"
@@ -9,8 +9,8 @@
 const TEN_MINUTES_MS = 600_000
 /** Longer than the guards of a sender and a receiver collect evidence. */
 const BATCHES_MS = 100
-const CALLER = { id: "caller", tokens: 10 }
-const FATAL = { id: "fatal", tokens: 10 }
+const CALLER = "caller"
+const FATAL = "fatal"
 const PROMPT = [CALLER, FATAL]
 
 it("ends that different instances saw are put together, and all instances refuse the part", async () => {
@@ -20,10 +20,10 @@
     await settle(fleet)
   }
   for (const { guard } of fleet.members) {
-    expect(guard.check(PROMPT)).to.deep.include({ kind: "quarantined", part: FATAL.id })
+    expect(guard.check(PROMPT)).to.deep.include({ kind: "quarantined", part: FATAL })
     expect(guard.check([CALLER])).to.deep.equal({ kind: "allowed" })
   }
-  expect(fleet.stored.at(-1)).to.deep.equal({ part: FATAL.id, generation: 1, endCount: 3 })
+  expect(fleet.stored.at(-1)).to.deep.equal({ part: FATAL, generation: 1, endCount: 3 })
 })
 
 it("a broken connection whose engine goes on is no evidence", async () => {
@@ -62,7 +62,7 @@
   const aborted: string[] = []
   guard.start(ENGINE, PROMPT, () => aborted.push("waiting"))
   guard.start(ENGINE, [CALLER], () => aborted.push("sound"))
-  guard.onStored([{ part: FATAL.id, generation: 1, endCount: 3 }])
+  guard.onStored([{ part: FATAL, generation: 1, endCount: 3 }])
   expect(aborted).to.deep.equal(["waiting"])
 })
 
@@ -71,7 +71,7 @@
   const [{ guard }] = fleet.members
   expect(guard.check(PROMPT)).to.deep.equal({ kind: "suspected" })
   expect(guard.check([])).to.deep.equal({ kind: "allowed" })
-  guard.onStored([{ part: FATAL.id, generation: 1, endCount: 3 }])
+  guard.onStored([{ part: FATAL, generation: 1, endCount: 3 }])
   expect(guard.check(PROMPT)).to.deep.include({ kind: "quarantined" })
   const [{ guard: unread }] = createFleet(1, false).members
   expect(unread.check(PROMPT)).to.deep.equal({ kind: "suspected" })
@@ -80,19 +80,19 @@
 it("an operator's release reaches all instances and the store", async () => {
   const fleet = createFleet(3)
   for (const { guard } of fleet.members)
-    guard.onStored([{ part: FATAL.id, generation: 1, endCount: 3 }])
-  expect(fleet.members[1].guard.clear(FATAL.id)).to.equal(true)
-  expect(fleet.members[1].guard.clear(FATAL.id)).to.equal(false)
+    guard.onStored([{ part: FATAL, generation: 1, endCount: 3 }])
+  expect(fleet.members[1].guard.clear(FATAL)).to.equal(true)
+  expect(fleet.members[1].guard.clear(FATAL)).to.equal(false)
   await settle(fleet)
   for (const { guard } of fleet.members)
     expect(guard.check(PROMPT)).to.deep.equal({ kind: "allowed" })
-  expect(fleet.stored.at(-1)).to.deep.include({ part: FATAL.id, generation: 2 })
+  expect(fleet.stored.at(-1)).to.deep.include({ part: FATAL, generation: 2 })
 })
 
 it("one instance tries a quarantined part after its time, and a failed trial holds it longer", async () => {
   const fleet = createFleet(2)
   for (const { guard } of fleet.members)
-    guard.onStored([{ part: FATAL.id, generation: 1, endCount: 3 }])
+    guard.onStored([{ part: FATAL, generation: 1, endCount: 3 }])
   await fleet.clock.advance(TEN_MINUTES_MS)
   const [tester, other] = fleet.members
   expect(other.guard.check(PROMPT)).to.deep.include({ kind: "quarantined" })
@@ -107,7 +107,7 @@
 it("a trial that is answered completely releases the part everywhere", async () => {
   const fleet = createFleet(2)
   for (const { guard } of fleet.members)
-    guard.onStored([{ part: FATAL.id, generation: 1, endCount: 3 }])
+    guard.onStored([{ part: FATAL, generation: 1, endCount: 3 }])
   await fleet.clock.advance(TEN_MINUTES_MS)
   const [tester, other] = fleet.members
   expect(tester.guard.check(PROMPT)).to.deep.equal({ kind: "trial" })
@@ -116,6 +116,24 @@
   expect(other.guard.check(PROMPT)).to.deep.equal({ kind: "allowed" })
 })
 
+it("an adapter whose requests end engines is held in that version only, and a caller can't name it as a part", () => {
+  const facts = { adapter: "m/a", sharedParts: [{ id: "aa", tokens: 1 }] }
+  const list = (version?: number) => listRequestParts(facts as unknown as RequestMetadata, version)
+  expect(list(3)).to.deep.equal(["adapter:m/a@3", "aa"])
+  const [{ guard }] = createFleet(1).members
+  guard.onStored([{ part: "adapter:m/a@3", generation: 1, endCount: 3 }])
+  expect(guard.check(list(3)).kind).to.equal("quarantined")
+  expect(guard.check(list(4)).kind).to.equal("allowed")
+})
+
+it("long prompts and long ids don't grow the tables", () => {
+  const sharedParts = Array.from({ length: 500 }, (_, index) => ({ id: `p${index}`, tokens: 1 }))
+  sharedParts.push({ id: "x".repeat(500), tokens: 1 })
+  const parts = listRequestParts({ sharedParts } as unknown as RequestMetadata, undefined)
+  expect(parts.length).to.equal(63)
+  expect(parts.at(-1)).to.equal("p499")
+})
+
 interface Member {
   readonly guard: PartGuard
 }
--- a/packages/routing/src/crash-evidence.ts
+++ b/packages/routing/src/crash-evidence.ts
@@ -1,6 +1,6 @@
 import type { EndpointId, Millis } from "@galenaway/core"
 
-/** The id of a part of prompts that requests may share. */
+/** The id of what requests may share and what may end engines: a part of their prompts, or a version of an adapter. */
 export type PartId = string
 
 /** A prompt part that ends the engines which answer it, as far as the evidence shows. */
