--- a/packages/entry/src/quarantine/index.ts
+++ b/packages/entry/src/quarantine/index.ts
@@ -1,5 +1,6 @@
 export * from "./end-check.js"
 export * from "./part-guard.js"
+export * from "./part-report.js"
 export * from "./part-store.js"
 export * from "./request-parts.js"
 export * from "./routes.js"
--- a/packages/entry/src/quarantine/part-guard.ts
+++ b/packages/entry/src/quarantine/part-guard.ts
@@ -8,9 +8,12 @@
   type PartState,
   type QuarantinedPart,
 } from "@galenaway/routing"
+import { EndChecks } from "./end-check.js"
+import { type PartReport, ReportBuffer } from "./part-report.js"
+import { PeerSuspects } from "./peer-suspects.js"
 import { type GuardedRun, RunningParts } from "./running-parts.js"
 
-/** Whether a request may be sent, as far as the parts of its prompt decide it. */
+/** Whether a request may be sent, as far as its parts decide it. */
 export type PartVerdict =
   | { readonly kind: "allowed" }
   /** The request may be sent to test a quarantined part. */
@@ -20,25 +23,13 @@
   /** `retryAfterMs` is the time until the part may be tried again. */
   | { readonly kind: "quarantined"; readonly part: PartId; readonly retryAfterMs: Millis }
 
-/** What an instance has seen of prompt parts since its last report. */
-export interface PartReport {
-  readonly ends: readonly { readonly endpoint: EndpointId; readonly parts: readonly PartId[] }[]
-  readonly soundParts: readonly { readonly part: PartId; readonly ageMs: Millis }[]
-  readonly states: readonly PartState[]
-}
-
-interface PeerSuspects {
-  readonly parts: Set<PartId>
-  readonly until: Millis
-}
-
 /** The dependencies of {@link PartGuard}. */
 export interface PartGuardDependencies {
   readonly clock: Clock
   readonly log: Log
   readonly metrics: Metrics
   /** Returns whether nothing listens at an endpoint's address any more. Never rejects. */
-  hasEnded(endpoint: Registration): Promise<boolean>
+  readonly hasEnded: (endpoint: Registration) => Promise<boolean>
   /** Sends a report to the instances that collect the evidence. */
   sendReport(report: PartReport): void
   /** Sends changed states and the suspects to the instances that follow this one. */
@@ -53,8 +44,6 @@
 const SOUND_PROGRESS_COUNT = 3
 /** Evidence is evaluated and sent together over this time. */
 const BATCH_MS = 20
-/** A peer's suspects count for this time. Peers list them at least twice a second. */
-const SUSPECT_LIFETIME_MS = 1500
 /** A sound answer in this time clears a peer's suspect. */
 const RECENT_SOUND_MS = 1000
 /** At the start, prompts wait this long for the states that other instances have stored. */
@@ -62,26 +51,28 @@
 const ALLOWED: PartVerdict = { kind: "allowed" }
 
 /**
- * Keeps prompt parts that end engines away from them. It collects which parts were
- * being answered when an engine ended and which were answered soundly, shares both
- * with the other instances, and refuses requests with a part once it is quarantined.
+ * Keeps requests away from engines that end on a part of them. It collects which
+ * parts were being answered when an engine ended and which were answered soundly,
+ * shares both with the other instances, and holds a part back once it is found.
  */
 export class PartGuard {
   private readonly evidence = new CrashEvidence()
   private readonly quarantine = new PartQuarantine()
   private readonly running = new RunningParts()
   private suspects: ReadonlySet<PartId> = new Set()
-  private readonly suspectsByPeer = new Map<InstanceId, PeerSuspects>()
-  private readonly checks = new Map<EndpointId, Promise<boolean>>()
-  private ends: PartReport["ends"][number][] = []
-  private soundParts: PartReport["soundParts"][number][] = []
-  private changedStates: PartState[] = []
+  private readonly peerSuspects = new PeerSuspects()
+  private readonly report = new ReportBuffer()
+  private readonly endChecks: EndChecks
   private timer: NodeJS.Timeout | undefined
   private isLoaded = false
   private readonly startedAt: Millis
 
   constructor(private readonly deps: PartGuardDependencies) {
     this.startedAt = deps.clock.now()
+    this.endChecks = new EndChecks(deps.hasEnded, (endpoint) => {
+      deps.metrics.count("engine-ends")
+      deps.log.warn({ endpoint }, "an engine ended while it answered requests")
+    })
   }
 
   /** Decides whether a request with these parts may be sent now. */
@@ -136,15 +127,11 @@
   onPublished(peer: InstanceId, suspects: readonly PartId[], states: readonly PartState[]): void {
     const now = this.deps.clock.now()
     this.mergeStates(states)
-    this.suspectsByPeer.delete(peer)
-    if (suspects.length === 0) return
-    const parts = new Set<PartId>()
-    for (const part of suspects) {
-      const soundAt = this.evidence.getSoundTime(part) ?? -Infinity
-      if (now - soundAt < RECENT_SOUND_MS) this.reportSound(part, now - soundAt)
-      else parts.add(part)
-    }
-    this.suspectsByPeer.set(peer, { parts, until: now + SUSPECT_LIFETIME_MS })
+    const getSoundAge = (part: PartId) => now - (this.evidence.getSoundTime(part) ?? -Infinity)
+    const isSound = (part: PartId) => getSoundAge(part) < RECENT_SOUND_MS
+    for (const part of suspects.filter(isSound)) this.reportSound(part, getSoundAge(part))
+    const others = suspects.filter((part) => !isSound(part))
+    this.peerSuspects.set(peer, others, now)
   }
 
   /** Handles the states in the store. */
@@ -183,10 +170,7 @@
   }
 
   private isSuspect(part: PartId, now: Millis): boolean {
-    if (this.suspects.has(part)) return true
-    return [...this.suspectsByPeer.values()].some(
-      ({ parts, until }) => until > now && parts.has(part),
-    )
+    return this.suspects.has(part) || this.peerSuspects.has(part, now)
   }
 
   private onSound(run: GuardedRun): void {
@@ -195,7 +179,7 @@
     for (const part of run.parts) {
       this.evidence.recordSound(part, now)
       if (this.isSuspect(part, now)) this.reportSound(part, 0)
-      for (const { parts } of this.suspectsByPeer.values()) parts.delete(part)
+      this.peerSuspects.remove(part)
     }
   }
 
@@ -217,38 +201,21 @@
   }
 
   private async onBroken(endpoint: Registration, parts: readonly PartId[]): Promise<void> {
-    if (!(await this.checkEnded(endpoint))) return
+    if (!(await this.endChecks.run(endpoint))) return
     const now = this.deps.clock.now()
     this.recordEnd(endpoint.id, parts, now)
     for (const part of parts) if (this.quarantine.isTried(part)) this.hold(part, [endpoint.id], now)
-    this.ends.push({ endpoint: endpoint.id, parts })
+    this.report.addEnd(endpoint.id, parts)
     this.schedule()
   }
 
-  /** Checks once for all requests of one end. */
-  private checkEnded(endpoint: Registration): Promise<boolean> {
-    const { id } = endpoint
-    const running = this.checks.get(id)
-    if (running) return running
-    const check = this.deps.hasEnded(endpoint).then((hasEnded) => {
-      this.checks.delete(id)
-      if (hasEnded) {
-        this.deps.metrics.count("engine-ends")
-        this.deps.log.warn({ endpoint: id }, "an engine ended while it answered requests")
-      }
-      return hasEnded
-    })
-    this.checks.set(id, check)
-    return check
-  }
-
   private recordEnd(endpoint: EndpointId, parts: readonly PartId[], now: Millis): void {
     const cause = parts.find((part) => this.quarantine.has(part))
     this.evidence.recordEnd(endpoint, parts, now, cause)
   }
 
   private reportSound(part: PartId, ageMs: Millis): void {
-    this.soundParts.push({ part, ageMs })
+    this.report.addSound(part, ageMs)
     this.schedule()
   }
 
@@ -256,7 +223,8 @@
     this.timer ??= setTimeout(() => {
       this.timer = undefined
       this.evaluate()
-      this.flush()
+      const report = this.report.take()
+      if (report) this.deps.sendReport(report)
     }, BATCH_MS)
   }
 
@@ -301,21 +269,12 @@
 
   /** Passes a changed state on, and ends the requests whose answers have not proved sound. */
   private onChanged(state: PartState): void {
-    this.changedStates.push(state)
+    this.report.addState(state)
     this.deps.metrics.setGauge("quarantined-parts", this.listHeld().length)
     if (isHeld(state)) this.running.abort(state.part)
     this.deps.publish([state])
     this.schedule()
   }
-
-  private flush(): void {
-    const { ends, soundParts, changedStates } = this
-    if (ends.length + soundParts.length + changedStates.length === 0) return
-    this.deps.sendReport({ ends, soundParts, states: changedStates })
-    this.ends = []
-    this.soundParts = []
-    this.changedStates = []
-  }
 }
 
 /** Records how the answer to one sent request goes on. */
