A connection whose answer ends after the stop began is closed

Cause: an answer whose head was sent before the stop has no Connection: close; when such a stream ended, its connection was kept and took the next request, up to the end of the process. Change: an answer that ends while the instance stops closes its connection once it is flushed. An idle connection is closed by the server already, and other heads have the header.

--- a/packages/entry/src/forward/reply.ts
+++ b/packages/entry/src/forward/reply.ts
@@ -55,10 +55,19 @@
 
   /** Ends the answer as complete. */
   end(bytes?: Buffer): void {
+    if (this.shouldClose()) this.closeAfterEnd()
     if (bytes) this.response.end(bytes)
     else this.response.end()
   }
 
+  /** Closes the connection after the answer. Its head may have been sent before the instance began to stop, so that the caller keeps the connection. */
+  private closeAfterEnd(): void {
+    const { socket } = this.response
+    this.response.once("finish", () => {
+      socket?.destroySoon()
+    })
+  }
+
   /** Sends a complete answer of an endpoint. */
   sendComplete(status: number, headers: RawHeaders, body: Buffer): void {
     this.writeHead(status, headers)
--- /dev/null
+++ b/packages/entry/test/reply.test.ts
@@ -0,0 +1,55 @@
+import { Agent, createServer, get, type IncomingMessage } from "node:http"
+import type { AddressInfo, Socket } from "node:net"
+import { expect } from "chai"
+import type { HeaderCodec } from "@galenaway/core"
+import { CallerReply } from "@galenaway/entry"
+
+const WAIT_MS = 500
+
+for (const isStopping of [false, true])
+  it(`a connection whose answer ends after the stop began takes no further request, stopping ${String(isStopping)}`, async () => {
+    const state = { isStopping: false }
+    const codec: Partial<HeaderCodec> = { buildAnswer: () => [] }
+    const server = createServer((_request, response) => {
+      const reply = new CallerReply(response, codec as HeaderCodec, () => state.isStopping)
+      reply.writeHead(200, [])
+      reply.write(Buffer.from("begin"))
+      state.isStopping = isStopping
+      reply.end(Buffer.from("end"))
+    })
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
+    const agent = new Agent({ keepAlive: true })
+    try {
+      const { port } = server.address() as AddressInfo
+      const { text, socket } = await receive(port, agent)
+      expect(text).to.equal("beginend")
+      expect(await hasClosed(socket)).to.equal(isStopping)
+    } finally {
+      agent.destroy()
+      server.closeAllConnections()
+      server.close()
+    }
+  })
+
+/** Sends one request on a connection that its caller keeps. */
+async function receive(port: number, agent: Agent): Promise<{ text: string; socket: Socket }> {
+  const response = await new Promise<IncomingMessage>((resolve) =>
+    get({ port, host: "127.0.0.1", agent }, resolve),
+  )
+  const { socket } = response
+  let text = ""
+  for await (const chunk of response) text += String(chunk)
+  return { text, socket }
+}
+
+function hasClosed(socket: Socket): Promise<boolean> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      resolve(false)
+    }, WAIT_MS)
+    socket.once("close", () => {
+      clearTimeout(timer)
+      resolve(true)
+    })
+  })
+}
