--- a/packages/entry/src/forward/answer.ts
+++ b/packages/entry/src/forward/answer.ts
@@ -25,7 +25,7 @@
   | "wrong-answer"
   /** The version of the adapter became too old before the answer began. */
   | "outdated"
-  /** A part of the prompt was quarantined before the answer had begun. */
+  /** A part of the request was quarantined before the answer had begun. */
   | "quarantined"
 
 /** How an attempt ended. Kinds and causes are logged. */
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -29,7 +29,7 @@
   readonly residency: Residency
   readonly versions: VersionTable
   readonly popularity: Popularity
-  /** Keeps prompt parts that end engines away from them. */
+  /** Keeps requests with a part that ends engines away from them. */
   readonly guard: PartGuard
   readonly links: PeerLinks
   /** The requests of this instance that use each adapter. */
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -48,7 +48,7 @@
   private sendCount = 0
   /** Number of sends that an endpoint may have run. */
   private runCount = 0
-  /** Whether the call tests a quarantined part of its prompt. */
+  /** Whether the call tests a quarantined part of it. */
   private isTrial = false
   /** The last server error of an endpoint, sent when no later attempt succeeds. */
   private fallbackAnswer: CompleteAnswer | undefined
@@ -168,7 +168,7 @@
     )
   }
 
-  /** Returns what happens to a call whose prompt has a part that ends engines, or may do so; undefined if the call may be sent. */
+  /** Returns what happens to a call with a part that ends engines, or may do so; undefined if the call may be sent. */
   private checkParts(): Promise<NextAction> | undefined {
     if (this.isTrial) return undefined
     const { context, call } = this
@@ -180,7 +180,7 @@
         this.isTrial = true
         return undefined
       case "suspected":
-        return this.waitForEndpoint("a part of the prompt may end engines")
+        return this.waitForEndpoint("a part of the request may end engines")
       case "quarantined":
         context.metrics.count("quarantine-refusals")
         return Promise.resolve(this.rejectQuarantined(verdict.part, verdict.retryAfterMs))
--- a/packages/entry/src/quarantine/part-guard.ts
+++ b/packages/entry/src/quarantine/part-guard.ts
@@ -165,7 +165,7 @@
       held.length === 1 && this.deps.isTester() && this.quarantine.acquireTrial(part, now)
     if (!isTrial)
       return { kind: "quarantined", part, retryAfterMs: this.quarantine.getTrialWait(part, now) }
-    this.deps.log.info({ part }, "quarantined prompt part tried")
+    this.deps.log.info({ part }, "quarantined request part tried")
     return { kind: "trial" }
   }
 
@@ -194,7 +194,7 @@
     const state = this.quarantine.clear(part, now)
     if (!state) return false
     this.evidence.clear(part)
-    this.deps.log.warn({ part, generation: state.generation, reason }, "prompt part released")
+    this.deps.log.warn({ part, generation: state.generation, reason }, "request part released")
     this.onChanged(state)
     this.deps.store(state)
     return true
@@ -241,7 +241,7 @@
     if (!isChanged) return
     this.suspects = new Set(suspects)
     this.deps.metrics.setGauge("suspected-parts", suspects.length)
-    this.deps.log.info({ parts: suspects.join() }, "suspected prompt parts")
+    this.deps.log.info({ parts: suspects.join() }, "suspected request parts")
     this.deps.publish([])
   }
 
@@ -250,7 +250,7 @@
     this.evidence.setCause(part)
     const { generation } = state
     const fields = { part, generation, ends: endpoints.length, endpoints: endpoints.join() }
-    this.deps.log.warn(fields, "prompt part quarantined")
+    this.deps.log.warn(fields, "request part quarantined")
     this.onChanged(state)
     this.deps.store(state)
   }
@@ -262,7 +262,10 @@
       if (isHeld(state)) this.evidence.setCause(part)
       else this.evidence.clear(part)
       const isHeldNow = isHeld(state)
-      this.deps.log.info({ part, generation, isHeld: isHeldNow }, "state of a prompt part received")
+      this.deps.log.info(
+        { part, generation, isHeld: isHeldNow },
+        "state of a request part received",
+      )
       this.onChanged(state)
     }
   }
--- a/packages/entry/src/quarantine/part-store.ts
+++ b/packages/entry/src/quarantine/part-store.ts
@@ -17,7 +17,7 @@
 const TAKEOVER_MS = 1500
 const MAX_RECORD_COUNT = 128
 
-/** Writes the states of prompt parts to the store, so that they outlive the instances. */
+/** Writes the states of request parts to the store, so that they outlive the instances. */
 export class PartStore {
   /** When this instance first had a state that the store didn't have. */
   private readonly missingSince = new Map<PartId, Millis>()
@@ -70,7 +70,7 @@
     try {
       await this.deps.store.runTransaction(change, STORE_TIMEOUT_MS)
     } catch (error) {
-      this.deps.log.warn({ part, err: describeError(error) }, "state of a prompt part not written")
+      this.deps.log.warn({ part, err: describeError(error) }, "state of a request part not written")
     }
   }
 }
--- a/packages/entry/src/quarantine/routes.ts
+++ b/packages/entry/src/quarantine/routes.ts
@@ -5,7 +5,7 @@
 import type { PartId, QuarantinedPart } from "@galenaway/routing"
 import { readBody } from "../forward/body.js"
 
-/** The prompt parts that an instance holds back, for operators. */
+/** The request parts that an instance holds back, for operators. */
 export interface QuarantineReply {
   readonly parts: readonly QuarantinedPart[]
   /** Parts that may end engines; the evidence isn't sufficient yet. */
@@ -54,7 +54,7 @@
     }
     const { part, author, reason } = release
     const reply: ReleaseReply = { part, isReleased: source.clear(part) }
-    log.warn({ ...reply, author, reason }, "release of a prompt part requested")
+    log.warn({ ...reply, author, reason }, "release of a request part requested")
     response.json(reply)
   })
 }
--- a/packages/routing/src/crash-evidence.ts
+++ b/packages/routing/src/crash-evidence.ts
@@ -45,7 +45,7 @@
 const EXTRA_END_COUNT = 2
 
 /**
- * Tells a prompt part that ends engines from the parts that were merely there.
+ * Distinguishes the part that ends engines from the parts that were merely present.
  * Each end of an engine is evidence against all parts that the engine began to
  * answer, and each sound answer clears the parts of its prompt of all earlier
  * ends. An end is explained by one part at most, so that parts which always come
--- a/packages/routing/src/part-quarantine.ts
+++ b/packages/routing/src/part-quarantine.ts
@@ -2,7 +2,7 @@
 import type { PartId } from "./crash-evidence.js"
 
 /**
- * Whether a prompt part is in quarantine. The generation is odd while it is, and
+ * Whether a request part is in quarantine. The generation is odd while it is, and
  * grows with each change, so that of two states the one with the higher
  * generation is the newer one on every instance.
  */
@@ -35,7 +35,7 @@
 const MAX_ROW_COUNT = 128
 
 /**
- * The prompt parts that no engine may get. After a while one request with a part
+ * The request parts that no engine may get. After a while one request with a part
  * may be tried; the time is doubled with each quarantine of the same part.
  */
 export class PartQuarantine {
