Logs: an answer that is cut, and whether its endpoint was silent to all

A failed attempt now has endpointSilentMs, the time since bytes of any answer came from the endpoint; a cut answer has a line 'answer cut' and the counter cut-answers.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -179,6 +179,7 @@
     const facts = context.headerCodec.readAnswer(status, headers)
     const now = context.clock.now()
     const { id } = destination.endpoint
+    context.health.onBytes(id, now)
     if (facts.load) context.health.onLoad(id, facts.load, now)
     this.status = status
     this.headMs = Math.round(now - this.startedAt)
@@ -245,6 +246,8 @@
   }
 
   private onData(chunk: Buffer): void {
+    const { context, destination } = this
+    context.health.onBytes(destination.endpoint.id, context.clock.now())
     if (this.notRunCause) this.skipNotRunBody(chunk, this.notRunCause)
     if (this.notRunCause || !this.isHeadAccepted) return
     switch (this.sink.onData(chunk)) {
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -252,14 +252,18 @@
     return { kind: "error", answer: buildTimeout(this.runCount > 0) }
   }
 
+  /** Sends an error answer. Where the answer has started, its connection is closed instead. */
   private sendError(answer: ErrorAnswer): void {
+    const { context, call, reply } = this
+    const isCut = reply.hasHead && !reply.isEnded
     const counter = answer.outcome === "not-run" ? "refusals" : "failures"
-    this.context.metrics.countRank(counter, getRank(this.call))
-    this.context.log.write(
-      { ...describeCall(this.call), status: answer.status, reason: answer.message },
-      "answered by the instance",
+    context.metrics.countRank(counter, getRank(call))
+    if (isCut) context.metrics.count("cut-answers")
+    context.log.write(
+      { ...describeCall(call), status: answer.status, reason: answer.message },
+      isCut ? "answer cut" : "answered by the instance",
     )
-    this.reply.sendError(answer)
+    reply.sendError(answer)
   }
 
   private getRemainingMs(): Millis {
@@ -295,6 +299,7 @@
         ...(result.kind === "failed" && {
           parts: this.call.parts.join(),
           progress: this.attempt?.progressCount,
+          endpointSilentMs: this.context.health.getSilence(endpointId, this.context.clock.now()),
         }),
       },
       "attempt ended",
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -20,6 +20,7 @@
   | "resumes"
   | "claims"
   | "engine-ends"
+  | "cut-answers"
   | "quarantine-refusals"
 /** Metrics with a current value. */
 export type GaugeMetric =
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -51,6 +51,7 @@
   resumes: "Streams resumed on a fresh connection.",
   claims: "Idempotency keys claimed.",
   "engine-ends": "Engines that ended while they answered requests of this instance.",
+  "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
 }
 
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -35,6 +35,8 @@
   queueWaitAt: Millis
   /** Moving average of the actual time to the first byte divided by the expected time. */
   slowness: number
+  /** Time at which bytes of any answer last arrived. */
+  bytesAt: Millis | undefined
 }
 
 /** Weight of the latest request in the moving average of failures. */
@@ -101,6 +103,17 @@
     row.slowness += SLOWNESS_SMOOTHING_SHARE * (ratio - row.slowness)
   }
 
+  /** Records that bytes of any answer have arrived from an endpoint. */
+  onBytes(endpoint: EndpointId, now: Millis): void {
+    this.getRow(endpoint).bytesAt = now
+  }
+
+  /** Returns the time since bytes of any answer arrived from an endpoint, in ms; undefined if none have. */
+  getSilence(endpoint: EndpointId, now: Millis): Millis | undefined {
+    const bytesAt = this.rows.get(endpoint)?.bytesAt
+    return bytesAt === undefined ? undefined : now - bytesAt
+  }
+
   /** Returns whether requests may be sent to an endpoint. An excluded one gets a single probe request after its backoff. */
   isUsable(endpoint: EndpointId, now: Millis): boolean {
     const row = this.rows.get(endpoint)
@@ -201,6 +214,7 @@
     queueWaitMs: 0,
     queueWaitAt: 0,
     slowness: 1,
+    bytesAt: undefined,
   }
 }
 
--- a/packages/routing/test/health.test.ts
+++ b/packages/routing/test/health.test.ts
@@ -58,3 +58,10 @@
     health.onEnd("e", outcome, now)
   }
 }
+
+it("the silence of an endpoint ends with bytes of any answer", () => {
+  const health = new EndpointHealth()
+  expect(health.getSilence("e", 10)).to.equal(undefined)
+  health.onBytes("e", 10)
+  expect(health.getSilence("e", 250)).to.equal(240)
+})
