A silent attempt keeps its endpoint until another one can take the call

Callers' connections were closed within an answer: 0.9 s after the last event the instance ended the attempt at the engine, and only then searched for an engine that could continue the stream. Where none held the adapter, loads were refused or the retry limit was reached, there was nothing to continue with.

Cause: a timeout was taken as proof of a failure, and the working attempt was given up before its replacement was secured.

Now silence is evidence for the circuit breaker and starts a search; the attempt ends only when another engine that can take the call and a retry are there, and keeps its endpoint if it goes on before. The timeouts moved to a file of their own.

The unit test of silent attempts ends them itself now and checks the same result.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -48,6 +48,7 @@
   maxPauseMs: Millis = 0
   /** Number of times that the answer's body continued; for a stream at most its number of events. */
   progressCount = 0
+  private isTimedOut = false
 
   constructor(
     private readonly context: ForwardContext,
@@ -55,6 +56,8 @@
     private readonly destination: Destination,
     private readonly sink: AnswerSink,
     private readonly timeouts: AttemptTimeouts,
+    /** Called each time that the endpoint has been silent for longer than its timeout. The attempt continues. */
+    private readonly onSilent: (attempt: Attempt) => void,
   ) {
     this.startedAt = context.clock.now()
     this.pace = context.paces.get(call.service)
@@ -105,6 +108,16 @@
     this.context.health.onPendingEnd(this.destination.endpoint.id, this.destination.isLate)
   }
 
+  /** Whether the endpoint has sent nothing usable for longer than its timeout. False once the attempt has ended. */
+  get isSilent(): boolean {
+    return this.isTimedOut && !this.isResolved
+  }
+
+  /** Ends the attempt because its endpoint is silent. Does nothing after its end. */
+  endSilent(): void {
+    this.abort({ kind: "failed", cause: "silent" }, undefined)
+  }
+
   /** Stops reading the answer until `resume` is called. */
   pause(): void {
     this.exchange.pause()
@@ -187,7 +200,7 @@
     const cause = this.findNotRunCause(facts)
     if (cause) {
       this.notRunCause = cause
-      this.startTimeout(NOT_RUN_BODY_MS)
+      this.startNotRunTimeout(cause)
       return
     }
     if (!this.isMatchingAnswer(facts, status)) {
@@ -308,16 +321,34 @@
     this.resolveOnce({ kind: "not-run", cause })
   }
 
+  private startNotRunTimeout(cause: NotRunCause): void {
+    clearTimeout(this.silenceTimer)
+    this.isTimedOut = false
+    this.silenceTimer = setTimeout(() => {
+      this.exchange.abort()
+      this.resolveNotRun(cause)
+    }, NOT_RUN_BODY_MS)
+  }
+
+  /** Starts the timeout anew, since the endpoint has sent something. */
   private startTimeout(ms: Millis): void {
     clearTimeout(this.silenceTimer)
+    this.isTimedOut = false
     if (ms === Infinity) return
     this.silenceTimer = setTimeout(() => {
-      // Late requests have the lowest priority, so their wait for the first byte doesn't show that the endpoint failed.
-      const isQueued = this.destination.isLate && !this.isHeadAccepted
-      this.abort({ kind: "failed", cause: "silent" }, isQueued ? undefined : "silent")
+      this.handleSilence()
     }, ms)
   }
 
+  private handleSilence(): void {
+    const { context, destination } = this
+    this.isTimedOut = true
+    // Late requests have the lowest priority, so their wait for the first byte doesn't show that the endpoint failed.
+    const isQueued = destination.isLate && !this.isHeadAccepted
+    if (!isQueued) context.health.onSilent(destination.endpoint.id, context.clock.now())
+    this.onSilent(this)
+  }
+
   private abort(result: AttemptResult, outcome: EndpointOutcome | undefined): void {
     if (this.isResolved) return
     this.exchange.abort()
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -1,13 +1,15 @@
-import { type ErrorCode, type Millis, waitFor } from "@galenaway/core"
-import type { AttemptResult, AttemptTimeouts, CompleteAnswer, Destination } from "./answer.js"
+import { describeError, type ErrorCode, type Millis, waitFor } from "@galenaway/core"
+import type { AttemptResult, CompleteAnswer, Destination } from "./answer.js"
 import { Attempt } from "./attempt.js"
 import { type Call, describeCall, getRank, isRetryable, isStream } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import { DestinationSearch } from "./destinations.js"
 import { buildRefusal, buildTimeout, buildUnknownOutcome, type ErrorAnswer } from "./errors.js"
+import { Failover } from "./failover.js"
 import type { CallerReply } from "./reply.js"
 import { chooseRetryAfterMs } from "./retry-after.js"
 import { BufferingSink, type FlowControl, StreamSink } from "./sinks.js"
+import { chooseTimeouts, NO_TIMEOUTS } from "./timeouts.js"
 
 /** A call without an endpoint is refused after this share of its latency objective. */
 const MAX_SEARCH_SHARE = 0.12
@@ -16,20 +18,7 @@
 const MIN_REMAINING_MS = 10
 /** Limit on the sends of one call, including those that no endpoint ran. */
 const MAX_SEND_COUNT = 5
-/** Timeout of the first byte as a share of the latency objective, for calls that aren't streams. */
-const FIRST_BYTE_TIMEOUT_SHARE = 0.5
-const MIN_FIRST_BYTE_TIMEOUT_MS = 100
-/** Timeout of a stream's first event, to which the times for the queue and the prompt are added. Long prompts delay the event, and another engine would often have to load the adapter first. */
-const FIRST_EVENT_TIMEOUT_MS = 1000
-/** Allowed time for the prompt, as a multiple of the estimate. */
-const PROMPT_TIME_FACTOR = 3
-/** Added for late requests, since engines run them after all requests that can be on time. */
-const LATE_TIMEOUT_MS = 2000
-/** Timeout between two parts of an answer: at least this, and for streams a multiple of the pause that their objective allows. */
-const BETWEEN_BYTES_TIMEOUT_MS = 900
-const BETWEEN_EVENTS_PAUSES_COUNT = 3
 const SERVER_ERROR_STATUS = 500
-const NO_TIMEOUTS: AttemptTimeouts = { firstByteMs: Infinity, betweenBytesMs: Infinity }
 
 /** What a job does after one search for an endpoint or one send. */
 type NextAction =
@@ -43,6 +32,7 @@
 /** Serves one call: finds an endpoint, sends the call, and retries where the route and the retry budget allow it. */
 export class ForwardJob {
   private readonly search: DestinationSearch
+  private readonly failover: Failover
   private readonly stream: StreamSink
   private attempt: Attempt | undefined
   private sendCount = 0
@@ -60,6 +50,15 @@
   ) {
     this.search = new DestinationSearch(context, call)
     this.stream = new StreamSink(reply, isRetryable(call), call.facts.lastEventId)
+    this.failover = new Failover({
+      find: () => this.search.find(this.stream.hasStarted),
+      acquireRetry: () => this.acquireRetry(),
+      disconnectSignal: call.disconnectSignal,
+      onError: (error) => {
+        const err = describeError(error)
+        context.log.write({ ...describeCall(call), err }, "search for another endpoint failed")
+      },
+    })
   }
 
   /** Serves the call and sends its answer. A caller that closes its connection ends it early. */
@@ -81,8 +80,10 @@
   private async runStep(): Promise<NextAction> {
     if (this.call.disconnectSignal.aborted) return DONE
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
+    const replacement = this.failover.takeDestination()
     const held = this.checkParts()
     if (held) return held
+    if (replacement) return this.send(replacement)
     const search = await this.search.find(this.stream.hasStarted)
     if (search.kind === "none") return this.waitForEndpoint(search.reason)
     if (search.kind === "overloaded") return this.rejectOverload(search.waitMs)
@@ -96,14 +97,17 @@
 
   private async send(destination: Destination): Promise<NextAction> {
     const { context, call } = this
-    const timeouts = this.chooseTimeouts(destination)
     const getFlowControl = (): FlowControl =>
       this.attempt ?? { pause: doNothing, resume: doNothing }
     const sink = isStream(call)
       ? this.stream.createSink(getFlowControl)
       : new BufferingSink(this.reply, getFlowControl)
     this.sendCount++
-    this.attempt = new Attempt(context, call, destination, sink, timeouts)
+    const isReplaceable = this.canRetryAfter(this.runCount + 1)
+    const timeouts = isReplaceable ? chooseTimeouts(context, call, destination) : NO_TIMEOUTS
+    this.attempt = new Attempt(context, call, destination, sink, timeouts, (attempt) => {
+      this.handleSilence(destination, attempt)
+    })
     const sentAt = context.clock.now()
     const result = await this.attempt.run()
     const ms = Math.round(context.clock.now() - sentAt)
@@ -112,6 +116,18 @@
     return this.handleResult(destination, result)
   }
 
+  /** Searches for another endpoint while the silent one may still go on. */
+  private handleSilence({ endpoint }: Destination, attempt: Attempt): void {
+    const { context, call } = this
+    const endpointSilentMs = context.health.getSilence(endpoint.id, context.clock.now())
+    context.log.write(
+      { ...describeCall(call), endpoint: endpoint.id, endpointSilentMs },
+      "attempt is silent",
+    )
+    this.search.exclude(endpoint.id)
+    void this.failover.run(attempt)
+  }
+
   private recordMetrics(sentAt: Millis): void {
     const { context, call, attempt } = this
     const waitedMs = sentAt - call.arrivedAt
@@ -134,7 +150,9 @@
       case "failed":
         this.runCount++
         this.search.exclude(endpoint.id)
-        return this.canRetry() ? RETRY : this.reject(`the endpoint failed: ${result.cause}`)
+        return this.canRetryAfter(this.runCount)
+          ? RETRY
+          : this.reject(`the endpoint failed: ${result.cause}`)
       case "out-of-time":
         this.runCount++
         return this.rejectOnTimeout()
@@ -148,7 +166,7 @@
       this.runCount++
       this.fallbackAnswer = answer
       this.search.exclude(endpoint)
-      if (this.canRetry()) return RETRY
+      if (this.canRetryAfter(this.runCount)) return RETRY
     }
     this.sendAnswer(answer)
     return DONE
@@ -160,12 +178,10 @@
     else this.reply.sendComplete(status, headers, body)
   }
 
-  /** Returns whether the call may run at another endpoint. */
-  private canRetry(): boolean {
+  /** Returns whether the call may run at another endpoint after `runCount` runs. */
+  private canRetryAfter(runCount: number): boolean {
     const { route } = this.call
-    return (
-      isRetryable(this.call) && this.runCount < route.maxAttempts && this.sendCount < MAX_SEND_COUNT
-    )
+    return isRetryable(this.call) && runCount < route.maxAttempts && this.sendCount < MAX_SEND_COUNT
   }
 
   /** Returns what happens to a call with a part that ends engines, or may do so; undefined if the call may be sent. */
@@ -207,23 +223,6 @@
     return this.reject("every engine has more work than it can do in time", retryAfterMs)
   }
 
-  private chooseTimeouts({ isLate, waitMs }: Destination): AttemptTimeouts {
-    const { route, service, facts } = this.call
-    if (!isRetryable(this.call) || this.runCount + 1 >= route.maxAttempts) return NO_TIMEOUTS
-    if (isStream(this.call)) {
-      const promptMs = this.context.paces.get(service).estimatePromptMs(facts.promptTokens)
-      const queueMs = waitMs + (isLate ? LATE_TIMEOUT_MS : 0)
-      const firstByteMs = FIRST_EVENT_TIMEOUT_MS + queueMs + PROMPT_TIME_FACTOR * promptMs
-      const pausesMs = BETWEEN_EVENTS_PAUSES_COUNT * (route.pauseMs ?? 0)
-      return { firstByteMs, betweenBytesMs: Math.max(BETWEEN_BYTES_TIMEOUT_MS, pausesMs) }
-    }
-    const objectiveShareMs = FIRST_BYTE_TIMEOUT_SHARE * route.objectiveMs
-    return {
-      firstByteMs: Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, objectiveShareMs),
-      betweenBytesMs: BETWEEN_BYTES_TIMEOUT_MS,
-    }
-  }
-
   private acquireRetry(): boolean {
     const { context, call } = this
     return context
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -81,6 +81,7 @@
     destination,
     IGNORING_SINK,
     LONG_TIMEOUTS,
+    () => undefined,
   ).run()
 }
 
@@ -95,6 +96,9 @@
       destination,
       IGNORING_SINK,
       TIMEOUTS,
+      (attempt) => {
+        attempt.endSilent()
+      },
     ).run()
     expect(result).to.deep.equal({ kind: "failed", cause: "silent" })
   }
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -37,7 +37,14 @@
   }
   const destination = { endpoint, isLate: false, waitMs: 0 }
   const forwardContext = context as unknown as ForwardContext
-  return new Attempt(forwardContext, buildCall(kind), destination, sink, NO_TIMEOUTS).run()
+  return new Attempt(
+    forwardContext,
+    buildCall(kind),
+    destination,
+    sink,
+    NO_TIMEOUTS,
+    () => undefined,
+  ).run()
 }
 
 /** Starts an engine that handles each connection by a function. */
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -78,6 +78,11 @@
     else recordOutcome(row, outcome, now)
   }
 
+  /** Records that an endpoint has been silent to a request for longer than its timeout. The request may continue. */
+  onSilent(endpoint: EndpointId, now: Millis): void {
+    recordOutcome(this.getRow(endpoint), "silent", now)
+  }
+
   /** Records the load that an endpoint reported. */
   onLoad(endpoint: EndpointId, load: ReportedLoad, now: Millis): void {
     this.getRow(endpoint).reportedLoad = { ...load, at: now }
