Registrations that can't be used are skipped

What callers saw: an entry under servers/ with the address 10.0.0.1:99999 or 999.0.0.1:80 was taken as an endpoint. undici's `new Pool` throws on both, so each request that chose it was answered with "internal error", status 502. An id of 184 to 192 characters makes the key galenaway/owners/ID longer than the 200 bytes that the store accepts, and an id with control or other characters makes an invalid header.

Cause: the schema of registrations checked the form of the address only, and the id, the size of the value, its encoding and the versions of held adapters not at all. An endpoint with a huge number of slots would attract every request.

Change: `isEndpointAddress` and `isEndpointId` in packages/core; the decoder refuses other addresses and ids, values above 256 KB or with invalid UTF-8, and more than 65,535 slots. A version of an adapter that is no whole number becomes 0, as other invalid versions did. The skipped entry is logged with its key and the reason, as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./adapter.js"
+export * from "./address.js"
 export * from "./clock.js"
 export * from "./errors.js"
 export * from "./model.js"
