A request that can't be sent to one endpoint goes on with another

What callers saw: 502 "internal error" with the outcome unknown, although nothing had been sent, when building the request or its connection pool threw, as for an endpoint with an address that is no valid URL. The endpoint wasn't excluded, so the next request could choose it again.

Cause: `Attempt.send` ran without a handler for errors, so they ended the call.

Change: an error before the request reaches the dispatcher ends the attempt as not run and is logged as "request not sent" with its endpoint. An error that the dispatcher throws is an event of the exchange, which knows whether the request may have been sent.

Evidence: the new test of attempt.test.ts fails without the change with "TypeError: Invalid URL" and passes with it; the 36 tests of attempt, broken-answers, handler, destinations, streams and endless pass.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -1,4 +1,10 @@
-import type { AnswerMetadata, Millis, RawHeaders, ReportedLoad } from "@galenaway/core"
+import {
+  type AnswerMetadata,
+  describeError,
+  type Millis,
+  type RawHeaders,
+  type ReportedLoad,
+} from "@galenaway/core"
 import type { PaceEstimator } from "@galenaway/policy"
 import type { EndpointOutcome } from "@galenaway/routing"
 import type {
@@ -135,7 +141,19 @@
     })
   }
 
+  /** Sends the call. An error while the request is built ends the attempt: nothing was sent. */
   private send(): void {
+    try {
+      this.startExchange()
+    } catch (error) {
+      const { id } = this.destination.endpoint
+      const fields = { request: this.call.facts.attempt, endpoint: id, err: describeError(error) }
+      this.context.log.write(fields, "request not sent")
+      this.resolveOnce({ kind: "not-run", cause: "unreachable" })
+    }
+  }
+
+  private startExchange(): void {
     const { context, call, destination, sink } = this
     const { endpoint, version } = destination
     const remainingMs = call.deadline - context.clock.now()
--- a/packages/entry/src/forward/exchange.ts
+++ b/packages/entry/src/forward/exchange.ts
@@ -35,18 +35,15 @@
 
   constructor(private readonly events: ExchangeEvents) {}
 
-  /** Sends the request. Called once. */
+  /** Sends the request. Called once. Never throws; an error of the dispatcher is reported as an event. */
   start(dispatcher: Dispatcher, request: OutgoingRequest): void {
     const { method, path, headers, body } = request
-    dispatcher.dispatch(
-      {
-        method: method,
-        path,
-        headers,
-        body: body.length > 0 ? body : null,
-      },
-      this,
-    )
+    const options = { method, path, headers, body: body.length > 0 ? body : null }
+    try {
+      dispatcher.dispatch(options, this)
+    } catch (error) {
+      this.onFailure(error instanceof Error ? error : new Error(String(error)))
+    }
   }
 
   /** Aborts the exchange: the connection is closed, and no event follows. */
@@ -91,6 +88,10 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.onFailure(error)
+  }
+
+  private onFailure(error: Error): void {
     if (this.isEnded) return
     this.isEnded = true
     this.events.onError(error, this.isSendStarted)
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -5,6 +5,7 @@
   Attempt,
   type AnswerSink,
   type Call,
+  EndpointPools,
   type ForwardContext,
   isLateAt,
 } from "@galenaway/entry"
@@ -53,6 +54,40 @@
   expect(await learn(1)).to.equal(false)
 })
 
+it("a request that can't be sent to an endpoint has not run", async () => {
+  const pools = new EndpointPools()
+  const throwing = {
+    dispatch: () => {
+      throw new Error("broken dispatcher")
+    },
+  }
+  const cases = [
+    { pools, address: "10.0.0.1:99999", headers: [] },
+    { pools, address: "127.0.0.1:1", headers: ["X", "a\r\nb"] },
+    { pools: { get: () => throwing }, address: "127.0.0.1:1", headers: [] },
+  ]
+  for (const { address, headers, ...replaced } of cases) {
+    const health = new EndpointHealth()
+    const headerCodec = { buildRequest: () => headers }
+    const context = {
+      ...buildContext(health),
+      ...replaced,
+      headerCodec,
+      log: { write: () => undefined },
+    }
+    const attempt = new Attempt(
+      context as unknown as ForwardContext,
+      buildCall(),
+      { endpoint: { ...ENGINE, address }, isLate: false, waitMs: 0 },
+      IGNORING_SINK,
+      LONG_TIMEOUTS,
+    )
+    expect(await attempt.run()).to.deep.equal({ kind: "not-run", cause: "unreachable" })
+    expect(health.countInFlight("e")).to.equal(0)
+  }
+  await pools.stop()
+})
+
 /** Runs a stream that is answered after a while, with the load that its engine reports. */
 async function runAnsweredAttempt(paces: PaceTable, load: ReportedLoad): Promise<void> {
   let now = 0
