--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -1,7 +1,7 @@
 /** The version of an adapter's weights. A higher number is newer. */
 export type AdapterVersion = number
 
-/** A key in the platform's store and its value. */
+/** A key in the platform's store and its value. An item that can't be decoded has an empty value and revision 0. */
 export interface StoreItem {
   readonly key: string
   readonly value: Buffer
