An owner record that can't be parsed fails no claims beside it

What callers saw: with one such record, up to 15 engines stayed without an owner for as long as the record stayed, so no adapter was loaded on them.

Cause: the record counted as missing, so its claim required that the key doesn't exist. The store rejects such a transaction as a whole, at each attempt.

Change: the record has no owner but its revision, so the next claim replaces it; the new owner waits as after any other owner. A record whose revision can't be read isn't claimed.

Evidence: both new tests of ownership.test.ts fail without the change (nothing is claimed) and pass with it; the tests of ownership and owner pass.

--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -285,6 +285,8 @@
   }
 
   private canClaim({ before }: OwnershipClaim): boolean {
+    // A record whose revision can't be read can't be replaced, and would fail the claims beside it.
+    if (before?.revision === 0) return false
     const isStartupOver = this.deps.clock.now() - this.startedAt >= STARTUP_DELAY_MS
     return isStartupOver || before?.owner === this.self.id
   }
--- a/packages/entry/src/fleet/records.ts
+++ b/packages/entry/src/fleet/records.ts
@@ -42,13 +42,20 @@
   endCount: z.number().int(),
 })
 
+/** The owner in a record that can't be parsed: no instance has this id. */
+const NO_OWNER = { owner: "", incarnation: "", isHandedOver: false }
+
 const OWNER_SCHEMA = z.object({
   owner: z.string(),
   incarnation: z.string(),
   isHandedOver: z.boolean(),
 })
 
-/** Parses items under {@link FLEET_PREFIX}. Never throws; items that can't be parsed are listed as unreadable. */
+/**
+ * Parses items under {@link FLEET_PREFIX}. Never throws; items that can't be parsed
+ * are listed as unreadable. An owner record among them has no owner, and its
+ * revision, with which it can be replaced.
+ */
 export function parseFleetRecords(items: readonly StoreItem[]): FleetRecords {
   const instances = new Map<InstanceId, RegisteredInstance>()
   const owners = new Map<EndpointId, OwnerRecord>()
@@ -111,10 +118,9 @@
 
 function addOwner(owners: Map<EndpointId, OwnerRecord>, item: StoreItem): boolean {
   const parsed = parseJson(OWNER_SCHEMA, item.value)
-  if (!parsed) return false
   const endpoint = item.key.slice(OWNER_PREFIX.length)
-  owners.set(endpoint, { endpoint, ...parsed, revision: item.revision })
-  return true
+  owners.set(endpoint, { endpoint, ...(parsed ?? NO_OWNER), revision: item.revision })
+  return parsed !== undefined
 }
 
 function addInstance(instances: Map<InstanceId, RegisteredInstance>, item: StoreItem): boolean {
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -8,10 +8,13 @@
   Ownership,
   type RegisteredInstance,
 } from "@galenaway/entry"
-import { createManualClock, LeaseStore } from "@galenaway/fakes"
+import { createManualClock, LeaseStore, type ManualClock } from "@galenaway/fakes"
 import { log } from "./support.js"
 
 const MICROTASK_TURN_COUNT = 50
+const STARTUP_DELAY_MS = 2500
+/** Time after which an owner that isn't listed counts as gone. */
+const FORGET_OWNER_MS = 400
 
 it("a restarted instance reclaims only its own engine before it is listed", async () => {
   const { ownership, store, gained } = createOwnership()
@@ -55,6 +58,45 @@
   expect(lost).to.deep.equal([])
 })
 
+it("an owner record that can't be parsed is replaced and delays no other claim", async () => {
+  const { ownership, store, gained, clock } = createOwnership()
+  store.put(formatOwnerKey("own"), "[".repeat(100))
+  await pollAfterStartup(ownership, clock)
+  ownership.stop()
+  expect(gained).to.have.members(["own", "other"])
+  const { items } = await store.readRange(formatOwnerKey("own"))
+  expect(items[0]?.value).to.deep.equal(formatOwner(buildInstance("i", "now"), false))
+})
+
+it("an owner record whose revision can't be read delays no other claim", async () => {
+  const { ownership, store, gained, clock } = createOwnership()
+  store.put(formatOwnerKey("own"), "x")
+  const readRange = store.readRange.bind(store)
+  store.readRange = async (prefix) => {
+    const { items, revision } = await readRange(prefix)
+    const isOwn = (key: string) => key === formatOwnerKey("own")
+    const undecodable = { value: Buffer.alloc(0), revision: 0 }
+    return {
+      items: items.map((item) => (isOwn(item.key) ? { ...item, ...undecodable } : item)),
+      revision,
+    }
+  }
+  await pollAfterStartup(ownership, clock)
+  ownership.stop()
+  expect(gained).to.deep.equal(["other"])
+})
+
+/** Starts reading and claiming, and waits until claims after the startup delay are written. */
+async function pollAfterStartup(ownership: Ownership, clock: ManualClock): Promise<void> {
+  ownership.start()
+  await runMicrotasks()
+  for (const ms of [STARTUP_DELAY_MS, FORGET_OWNER_MS]) {
+    await clock.advance(ms)
+    ownership.readNow()
+    await runMicrotasks()
+  }
+}
+
 function createOwnership() {
   const clock = createManualClock()
   const store = new LeaseStore(() => clock.now())
@@ -74,7 +116,7 @@
   const lost: string[] = []
   ownership.on("gained", (endpoint) => gained.push(endpoint))
   ownership.on("lost", (endpoint) => lost.push(endpoint))
-  return { ownership, store, gained, lost }
+  return { ownership, store, clock, gained, lost }
 }
 
 function buildInstance(id: string, incarnation: string): RegisteredInstance {
