--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -5,10 +5,32 @@
 export interface StoreItem {
   readonly key: string
   readonly value: Buffer
-  /** The store's revision at the item's last change. */
+  /** The store's revision at the item's last change, see {@link encodeRevision}. */
   readonly revision: number
 }
 
+/** Revisions of one era, more than a store writes in decades. The product with any likely era is a safe integer. */
+const REVISIONS_PER_ERA = 2 ** 36
+
+/**
+ * Encodes the revision of a store that can be restored from an older copy. The
+ * store then gives out some revisions again, in a later era. Encoded revisions rise
+ * over a restore too: those of a later era are higher.
+ */
+export function encodeRevision(era: number, revision: number): number {
+  return era * REVISIONS_PER_ERA + revision
+}
+
+/** Returns the era of an encoded revision. */
+export function getEra(revision: number): number {
+  return Math.floor(revision / REVISIONS_PER_ERA)
+}
+
+/** Returns the store's own number of an encoded revision. */
+export function getRevisionInEra(revision: number): number {
+  return revision % REVISIONS_PER_ERA
+}
+
 /** A change of a key. `item` is undefined if the key was removed. */
 export interface StoreEvent {
   readonly key: string
--- a/packages/fakes/src/lease-store.ts
+++ b/packages/fakes/src/lease-store.ts
@@ -1,5 +1,8 @@
 import { randomInt } from "node:crypto"
 import {
+  encodeRevision,
+  getEra,
+  getRevisionInEra,
   PlatformError,
   type StoreEvent,
   type StoreItem,
@@ -19,6 +22,13 @@
   readonly lease?: string
 }
 
+/** The state of a store at one time. */
+export interface StoreCopy {
+  readonly revision: number
+  readonly items: ReadonlyMap<string, StoredItem>
+  readonly leases: ReadonlyMap<string, Lease>
+}
+
 const MAX_LEASE_ID = 1_000_000
 const PEER_NAME = "lease-store"
 
@@ -26,12 +36,13 @@
  * A store in memory with revisions, conditions, leases, watches and a history
  * that can be compacted. Faults: while `isDown` is set, every call of the port
  * rejects with a `PlatformError`; the next `remainingLostAnswers` successful
- * transactions are applied, but reject as if the answer were lost.
+ * transactions are applied, but reject as if the answer were lost. The store can
+ * return to an earlier copy of its state, which begins a new era.
  */
 export class LeaseStore implements StorePort {
   isDown = false
   remainingLostAnswers = 0
-  private revision = 1
+  private revision: number
   private readonly items = new Map<string, StoredItem>()
   private readonly leases = new Map<string, Lease>()
   private history: StoreEvent[] = []
@@ -39,7 +50,17 @@
   private readonly waiters = new Set<() => void>()
 
   /** `now` returns the time in milliseconds by which leases expire. */
-  constructor(private readonly now: () => number) {}
+  constructor(
+    private readonly now: () => number,
+    firstEra = 0,
+  ) {
+    this.revision = encodeRevision(firstEra, 1)
+  }
+
+  /** The era, which rises by one each time that the store is restored. */
+  get era(): number {
+    return getEra(this.revision)
+  }
 
   readRange(prefix: string): Promise<StoreRange> {
     return this.runCall(() => ({
@@ -51,14 +72,17 @@
   }
 
   async watchRange(prefix: string, afterRevision: number, waitMs: number): Promise<WatchResult> {
+    const isKnown = () =>
+      getEra(afterRevision) === this.era &&
+      afterRevision >= this.compactedRevision &&
+      afterRevision <= this.revision
     const findEvents = () =>
       this.history.filter(({ key, revision }) => key.startsWith(prefix) && revision > afterRevision)
-    if (!this.isDown && afterRevision >= this.compactedRevision && findEvents().length === 0)
-      await this.waitForChange(waitMs)
+    if (!this.isDown && isKnown() && findEvents().length === 0) await this.waitForChange(waitMs)
     return this.runCall(() =>
-      afterRevision < this.compactedRevision
-        ? { kind: "compacted" }
-        : { kind: "events", events: findEvents(), revision: this.revision },
+      isKnown()
+        ? { kind: "events", events: findEvents(), revision: this.revision }
+        : { kind: "compacted" },
     )
   }
 
@@ -119,6 +143,27 @@
     this.notifyWaiters()
   }
 
+  /** Takes a copy of the current state. */
+  takeCopy(): StoreCopy {
+    this.removeExpiredLeases()
+    return { revision: this.revision, items: new Map(this.items), leases: new Map(this.leases) }
+  }
+
+  /** Returns to a copy: later changes and leases are gone, and their revisions are given out again in a new era. */
+  restore({ revision, items, leases }: StoreCopy): void {
+    const era = this.era + 1
+    const encode = (earlier: number) => encodeRevision(era, getRevisionInEra(earlier))
+    this.items.clear()
+    for (const [key, item] of items)
+      this.items.set(key, { ...item, revision: encode(item.revision) })
+    this.leases.clear()
+    for (const [id, lease] of leases) this.leases.set(id, lease)
+    this.revision = encode(revision)
+    this.history = []
+    this.compactedRevision = this.revision
+    this.notifyWaiters()
+  }
+
   private apply({ conditions, puts, removals }: Transaction): TransactionResult {
     this.removeExpiredLeases()
     const areConditionsMet = conditions.every(
