--- a/packages/entry/src/catalogue/directory.ts
+++ b/packages/entry/src/catalogue/directory.ts
@@ -9,6 +9,7 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import type { CatalogueFormat } from "./format.js"
+import { SkipLog } from "./skip-log.js"
 
 interface DirectoryEvents {
   /** An endpoint is new, or its process has restarted. */
@@ -34,7 +35,7 @@
   private revision = 0
   private outageEndedAt: Millis = -Infinity
   private isStoreDown = false
-  private readonly skippedRevisions = new Map<string, number>()
+  private readonly skipLog: SkipLog
 
   constructor(
     private readonly format: CatalogueFormat,
@@ -42,6 +43,7 @@
     private readonly log: Log,
   ) {
     super()
+    this.skipLog = new SkipLog(log, "registration skipped")
   }
 
   /** Whether the registrations have been read from the store at least once. */
@@ -101,15 +103,12 @@
       return
     }
     const entry = this.format.readRegistration(item)
-    if (entry.kind === "registration")
-      next.set(entry.registration.id, { registration: entry.registration, item })
-    else this.logSkipped(item, entry.reason)
-  }
-
-  private logSkipped({ key, revision }: StoreItem, reason: string): void {
-    if (this.skippedRevisions.get(key) === revision) return
-    this.skippedRevisions.set(key, revision)
-    this.log.warn({ key, reason }, "registration skipped")
+    if (entry.kind === "foreign") {
+      this.skipLog.write(item.key, entry.reason)
+      return
+    }
+    this.skipLog.remove(item.key)
+    next.set(entry.registration.id, { registration: entry.registration, item })
   }
 
   private addMissing(next: Map<EndpointId, DirectoryEntry>): void {
--- a/packages/entry/src/catalogue/operator-catalogue.ts
+++ b/packages/entry/src/catalogue/operator-catalogue.ts
@@ -3,6 +3,7 @@
 import type { Log } from "@galenaway/observe"
 import { RouteTable, type VersionTable } from "@galenaway/routing"
 import type { CatalogueFormat } from "./format.js"
+import { SkipLog } from "./skip-log.js"
 
 interface OperatorCatalogueEvents {
   /** A new configuration is in force. */
@@ -16,6 +17,7 @@
 export class OperatorCatalogue extends EventEmitter<OperatorCatalogueEvents> {
   private routeTable: RouteTable | undefined
   private readonly items = new Map<string, StoreItem>()
+  private readonly skipLog: SkipLog
 
   constructor(
     private readonly format: CatalogueFormat,
@@ -24,6 +26,7 @@
     private readonly log: Log,
   ) {
     super()
+    this.skipLog = new SkipLog(log, "operator item skipped")
   }
 
   /** The routes in force, or undefined before the first configuration. */
@@ -49,6 +52,8 @@
     const known = this.items.get(item.key)
     if (known && known.revision >= item.revision) return
     const entry = this.format.readOperatorItem(item)
+    if (entry.kind === "foreign") this.skipLog.write(item.key, entry.reason)
+    else this.skipLog.remove(item.key)
     switch (entry.kind) {
       case "configuration":
         this.items.set(item.key, item)
@@ -63,7 +68,7 @@
           )
         return
       case "foreign":
-        this.log.warn({ key: item.key, reason: entry.reason }, "operator item skipped")
+        return
     }
   }
 
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -20,6 +20,7 @@
 import type { Log } from "@galenaway/observe"
 import type { PartState } from "@galenaway/routing"
 import { DependencyState } from "../catalogue/dependency.js"
+import { SkipLog } from "../catalogue/skip-log.js"
 import { OwnershipConfirmer, type OwnerReport } from "./ownership-confirmer.js"
 import {
   FLEET_PREFIX,
@@ -65,6 +66,7 @@
 const STARTUP_DELAY_MS = 2500
 /** An instance whose registration is missing for this time is considered gone. */
 const MISSING_TIMEOUT_MS = 350
+const UNREADABLE_REASON = "the key is unknown, or the value can't be parsed"
 /** Limit on the claims that are written in one transaction. */
 const MAX_CLAIMS_PER_TRANSACTION = 15
 
@@ -74,6 +76,7 @@
   /** Aborted to end the wait for the next poll early. */
   private wake = new AbortController()
   private readonly dependency: DependencyState
+  private readonly skipLog: SkipLog
   private readonly confirmer: OwnershipConfirmer
   private readonly startedAt: Millis
   private readonly seenAt = new Map<InstanceId, Millis>()
@@ -91,6 +94,7 @@
     super()
     this.startedAt = deps.clock.now()
     this.dependency = new DependencyState("store-ownership", deps.log)
+    this.skipLog = new SkipLog(deps.log, "unreadable fleet item skipped")
     this.confirmer = new OwnershipConfirmer(self.id, {
       ...deps,
       dependency: this.dependency,
@@ -212,7 +216,7 @@
     if (range.revision < this.listRevision) return
     this.listRevision = range.revision
     const { instances, owners, parts, unreadable } = parseFleetRecords(range.items)
-    for (const key of unreadable) this.deps.log.warn({ key }, "unreadable fleet item skipped")
+    for (const key of unreadable) this.skipLog.write(key, UNREADABLE_REASON)
     this.instancesById = instances
     for (const [id, instance] of instances) this.lastListed.set(id, instance)
     this.mergeRecords(owners)
--- a/packages/entry/test/catalogue.test.ts
+++ b/packages/entry/test/catalogue.test.ts
@@ -1,7 +1,13 @@
 import { expect } from "chai"
 import type { StorePort } from "@galenaway/core"
-import { ConfigurationWatcher, EndpointDirectory, OperatorCatalogue } from "@galenaway/entry"
+import {
+  ConfigurationWatcher,
+  EndpointDirectory,
+  OperatorCatalogue,
+  SkipLog,
+} from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
+import { createLog } from "@galenaway/observe"
 import { VersionTable } from "@galenaway/routing"
 import { buildEntry, buildItem, format, log } from "./support.js"
 
@@ -124,6 +130,40 @@
   return state
 }
 
+it("an item that is skipped again and again is logged once for each reason", () => {
+  const { lines, countingLog } = createCountingLog()
+  const clock = createManualClock()
+  const directory = new EndpointDirectory(format, clock, countingLog)
+  for (let revision = 1; revision <= 100; revision++)
+    directory.apply([buildItem("list/x", {}, revision)], revision)
+  expect(lines).to.have.length(1)
+  expect(lines[0]).to.contain("list/x").and.to.contain("no id")
+  directory.apply([buildEntry("x", 101)], 101)
+  directory.apply([buildItem("list/x", {}, 102)], 102)
+  expect(lines).to.have.length(2)
+  const catalogue = new OperatorCatalogue(format, new VersionTable(1000), clock, countingLog)
+  for (let revision = 1; revision <= 100; revision++)
+    catalogue.apply(buildItem("op/x", {}, revision), "read")
+  expect(lines).to.have.length(3)
+})
+
+it("the reasons of skipped items are kept for a limited number of keys", () => {
+  const { lines, countingLog } = createCountingLog()
+  const skipLog = new SkipLog(countingLog, "skipped")
+  for (let index = 0; index < 3000; index++) skipLog.write(String(index), "odd")
+  skipLog.write("2999", "odd")
+  expect(lines).to.have.length(3000)
+  skipLog.write("0", "odd")
+  expect(lines).to.have.length(3001)
+})
+
+function createCountingLog() {
+  const lines: string[] = []
+  const destination = { write: (line: string) => void lines.push(line) }
+  const countingLog = createLog("warn", { instance: "i", dataCentre: "dc" }, destination)
+  return { lines, countingLog }
+}
+
 function createCatalogue(): OperatorCatalogue {
   return new OperatorCatalogue(format, new VersionTable(1000), createManualClock(), log)
 }
