An instance whose peer address can't be connected to stops no claims

What callers saw: with one record under galenaway/instances/ whose peerAddress is empty, and one engine recorded as its own, no instance claimed any engine any more, and the links to peers weren't updated.

Cause: the gRPC client throws on such an address ("Could not parse target name"). It is created in a listener of the read of the store, so the poll ended before the claims, each time. A port out of range or a URL doesn't throw there, but such an instance counted as live and got engines assigned.

Change: a record with such an address, or without an id, is unreadable.

Evidence: the new test of ownership.test.ts fails without the change (nothing is claimed) and passes with it; the 17 tests of ownership, owner and peer-links pass.

--- a/packages/entry/src/fleet/records.ts
+++ b/packages/entry/src/fleet/records.ts
@@ -1,7 +1,7 @@
 import { createHash } from "node:crypto"
 import { z } from "zod"
 import type { LiveInstance, OwnerRecord } from "@galenaway/coordination"
-import type { EndpointId, InstanceId, StoreItem } from "@galenaway/core"
+import { type EndpointId, type InstanceId, isHostAddress, type StoreItem } from "@galenaway/core"
 import type { PartId, PartState } from "@galenaway/routing"
 
 /** Prefix of all items that the instances write to the store for their own coordination. */
@@ -32,7 +32,7 @@
 const INSTANCE_SCHEMA = z.object({
   incarnation: z.string(),
   dataCentre: z.string(),
-  peerAddress: z.string(),
+  peerAddress: z.string().refine(isHostAddress),
   isStopping: z.boolean(),
 })
 
@@ -128,6 +128,7 @@
   const parsed = parseJson(INSTANCE_SCHEMA, item.value)
   if (!parsed) return false
   const id = item.key.slice(INSTANCE_PREFIX.length)
+  if (id === "") return false
   instances.set(id, { id, ...parsed })
   return true
 }
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -6,6 +6,8 @@
   formatOwner,
   formatOwnerKey,
   Ownership,
+  PeerLinks,
+  type PeerLinksDependencies,
   type RegisteredInstance,
 } from "@galenaway/entry"
 import { createManualClock, LeaseStore, type ManualClock } from "@galenaway/fakes"
@@ -86,6 +88,23 @@
   expect(gained).to.deep.equal(["other"])
 })
 
+it("an instance whose address can't be connected to is no peer, and stops no claims", async () => {
+  const { ownership, store, gained, clock } = createOwnership()
+  const addresses = ["", "127.0.0.1:99999", "http://127.0.0.1:1", "127.0.0.1"]
+  for (const [index, peerAddress] of addresses.entries()) {
+    const odd = { ...buildInstance(`odd-${String(index)}`, "odd"), peerAddress }
+    await putInstance(store, odd)
+    await putOwner(store, `engine-${String(index)}`, odd)
+  }
+  const deps = { self: "i", ownership, clock, log, owner: {}, handlers: {} }
+  const links = new PeerLinks(deps as unknown as PeerLinksDependencies)
+  await pollAfterStartup(ownership, clock)
+  ownership.stop()
+  links.stop()
+  expect(gained).to.have.members(["own", "other"])
+  expect([...ownership.instances.keys()]).to.deep.equal([])
+})
+
 /** Starts reading and claiming, and waits until claims after the startup delay are written. */
 async function pollAfterStartup(ownership: Ownership, clock: ManualClock): Promise<void> {
   ownership.start()
