A part's record that can't be sent to peers is skipped

What callers saw: with one record under galenaway/parts/ whose generation or number of ends doesn't fit into 32 bits or is negative, or whose id is longer than a message may be, every connection between instances ended as soon as it opened: no loads on engines of other owners, no admission, no evidence on parts.

Cause: all known states of parts are in the first message of a connection, and encoding it throws ("invalid uint32").

Change: such a record is unreadable, as is one that isn't at the key of its part, which no instance could replace or remove.

--- a/packages/entry/src/fleet/records.ts
+++ b/packages/entry/src/fleet/records.ts
@@ -36,10 +36,14 @@
   isStopping: z.boolean(),
 })
 
+/** Instances send both numbers as 32 bits, and a later generation has a higher number. */
+const MAX_PART_NUMBER = 2 ** 31
+/** Callers send the ids of parts in a header of at most 16 KB. */
+const MAX_PART_LENGTH = 16 * 1024
 const PART_SCHEMA = z.object({
-  part: z.string(),
-  generation: z.number().int().positive(),
-  endCount: z.number().int(),
+  part: z.string().max(MAX_PART_LENGTH),
+  generation: z.number().int().positive().max(MAX_PART_NUMBER),
+  endCount: z.number().int().nonnegative().max(MAX_PART_NUMBER),
 })
 
 /** The owner in a record that can't be parsed: no instance has this id. */
@@ -61,22 +65,23 @@
   const owners = new Map<EndpointId, OwnerRecord>()
   const unreadable: string[] = []
   for (const item of items) {
-    if (item.key.startsWith(PART_PREFIX)) continue
-    const isRead = item.key.startsWith(OWNER_PREFIX)
-      ? addOwner(owners, item)
-      : addInstance(instances, item)
+    const isRead = item.key.startsWith(PART_PREFIX)
+      ? parsePart(item) !== undefined
+      : item.key.startsWith(OWNER_PREFIX)
+        ? addOwner(owners, item)
+        : addInstance(instances, item)
     if (!isRead) unreadable.push(item.key)
   }
   const parts = parseParts(items)
   return { instances, owners, parts, unreadable }
 }
 
-/** Parses the states of prompt parts among items, the longest unchanged first. Never throws; omits items that can't be parsed. */
+/** Parses the states of prompt parts among items, the longest unchanged first. Never throws; omits items that can't be parsed or aren't at the key of their part. */
 export function parseParts(items: readonly StoreItem[]): readonly PartState[] {
   return items
     .filter(({ key }) => key.startsWith(PART_PREFIX))
     .sort((a, b) => a.revision - b.revision)
-    .flatMap(({ value }) => parseJson(PART_SCHEMA, value) ?? [])
+    .flatMap((item) => parsePart(item) ?? [])
 }
 
 /** Formats the key of a prompt part's state. */
@@ -116,6 +121,11 @@
   return Buffer.from(JSON.stringify({ owner: id, incarnation, isHandedOver }))
 }
 
+function parsePart({ key, value }: StoreItem): PartState | undefined {
+  const state = parseJson(PART_SCHEMA, value)
+  return state && formatPartKey(state.part) === key ? state : undefined
+}
+
 function addOwner(owners: Map<EndpointId, OwnerRecord>, item: StoreItem): boolean {
   const parsed = parseJson(OWNER_SCHEMA, item.value)
   const endpoint = item.key.slice(OWNER_PREFIX.length)
