Revisions of the store rise over a restore: each belongs to an era

After the store came back from an older copy, callers got 404 on routes that were added since, old versions answered, and requests reached endpoints after these had announced that they leave.

Cause: revisions were compared as if they only rise. The catalogue, the list of endpoints and the fleet's records ignored what had a lower revision than before the restore, a watch could go on from a revision that was given out twice, and so could an owner's claim, its fencing token and a lease. Class: a logical clock of another system taken as monotonic across that system's loss of state.

The catalogue compares versions, so a restored older configuration replaces nothing; a restored list lacks no endpoint for two seconds, brings back none that was gone, and no earlier process. Regular reads are linearizable for five seconds after a restore. An owner record names the era in which it was written; one of an earlier era permits nothing. Owners freeze the permission that they have, claim their engines again, and go on without a pause only if no other claim that was lost in the restore can have become active; all others wait for a lease from the first sight of the era. Peers report the records that the store has lost. The token of an order rises over a restore.

--- a/packages/coordination/src/leased/authority.ts
+++ b/packages/coordination/src/leased/authority.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, Millis } from "@galenaway/core"
+import { type EndpointId, getEra, type Millis } from "@galenaway/core"
 import type { OwnerRecord } from "./claims.js"
 
 /**
@@ -39,13 +39,17 @@
   readonly record: OwnerRecord
   /** The time from which this process may send orders. */
   readonly activeFrom: Millis
+  /** The last confirmation of a record of an earlier era of the store; undefined for one of the current era. */
+  readonly frozenAt?: Millis
 }
 
 /**
  * Decides whether this process may send orders to an endpoint. It may if a
  * linearizable read of the records, sent less than `confirmationValidMs` ago,
  * returned it as the owner. A suspected pause of the process ends the permission
- * at once, see {@link OrderAuthority.suspend}.
+ * at once, see {@link OrderAuthority.suspend}. When the store was restored from an
+ * older copy, the records of the earlier era can't be confirmed any more: their
+ * permission ends after their last confirmation unless they are claimed again.
  */
 export class OrderAuthority {
   private readonly owned = new Map<EndpointId, OwnedEntry>()
@@ -59,19 +63,51 @@
    * other process can still send orders.
    */
   add(record: OwnerRecord, canOrderAtOnce: boolean, now: Millis): void {
-    const activeFrom = canOrderAtOnce ? now : now + this.times.takeOverMs
+    this.addFrom(record, canOrderAtOnce ? now : now + this.times.takeOverMs)
+  }
+
+  /** Adds a record that this process has written, and by which it may send orders from `activeFrom` on. */
+  addFrom(record: OwnerRecord, activeFrom: Millis): void {
     this.owned.set(record.endpoint, { record, activeFrom })
   }
 
+  /**
+   * Replaces a record of an earlier era by one that this process has written again.
+   * Orders go on if its last confirmation is so recent that no other instance can
+   * have claimed the endpoint since and sent an order; otherwise from `settledAt`
+   * on, when no permission of the earlier era is left.
+   */
+  renew(record: OwnerRecord, settledAt: Millis, now: Millis): void {
+    const before = this.owned.get(record.endpoint)
+    const { takeOverMs, confirmationValidMs } = this.times
+    const isRecent =
+      before?.frozenAt !== undefined && now - before.frozenAt < takeOverMs - confirmationValidMs
+    this.addFrom(record, isRecent ? before.activeFrom : Math.max(now, settledAt))
+  }
+
+  /** Freezes the records of earlier eras, see {@link OrderAuthority.listFrozen}. Call it before a confirmation of a later era. */
+  freezeEarlier(era: number): void {
+    for (const [endpoint, entry] of this.owned)
+      if (entry.frozenAt === undefined && getEra(entry.record.revision) < era)
+        this.owned.set(endpoint, { ...entry, frozenAt: this.confirmedAt })
+  }
+
+  /** Lists the endpoints whose records are of an earlier era, and must be claimed again. */
+  listFrozen(): readonly EndpointId[] {
+    return [...this.owned].flatMap(([endpoint, { frozenAt }]) =>
+      frozenAt === undefined ? [] : [endpoint],
+    )
+  }
+
   /**
    * Applies the records of a linearizable read that was sent at `sentAt`. It may
    * be older than this process's last claims. Removes the endpoints that now have
-   * a newer owner, and returns them.
+   * a newer owner, and returns them. A restored record is no newer owner.
    */
   confirm(records: ReadonlyMap<EndpointId, OwnerRecord>, sentAt: Millis): readonly EndpointId[] {
     this.confirmedAt = Math.max(this.confirmedAt, sentAt)
-    const lost = [...this.owned].filter(
-      ([endpoint, { record }]) => (records.get(endpoint)?.revision ?? 0) > record.revision,
+    const lost = [...this.owned].filter(([endpoint, { record }]) =>
+      isNewer(records.get(endpoint), record),
     )
     for (const [endpoint] of lost) this.owned.delete(endpoint)
     return lost.map(([endpoint]) => endpoint)
@@ -84,8 +120,9 @@
    * this process's own record.
    */
   confirmByPeer(records: ReadonlyMap<EndpointId, OwnerRecord>, sentAt: Millis): boolean {
-    const isOutdated = [...this.owned].some(([endpoint, { record }]) => {
+    const isOutdated = [...this.owned].some(([endpoint, { record, frozenAt }]) => {
       const peerRecord = records.get(endpoint)
+      if (frozenAt !== undefined) return false
       return peerRecord === undefined || peerRecord.revision < record.revision
     })
     if (isOutdated) return false
@@ -105,7 +142,7 @@
     requestedAt: Millis,
   ): boolean {
     const hasNewer = [...this.owned].some(([endpoint, { record }]) =>
-      peerRecords.some((records) => (records.get(endpoint)?.revision ?? 0) > record.revision),
+      peerRecords.some((records) => isNewer(records.get(endpoint), record)),
     )
     if (!hasNewer) this.confirmedAt = Math.max(this.confirmedAt, requestedAt)
     return !hasNewer
@@ -117,6 +154,8 @@
    */
   suspend(): void {
     this.confirmedAt = -Infinity
+    for (const [endpoint, entry] of this.owned)
+      if (entry.frozenAt !== undefined) this.owned.set(endpoint, { ...entry, frozenAt: -Infinity })
   }
 
   /** Removes an endpoint that this process no longer owns. */
@@ -128,7 +167,7 @@
   getToken(endpoint: EndpointId, now: Millis): number | undefined {
     const entry = this.owned.get(endpoint)
     if (!entry || now < entry.activeFrom) return undefined
-    return now - this.confirmedAt < this.times.confirmationValidMs
+    return now - (entry.frozenAt ?? this.confirmedAt) < this.times.confirmationValidMs
       ? entry.record.revision
       : undefined
   }
@@ -141,8 +180,17 @@
     return [...this.owned.keys()]
   }
 
+  /** Returns whether this process has had permission to send orders to an endpoint, so that it can hand the endpoint over at once. */
+  isActive(endpoint: EndpointId, now: Millis): boolean {
+    return now >= (this.owned.get(endpoint)?.activeFrom ?? Infinity)
+  }
+
   /** Returns the record by which this process owns an endpoint, undefined if it doesn't. */
   getRecord(endpoint: EndpointId): OwnerRecord | undefined {
     return this.owned.get(endpoint)?.record
   }
 }
+
+function isNewer(read: OwnerRecord | undefined, { revision }: OwnerRecord): boolean {
+  return read !== undefined && !read.isRestored && read.revision > revision
+}
--- a/packages/coordination/src/leased/claims.ts
+++ b/packages/coordination/src/leased/claims.ts
@@ -22,6 +22,11 @@
   readonly revision: number
   /** The previous owner has confirmed that it sends no more orders. */
   readonly isHandedOver: boolean
+  /**
+   * The record was written before the store was restored from an older copy. It
+   * permits nothing until it is written again, since a later one may be lost.
+   */
+  readonly isRestored: boolean
 }
 
 /** An endpoint that needs an owner, and its data centre. */
@@ -51,8 +56,8 @@
 
 /**
  * Plans the endpoints that an instance should claim for itself: those without a
- * live owner that are assigned to it, and those that its own earlier process
- * owned. Instances with the same input plan disjoint claims. If their inputs
+ * live owner that are assigned to it, those that its own earlier process owned, and
+ * those whose record of this process was written before the store was restored. Instances with the same input plan disjoint claims. If their inputs
  * differ, the store's conditional writes reject all but one claim of an endpoint.
  */
 export function planClaims(
@@ -65,7 +70,7 @@
   return planOwners(instances, endpoints, records).filter(
     ({ owner, before }) =>
       owner.id === self.id &&
-      (before?.owner !== self.id || before.incarnation !== self.incarnation),
+      (before?.owner !== self.id || before.incarnation !== self.incarnation || before.isRestored),
   )
 }
 
@@ -84,7 +89,7 @@
 
 /**
  * Plans an owner for every endpoint whose recorded owner isn't live or was
- * restarted. A restarted owner keeps the endpoint. A new owner is in the
+ * restarted, or whose record was restored. A live owner keeps the endpoint. A new owner is in the
  * endpoint's data centre if that has a live instance.
  */
 function planOwners(
@@ -106,7 +111,7 @@
       continue
     }
     counts.set(owner.id, (counts.get(owner.id) ?? 0) + 1)
-    if (before.incarnation !== owner.incarnation)
+    if (before.incarnation !== owner.incarnation || before.isRestored)
       claims.push({ endpoint: endpoint.id, owner, before })
   }
   for (const endpoint of unowned.sort((a, b) => (a.id < b.id ? -1 : 1))) {
--- a/packages/coordination/test/leased.test.ts
+++ b/packages/coordination/test/leased.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai"
+import { encodeRevision } from "@galenaway/core"
 import {
   computeAuthorityTimes,
   type LiveInstance,
@@ -159,5 +160,76 @@
 }
 
 function buildRecord(endpoint: string, owner: string): OwnerRecord {
-  return { endpoint, owner, incarnation: owner, revision: 7, isHandedOver: false }
+  return {
+    endpoint,
+    owner,
+    incarnation: owner,
+    revision: 7,
+    isHandedOver: false,
+    isRestored: false,
+  }
 }
+
+it("a record of an earlier era is valid until its last confirmation ends, and isn't confirmed again", () => {
+  const { authority, records } = createAuthority()
+  authority.confirm(records, 100)
+  authority.freezeEarlier(1)
+  expect(authority.listFrozen()).to.deep.equal(["e1"])
+  const restored = { ...buildRecord("e1", "a"), revision: encodeRevision(1, 7), isRestored: true }
+  expect(authority.confirm(new Map([["e1", restored]]), 1000)).to.deep.equal([])
+  expect(authority.confirmByPeer(new Map([["e1", restored]]), 1000)).to.equal(true)
+  expect(authority.confirmInOutage([records], 1000)).to.equal(true)
+  expect(authority.getToken("e1", 100 + times.confirmationValidMs - 1)).to.equal(7)
+  expect(authority.getToken("e1", 100 + times.confirmationValidMs)).to.equal(undefined)
+})
+
+it("an engine claimed again soon after its last confirmation gets orders without a pause, with a higher token", () => {
+  const limit = times.takeOverMs - times.confirmationValidMs
+  for (const claimedAfterMs of [limit - 1, limit]) {
+    const { authority, records } = createAuthority()
+    authority.confirm(records, 0)
+    authority.freezeEarlier(1)
+    const record = { ...buildRecord("e1", "a"), revision: encodeRevision(1, 5) }
+    authority.renew(record, 9000, claimedAfterMs)
+    authority.confirm(new Map([["e1", record]]), claimedAfterMs)
+    const token = claimedAfterMs < limit ? record.revision : undefined
+    expect(authority.getToken("e1", claimedAfterMs)).to.equal(token)
+    authority.confirm(new Map([["e1", record]]), 9000)
+    expect(authority.getToken("e1", 9000)).to.equal(record.revision)
+    expect(record.revision).to.be.greaterThan(records.get("e1")?.revision ?? Infinity)
+  }
+})
+
+it("an engine that was claimed shortly before the restore still waits for its takeover", () => {
+  const authority = new OrderAuthority(times)
+  authority.add(buildRecord("e1", "a"), false, 0)
+  authority.confirm(new Map([["e1", buildRecord("e1", "a")]]), 0)
+  authority.freezeEarlier(1)
+  const record = { ...buildRecord("e1", "a"), revision: encodeRevision(1, 5) }
+  authority.renew(record, 9000, 10)
+  authority.confirm(new Map([["e1", record]]), times.takeOverMs)
+  expect(authority.getToken("e1", times.takeOverMs - 1)).to.equal(undefined)
+  expect(authority.getToken("e1", times.takeOverMs)).to.equal(record.revision)
+})
+
+it("a pause of the process ends the permission by a record of an earlier era too", () => {
+  const { authority, records } = createAuthority()
+  authority.confirm(records, 100)
+  authority.freezeEarlier(1)
+  authority.suspend()
+  expect(authority.getToken("e1", 101)).to.equal(undefined)
+})
+
+it("a process claims a restored record of its own again, and leaves those of live owners", () => {
+  const self = buildInstance("a")
+  const restore = (owner: string) => ({ ...buildRecord("e1", owner), isRestored: true })
+  const plan = (owner: string) =>
+    planClaims(
+      self,
+      [self, buildInstance("b")],
+      [{ id: "e1", dataCentre: "dc" }],
+      new Map([["e1", restore(owner)]]),
+    )
+  expect(plan("a")).to.deep.equal([{ endpoint: "e1", owner: self, before: restore("a") }])
+  expect(plan("b")).to.deep.equal([])
+})
--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -73,8 +73,10 @@
   /** The lease has ended; nothing was changed. */
   | { readonly kind: "no-lease" }
 
-/** The platform's store. A method throws a PlatformError if the store doesn't answer or refuses; a write may still take effect after that. */
+/** The platform's store. Its revisions are encoded, see {@link encodeRevision}; revision 0 stands for a missing key in every era. A method throws a PlatformError if the store doesn't answer or refuses; a write may still take effect after that. */
 export interface StorePort {
+  /** Calls a function each time that an answer shows that the store was restored from an older copy: what was written since the copy is gone. */
+  onRestore(listener: () => void): void
   readRange(prefix: string, consistency: ReadConsistency, timeoutMs: number): Promise<StoreRange>
   /** Waits up to `waitMs` for changes under a prefix after a revision. Returns an empty list if there were none. */
   watchRange(prefix: string, afterRevision: number, waitMs: number): Promise<WatchResult>
--- a/packages/entry/src/catalogue/directory-poller.ts
+++ b/packages/entry/src/catalogue/directory-poller.ts
@@ -2,6 +2,7 @@
 import type { Log } from "@galenaway/observe"
 import { DependencyState } from "./dependency.js"
 import type { EndpointDirectory } from "./directory.js"
+import type { ReadFreshness } from "./read-freshness.js"
 
 const READ_TIMEOUT_MS = 1000
 /** Interval between reads, as a share of the time in which an endpoint's leaving must take effect. A read may be outdated, and another one may fail. */
@@ -21,6 +22,7 @@
     private readonly store: StorePort,
     private readonly prefix: string,
     private readonly directory: EndpointDirectory,
+    private readonly freshness: ReadFreshness,
     drainLimitMs: Millis,
     log: Log,
   ) {
@@ -47,7 +49,12 @@
 
   private async read(): Promise<void> {
     try {
-      const { items, revision } = await this.store.readRange(this.prefix, "stale", READ_TIMEOUT_MS)
+      const { consistency } = this.freshness
+      const { items, revision } = await this.store.readRange(
+        this.prefix,
+        consistency,
+        READ_TIMEOUT_MS,
+      )
       this.directory.apply(items, revision)
       this.dependency.onSuccess()
     } catch (error) {
--- a/packages/entry/src/catalogue/directory.ts
+++ b/packages/entry/src/catalogue/directory.ts
@@ -1,14 +1,16 @@
 import { EventEmitter } from "node:events"
-import type {
-  Clock,
-  EndpointId,
-  Millis,
-  Registration,
-  ServiceName,
-  StoreItem,
+import {
+  type Clock,
+  type EndpointId,
+  getEra,
+  type Millis,
+  type Registration,
+  type ServiceName,
+  type StoreItem,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import type { CatalogueFormat } from "./format.js"
+import { GoneEndpoints } from "./gone-endpoints.js"
 import { SkipLog } from "./skip-log.js"
 
 interface DirectoryEvents {
@@ -25,7 +27,7 @@
   readonly item: StoreItem
 }
 
-/** How long entries that expired during an outage of the store are kept after it. */
+/** How long entries are kept that expired during an outage of the store, or that a restored copy lacks. */
 const OUTAGE_RETENTION_MS = 2000
 
 /** The endpoints that are registered in the store. Items that can't be decoded are logged and skipped. */
@@ -35,6 +37,7 @@
   private revision = 0
   private outageEndedAt: Millis = -Infinity
   private isStoreDown = false
+  private readonly gone = new GoneEndpoints()
   private readonly skipLog: SkipLog
 
   constructor(
@@ -79,7 +82,10 @@
   /** Replaces the list with a read of all registrations. Ignores a read with a lower revision than the last one. */
   apply(items: readonly StoreItem[], revision: number): void {
     if (revision < this.revision) return
-    if (this.isStoreDown) this.outageEndedAt = this.clock.now()
+    const isRestored = this.hasRead && getEra(revision) > getEra(this.revision)
+    if (isRestored) this.gone.onRestore(this.clock.now())
+    // The copy of a restored store lacks endpoints that have registered since; they register again.
+    if (this.isStoreDown || isRestored) this.outageEndedAt = this.clock.now()
     this.isStoreDown = false
     const next = new Map<EndpointId, DirectoryEntry>()
     for (const item of items) this.addItem(next, item)
@@ -108,7 +114,11 @@
       return
     }
     this.skipLog.remove(item.key)
-    next.set(entry.registration.id, { registration: entry.registration, item })
+    const { registration } = entry
+    if (known && (registration.startedAt ?? 0) < (known.registration.startedAt ?? 0))
+      next.set(registration.id, known)
+    else if (!this.gone.has(registration, this.clock.now()))
+      next.set(registration.id, { registration, item })
   }
 
   private addMissing(next: Map<EndpointId, DirectoryEntry>): void {
@@ -128,6 +138,7 @@
     for (const [id, { registration }] of before)
       if (!next.has(id)) {
         this.log.info({ endpoint: id }, "endpoint removed")
+        this.gone.add(registration, this.clock.now())
         this.emit("gone", registration)
       }
     this.emit("read")
--- a/packages/entry/src/catalogue/operator-catalogue.ts
+++ b/packages/entry/src/catalogue/operator-catalogue.ts
@@ -52,15 +52,16 @@
     const known = this.items.get(item.key)
     if (known && known.revision >= item.revision) return
     const entry = this.format.readOperatorItem(item)
-    if (entry.kind === "foreign") this.skipLog.write(item.key, entry.reason)
-    else this.skipLog.remove(item.key)
     switch (entry.kind) {
       case "configuration":
-        this.items.set(item.key, item)
+        if (this.isOlder(item.key, entry.configuration.version, this.version)) return
+        this.replaceItem(item)
         this.applyConfiguration(entry.configuration, source)
         return
       case "adapter-version":
-        this.items.set(item.key, item)
+        if (this.isOlder(item.key, entry.version, this.versions.getNewest(entry.adapter) ?? 0))
+          return
+        this.replaceItem(item)
         if (this.versions.add(entry.adapter, entry.version, this.clock.now()))
           this.log.info(
             { adapter: entry.adapter, version: entry.version, source },
@@ -68,10 +69,22 @@
           )
         return
       case "foreign":
-        return
+        this.skipLog.write(item.key, entry.reason)
     }
   }
 
+  private replaceItem(item: StoreItem): void {
+    this.items.set(item.key, item)
+    this.skipLog.remove(item.key)
+  }
+
+  /** Returns whether an item has an older version than the one in force, as in the copy of a restored store. */
+  private isOlder(key: string, version: number, inForce: number): boolean {
+    if (version >= inForce) return false
+    this.skipLog.write(key, `version ${version} is older than ${inForce}, which is in force`)
+    return true
+  }
+
   private applyConfiguration(configuration: ServingConfiguration, source: string): void {
     if (configuration.version <= this.version) return
     this.routeTable = new RouteTable(configuration)
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -16,6 +16,7 @@
   EndpointDirectory,
   DirectoryPoller,
   OperatorCatalogue,
+  ReadFreshness,
 } from "./catalogue/index.js"
 import { Membership, Ownership } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
@@ -125,6 +126,7 @@
 }
 
 function registerCatalogue(container: DependencyContainer, { store, format }: EntryPorts): void {
+  registerCached(container, ReadFreshness, (c) => new ReadFreshness(c.resolve(ENTRY_TOKENS.clock)))
   registerCached(
     container,
     OperatorCatalogue,
@@ -152,6 +154,7 @@
         c.resolve(OperatorCatalogue),
         c.resolve(ENTRY_TOKENS.log),
         (peer) => fetchCatalogue(c.resolve(Ownership).instances.get(peer)?.peerAddress ?? peer),
+        c.resolve(ReadFreshness),
       ),
   )
   registerCached(
@@ -162,6 +165,7 @@
         store,
         format.registrationPrefix,
         c.resolve(EndpointDirectory),
+        c.resolve(ReadFreshness),
         c.resolve(ENTRY_TOKENS.settings).drainLimitMs,
         c.resolve(ENTRY_TOKENS.log),
       ),
@@ -191,6 +195,7 @@
         log: c.resolve(ENTRY_TOKENS.log),
         listEngines: () => c.resolve(Owner).listEngines(),
         isAlive: (id) => c.resolve(PeerLinks).isAlive(id),
+        getReadConsistency: () => c.resolve(ReadFreshness).consistency,
         fetchOwnerReports: () => c.resolve(PeerLinks).fetchOwnerReports(),
         onParts: (parts) => {
           c.resolve(PartGuard).onStored(parts)
--- a/packages/entry/src/fleet/ownership-confirmer.ts
+++ b/packages/entry/src/fleet/ownership-confirmer.ts
@@ -2,6 +2,7 @@
 import {
   type Clock,
   type EndpointId,
+  getEra,
   type InstanceId,
   type Millis,
   type StorePort,
@@ -17,6 +18,8 @@
   readonly ageMs: Millis
   /** Whether that instance can no longer reach the store. */
   readonly isStoreLost: boolean
+  /** The era of the store that it has read last. */
+  readonly era: number
   readonly owners: ReadonlyMap<EndpointId, OwnerRecord>
 }
 
@@ -32,6 +35,8 @@
   fetchOwnerReports(): Promise<readonly OwnerReport[]>
   /** Lists the other instances that the last read of the store showed. */
   listOthers(): readonly InstanceId[]
+  /** Called with the era of the store before owner records of it are applied. */
+  onEra(era: number): void
   /** Called with the owner records of a read of the store and the endpoints that this instance no longer owns. */
   onConfirmed(owners: ReadonlyMap<EndpointId, OwnerRecord>, lost: readonly EndpointId[]): void
 }
@@ -76,11 +81,11 @@
   }
 
   /** Returns the report of this instance for its peers; undefined before the first successful read. */
-  getReport(owners: ReadonlyMap<EndpointId, OwnerRecord>): OwnerReport | undefined {
+  getReport(owners: ReadonlyMap<EndpointId, OwnerRecord>, era: number): OwnerReport | undefined {
     if (this.readAt === undefined) return undefined
     const { clock, dependency } = this.deps
     const ageMs = clock.now() - this.readAt
-    return { from: this.self, ageMs, isStoreLost: dependency.isLost, owners }
+    return { from: this.self, ageMs, isStoreLost: dependency.isLost, era, owners }
   }
 
   /** Confirms the authority now. Does nothing if a confirmation is in progress. */
@@ -114,6 +119,7 @@
     const range = await store.readRange(OWNER_PREFIX, "latest", READ_TIMEOUT_MS)
     if (this.rejectIfSuspended()) return
     const { owners } = parseFleetRecords(range.items)
+    this.deps.onEra(getEra(range.revision))
     this.readAt = sentAt
     dependency.onSuccess()
     this.deps.onConfirmed(owners, authority.confirm(owners, sentAt))
@@ -123,8 +129,12 @@
   private async confirmByPeers(): Promise<void> {
     const { authority, clock, log } = this.deps
     const queriedAt = clock.now()
-    const reports = await this.deps.fetchOwnerReports()
+    const received = await this.deps.fetchOwnerReports()
     if (this.rejectIfSuspended()) return
+    const era = Math.max(...received.map((report) => report.era))
+    // What the peers have read of a later era doesn't confirm records of an earlier one.
+    authority.freezeEarlier(era)
+    const reports = received.filter((report) => report.era === era)
     const withStore = reports.filter(({ isStoreLost }) => !isStoreLost)
     for (const { ageMs, owners } of withStore) authority.confirmByPeer(owners, queriedAt - ageMs)
     if (!this.isStoreLostForAll(reports)) return
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -12,8 +12,10 @@
 import {
   type Clock,
   type EndpointId,
+  getEra,
   type InstanceId,
   type Millis,
+  type ReadConsistency,
   type StorePort,
   waitFor,
 } from "@galenaway/core"
@@ -21,6 +23,7 @@
 import type { PartState } from "@galenaway/routing"
 import { DependencyState } from "../catalogue/dependency.js"
 import { SkipLog } from "../catalogue/skip-log.js"
+import { OwnerRecords } from "./owner-records.js"
 import { OwnershipConfirmer, type OwnerReport } from "./ownership-confirmer.js"
 import {
   FLEET_PREFIX,
@@ -52,6 +55,8 @@
   isAlive(id: InstanceId): boolean
   /** Fetches the owner records of the other instances. Instances that don't answer are omitted. */
   fetchOwnerReports(): Promise<readonly OwnerReport[]>
+  /** Returns how consistent a regular read must be. */
+  getReadConsistency(): ReadConsistency
   /** Called after each read with the stored states of prompt parts. */
   onParts(parts: readonly PartState[]): void
   /** Called after each read with whether the registration of this process was listed. */
@@ -81,11 +86,16 @@
   private readonly startedAt: Millis
   private readonly seenAt = new Map<InstanceId, Millis>()
   private isStopping = false
+  private isClaimingAgain = false
   private listRevision = 0
   private instancesById: ReadonlyMap<InstanceId, RegisteredInstance> = new Map()
   /** The last known registration of each instance, including those that are missing now. */
   private readonly lastListed = new Map<InstanceId, RegisteredInstance>()
-  private recordsById = new Map<EndpointId, OwnerRecord>()
+  private readonly records = new OwnerRecords()
+  /** Time at which the store's current era was first seen. */
+  private eraSeenAt: Millis = -Infinity
+  /** Whether the store was restored since this process started. */
+  private hasSeenRestore = false
 
   constructor(
     private readonly self: RegisteredInstance,
@@ -98,12 +108,20 @@
     this.confirmer = new OwnershipConfirmer(self.id, {
       ...deps,
       dependency: this.dependency,
-      listOthers: () => [...this.instancesById.keys()].filter((id) => id !== self.id),
+      listOthers: () => this.listOthers(),
+      onEra: (era) => {
+        this.onEra(era)
+      },
       onConfirmed: (owners, lost) => {
         this.mergeRecords(owners)
         for (const endpoint of lost) this.notifyLost(endpoint)
+        void this.claimAgain()
       },
     })
+    deps.store.onRestore(() => {
+      void this.confirmer.confirm()
+      this.readNow()
+    })
   }
 
   /** The instances that the last read showed. */
@@ -113,14 +131,14 @@
 
   /** Finds the instance that is recorded as an engine's owner. Returns undefined if there is none or it is gone. */
   findOwner(endpoint: EndpointId): RegisteredInstance | undefined {
-    const record = this.recordsById.get(endpoint)
+    const record = this.records.find(endpoint)
     return record && this.findInstance(record.owner)
   }
 
   /** Lists the instances that are recorded as owners of engines. */
   listOwners(): ReadonlyMap<InstanceId, RegisteredInstance> {
     const owners = new Map<InstanceId, RegisteredInstance>()
-    for (const { owner } of this.recordsById.values()) {
+    for (const { owner } of this.records.all.values()) {
       const instance = owners.has(owner) ? undefined : this.findInstance(owner)
       if (instance) owners.set(owner, instance)
     }
@@ -129,7 +147,8 @@
 
   /** Returns the report of the last linearizable read for the peers; undefined before the first successful read. */
   getOwnerReport(): OwnerReport | undefined {
-    return this.confirmer.getReport(this.recordsById)
+    const own = this.listOwnRecords()
+    return this.confirmer.getReport(this.records.listValid(own), this.records.era)
   }
 
   /** Returns the fencing token for an order, or undefined if this instance may not send orders to the engine now. */
@@ -161,12 +180,9 @@
 
   private async writeHandovers(): Promise<void> {
     const { authority, log } = this.deps
-    const records = new Map(
-      authority.listEndpoints().flatMap((endpoint) => {
-        const record = authority.getRecord(endpoint)
-        return record ? [[endpoint, record] as const] : []
-      }),
-    )
+    // A record of an earlier era can't be handed over; it is claimed anew.
+    for (const endpoint of authority.listFrozen()) this.release(endpoint)
+    const records = new Map(this.listOwnRecords().map((record) => [record.endpoint, record]))
     const instances = [...this.instancesById.values()]
     const claims = planHandovers(this.self, instances, this.deps.listEngines(), records)
     // The next owner may send orders as soon as the claim is written.
@@ -212,9 +228,11 @@
   }
 
   private async poll(): Promise<void> {
-    const range = await this.deps.store.readRange(FLEET_PREFIX, "stale", STORE_TIMEOUT_MS)
+    const consistency = this.deps.getReadConsistency()
+    const range = await this.deps.store.readRange(FLEET_PREFIX, consistency, STORE_TIMEOUT_MS)
     if (range.revision < this.listRevision) return
     this.listRevision = range.revision
+    this.onEra(getEra(range.revision))
     const { instances, owners, parts, unreadable } = parseFleetRecords(range.items)
     for (const key of unreadable) this.skipLog.write(key, UNREADABLE_REASON)
     this.instancesById = instances
@@ -226,29 +244,77 @@
     await this.claim()
   }
 
-  /** Merges the records of a read with the known ones, since a read may show a record as it was before this process wrote it. */
   private mergeRecords(owners: ReadonlyMap<EndpointId, OwnerRecord>): void {
-    const merged = new Map(owners)
-    for (const [endpoint, known] of this.recordsById) {
-      const read = owners.get(endpoint)
-      if (!read || read.revision < known.revision) merged.set(endpoint, known)
+    this.records.merge(owners, this.listOwnRecords())
+    this.acquireHandedOver()
+  }
+
+  private listOwnRecords(): readonly OwnerRecord[] {
+    const { authority } = this.deps
+    return authority.listEndpoints().flatMap((endpoint) => authority.getRecord(endpoint) ?? [])
+  }
+
+  /** Handles the era of a read. In a later one, this instance's own engines must be claimed again. */
+  private onEra(era: number): void {
+    if (era <= this.records.era && this.eraSeenAt > -Infinity) return
+    const { authority, clock, log } = this.deps
+    const isRestored = this.eraSeenAt > -Infinity
+    const engines = authority.listEndpoints().length
+    if (isRestored)
+      log.warn({ era, before: this.records.era, engines }, "store restored from a copy")
+    this.hasSeenRestore ||= isRestored
+    this.eraSeenAt = clock.now()
+    this.records.startEra(era)
+    authority.freezeEarlier(era)
+  }
+
+  /** Time from which no permission of an earlier era is left. */
+  private get settledAt(): Millis {
+    return this.eraSeenAt + this.deps.authority.times.takeOverMs
+  }
+
+  /** Lists the other instances, after a restore also those whose registrations may be lost. */
+  private listOthers(): readonly InstanceId[] {
+    const isSettled = !this.hasSeenRestore || this.deps.clock.now() >= this.settledAt
+    const ids = isSettled ? this.instancesById.keys() : this.lastListed.keys()
+    return [...ids].filter((id) => id !== this.self.id)
+  }
+
+  /** Claims the engines again whose claims the restored store may have lost. */
+  private async claimAgain(): Promise<void> {
+    const { authority, log } = this.deps
+    const endpoints = authority.listFrozen()
+    if (endpoints.length === 0 || this.isClaimingAgain) return
+    if (this.isStopping) {
+      for (const endpoint of endpoints) this.release(endpoint)
+      return
     }
-    for (const endpoint of this.deps.authority.listEndpoints()) {
-      const own = this.deps.authority.getRecord(endpoint)
-      const read = merged.get(endpoint)
-      if (own && (!read || read.revision < own.revision)) merged.set(endpoint, own)
+    this.isClaimingAgain = true
+    const claims = endpoints.map((endpoint) => ({
+      endpoint,
+      owner: this.self,
+      before: this.records.find(endpoint),
+    }))
+    try {
+      await this.writeClaims(claims, false)
+    } catch (error) {
+      log.info({ engines: claims.length, err: error }, "engines not claimed again")
     }
-    this.recordsById = merged
-    this.acquireHandedOver()
+    this.isClaimingAgain = false
   }
 
   /** Acquires the engines that a stopping instance has handed over to this one. */
   private acquireHandedOver(): void {
     const { authority, clock, log } = this.deps
     if (this.isStopping) return
-    for (const [endpoint, record] of this.recordsById) {
+    for (const [endpoint, record] of this.records.all) {
       const isOwn = record.owner === this.self.id && record.incarnation === this.self.incarnation
-      if (!isOwn || authority.getRecord(endpoint)?.revision === record.revision) continue
+      if (
+        !isOwn ||
+        record.isRestored ||
+        authority.getRecord(endpoint)?.revision === record.revision
+      )
+        continue
       authority.add(record, record.isHandedOver, clock.now())
       log.info({ endpoint, token: record.revision }, "engine taken over from a stopping instance")
       this.emit("gained", endpoint)
@@ -258,7 +324,7 @@
   private async claim(): Promise<void> {
     if (this.isStopping) return
     const engines = this.deps.listEngines()
-    const claims = planClaims(this.self, this.listLive(), engines, this.recordsById)
+    const claims = planClaims(this.self, this.listLive(), engines, this.records.all)
     const allowed = claims.filter((claim) => this.canClaim(claim))
     for (let start = 0; start < allowed.length; start += MAX_CLAIMS_PER_TRANSACTION)
       await this.writeClaims(allowed.slice(start, start + MAX_CLAIMS_PER_TRANSACTION), false)
@@ -275,7 +341,7 @@
     const now = this.deps.clock.now()
     for (const id of this.instancesById.keys()) this.seenAt.set(id, now)
     this.seenAt.set(this.self.id, now)
-    const missing = [...this.recordsById.values()].flatMap(({ owner, incarnation }) => {
+    const missing = [...this.records.all.values()].flatMap(({ owner, incarnation }) => {
       if (this.instancesById.has(owner) || owner === this.self.id) return []
       const instance = this.findInstance(owner)
       if (instance) return [instance]
@@ -291,12 +357,16 @@
   private canClaim({ before }: OwnershipClaim): boolean {
     // A record whose revision can't be read can't be replaced, and would fail the claims beside it.
     if (before?.revision === 0) return false
-    const isStartupOver = this.deps.clock.now() - this.startedAt >= STARTUP_DELAY_MS
-    return isStartupOver || before?.owner === this.self.id
+    const now = this.deps.clock.now()
+    // After a restore, owners first claim their engines again.
+    const isOwnersTurn = this.hasSeenRestore && now - this.eraSeenAt < STARTUP_DELAY_MS
+    if (isOwnersTurn && (before === undefined || before.isRestored)) return false
+    return now - this.startedAt >= STARTUP_DELAY_MS || before?.owner === this.self.id
   }
 
   private async writeClaims(claims: readonly OwnershipClaim[], isHandedOver: boolean) {
     const { store, log } = this.deps
+    const { era } = this.records
     const result = await store.runTransaction(
       {
         conditions: claims.map(({ endpoint, before }) => ({
@@ -305,17 +375,18 @@
         })),
         puts: claims.map(({ endpoint, owner }) => ({
           key: formatOwnerKey(endpoint),
-          value: formatOwner(owner, isHandedOver),
+          value: formatOwner(owner, isHandedOver, era),
         })),
         removals: [],
       },
       STORE_TIMEOUT_MS,
     )
-    if (result.kind === "done") this.applyClaims(claims, result.revision, isHandedOver)
+    if (result.kind === "done" && getEra(result.revision) === era)
+      this.applyClaims(claims, result.revision, isHandedOver)
     else {
       log.info(
         { engines: claims.length },
-        "claims rejected, an owner record was changed by another instance",
+        "claims rejected, an owner record was changed by another instance or the store restored",
       )
       await this.confirmer.confirm()
     }
@@ -327,31 +398,43 @@
     isHandedOver: boolean,
   ): void {
     const { authority, clock, log } = this.deps
+    const frozen = new Set(authority.listFrozen())
     for (const { endpoint, owner, before } of claims) {
-      const record = {
-        endpoint,
-        owner: owner.id,
-        incarnation: owner.incarnation,
-        revision,
-        isHandedOver,
-      }
-      this.recordsById.set(endpoint, record)
-      if (owner.id !== this.self.id) continue
-      const canOrderAtOnce = before === undefined || before.owner === this.self.id
-      authority.add(record, canOrderAtOnce, clock.now())
+      const { id, incarnation } = owner
+      const base = { endpoint, owner: id, incarnation, revision }
+      const record: OwnerRecord = { ...base, isHandedOver, isRestored: false }
+      this.records.set(record)
+      if (id !== this.self.id) continue
       const from = before?.owner ?? "nobody"
-      log.info({ endpoint, token: revision, from, canOrderAtOnce }, "engine claimed")
+      if (frozen.has(endpoint)) {
+        authority.renew(record, this.settledAt, clock.now())
+        log.info({ endpoint, token: revision, from }, "engine claimed again after a restore")
+        continue
+      }
+      const activeFrom = this.getActiveFrom(before)
+      authority.addFrom(record, activeFrom)
+      const canOrderInMs = Math.round(Math.max(0, activeFrom - clock.now()))
+      log.info({ endpoint, token: revision, from, canOrderInMs }, "engine claimed")
       this.emit("gained", endpoint)
     }
   }
 
+  /** Returns from when on this instance may send orders to an engine that it claims now. */
+  private getActiveFrom(before: OwnerRecord | undefined): Millis {
+    const { clock, authority } = this.deps
+    const now = clock.now()
+    // Without a valid record, an owner of an earlier era is the only one that may still send orders.
+    if (before === undefined || before.isRestored) return Math.max(now, this.settledAt)
+    return before.owner === this.self.id ? now : now + authority.times.takeOverMs
+  }
+
   private release(endpoint: EndpointId): void {
     this.deps.authority.remove(endpoint)
     this.emit("lost", endpoint)
   }
 
   private notifyLost(endpoint: EndpointId): void {
-    const owner = this.recordsById.get(endpoint)?.owner ?? "nobody"
+    const owner = this.records.find(endpoint)?.owner ?? "nobody"
     this.deps.log.warn({ endpoint, owner }, "engine lost to another owner")
     this.emit("lost", endpoint)
   }
--- a/packages/entry/src/fleet/records.ts
+++ b/packages/entry/src/fleet/records.ts
@@ -1,7 +1,13 @@
 import { createHash } from "node:crypto"
 import { z } from "zod"
 import type { LiveInstance, OwnerRecord } from "@galenaway/coordination"
-import { type EndpointId, type InstanceId, isHostAddress, type StoreItem } from "@galenaway/core"
+import {
+  type EndpointId,
+  getEra,
+  type InstanceId,
+  isHostAddress,
+  type StoreItem,
+} from "@galenaway/core"
 import type { PartId, PartState } from "@galenaway/routing"
 
 /** Prefix of all items that the instances write to the store for their own coordination. */
@@ -47,12 +53,14 @@
 })
 
 /** The owner in a record that can't be parsed: no instance has this id. */
-const NO_OWNER = { owner: "", incarnation: "", isHandedOver: false }
+const NO_OWNER = { owner: "", incarnation: "", isHandedOver: false, isRestored: false }
 
 const OWNER_SCHEMA = z.object({
   owner: z.string(),
   incarnation: z.string(),
   isHandedOver: z.boolean(),
+  /** The era of the store in which the record was written. */
+  era: z.number().default(0),
 })
 
 /**
@@ -115,10 +123,10 @@
   return OWNER_PREFIX + endpoint
 }
 
-/** Formats an owner record as a stored value. */
-export function formatOwner(owner: LiveInstance, isHandedOver: boolean): Buffer {
+/** Formats an owner record that is written in an era of the store as a stored value. */
+export function formatOwner(owner: LiveInstance, isHandedOver: boolean, era: number): Buffer {
   const { id, incarnation } = owner
-  return Buffer.from(JSON.stringify({ owner: id, incarnation, isHandedOver }))
+  return Buffer.from(JSON.stringify({ owner: id, incarnation, isHandedOver, era }))
 }
 
 function parsePart({ key, value }: StoreItem): PartState | undefined {
@@ -129,10 +137,21 @@
 function addOwner(owners: Map<EndpointId, OwnerRecord>, item: StoreItem): boolean {
   const parsed = parseJson(OWNER_SCHEMA, item.value)
   const endpoint = item.key.slice(OWNER_PREFIX.length)
-  owners.set(endpoint, { endpoint, ...(parsed ?? NO_OWNER), revision: item.revision })
+  owners.set(endpoint, {
+    endpoint,
+    ...(parsed ? decodeOwner(parsed, item.revision) : NO_OWNER),
+    revision: item.revision,
+  })
   return parsed !== undefined
 }
 
+function decodeOwner(
+  { owner, incarnation, isHandedOver, era }: z.infer<typeof OWNER_SCHEMA>,
+  revision: number,
+) {
+  return { owner, incarnation, isHandedOver, isRestored: era < getEra(revision) }
+}
+
 function addInstance(instances: Map<InstanceId, RegisteredInstance>, item: StoreItem): boolean {
   if (!item.key.startsWith(INSTANCE_PREFIX)) return false
   const parsed = parseJson(INSTANCE_SCHEMA, item.value)
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -268,7 +268,7 @@
 function formatOwnerReport(report: OwnerReport | undefined): OwnersReply {
   return report
     ? { isKnown: true, ...report, owners: [...report.owners.values()] }
-    : { isKnown: false, ageMs: 0, isStoreLost: false, owners: [] }
+    : { isKnown: false, ageMs: 0, isStoreLost: false, era: 0, owners: [] }
 }
 
 function formatOutcome(outcome: LoadOutcome): LoadReply {
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -139,10 +139,13 @@
         )
         return []
       }
-      const { isKnown, ageMs, isStoreLost, owners } = reply.value
+      const { isKnown, ageMs, isStoreLost, era, owners } = reply.value
       const from = links[index]?.peer ?? ""
-      const records = new Map(owners.map((owner) => [owner.endpoint, owner]))
-      return isKnown ? [{ from, ageMs, isStoreLost, owners: records }] : []
+      // Peers report no restored records.
+      const records = new Map(
+        owners.map((owner) => [owner.endpoint, { ...owner, isRestored: false }]),
+      )
+      return isKnown ? [{ from, ageMs, isStoreLost, era, owners: records }] : []
     })
   }
 
--- a/packages/entry/test/catalogue.test.ts
+++ b/packages/entry/test/catalogue.test.ts
@@ -1,12 +1,13 @@
 import { expect } from "chai"
-import type { StorePort } from "@galenaway/core"
+import { encodeRevision, type StorePort } from "@galenaway/core"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
   OperatorCatalogue,
+  ReadFreshness,
   SkipLog,
 } from "@galenaway/entry"
-import { createManualClock } from "@galenaway/fakes"
+import { createManualClock, LeaseStore } from "@galenaway/fakes"
 import { createLog } from "@galenaway/observe"
 import { VersionTable } from "@galenaway/routing"
 import { buildEntry, buildItem, format, log } from "./support.js"
@@ -100,10 +101,19 @@
   const store = createFailingStore()
   const fetched: string[] = []
   const catalogue = createCatalogue()
-  const watcher = new ConfigurationWatcher(store.port, format, catalogue, log, (peer) => {
+  const fetchFromPeer = (peer: string) => {
     fetched.push(peer)
     return Promise.resolve([buildItem("op/config", { version: 9 }, 3), buildEntry("e", 4)])
-  })
+  }
+  const freshness = new ReadFreshness(createManualClock())
+  const watcher = new ConfigurationWatcher(
+    store.port,
+    format,
+    catalogue,
+    log,
+    fetchFromPeer,
+    freshness,
+  )
   watcher.start()
   await Promise.resolve()
   await new Promise((resolve) => setImmediate(resolve))
@@ -121,6 +131,7 @@
   const state = {
     reads: 0,
     port: {
+      onRestore: () => undefined,
       readRange: () => {
         state.reads++
         return Promise.reject(new Error("store down"))
@@ -172,3 +183,88 @@
   const clock = createManualClock()
   return { directory: new EndpointDirectory(format, clock, log), clock }
 }
+
+it("a configuration that is written after a restore is applied though its revision is lower, an older one isn't", () => {
+  const catalogue = createCatalogue()
+  catalogue.apply(buildItem("op/config", { version: 7 }, encodeRevision(2, 900)), "watch")
+  catalogue.apply(buildItem("op/config", { version: 5 }, encodeRevision(3, 40)), "read")
+  expect(catalogue.version).to.equal(7)
+  expect(catalogue.listItems().map(({ revision }) => revision)).to.deep.equal([
+    encodeRevision(2, 900),
+  ])
+  catalogue.apply(buildItem("op/config", { version: 8 }, encodeRevision(3, 41)), "read")
+  expect(catalogue.version).to.equal(8)
+})
+
+it("a restored list keeps endpoints that it lacks for two seconds, and holds back those that were gone", async () => {
+  const { directory, clock } = createDirectory()
+  directory.apply([buildEntry("e", 1, { startedAt: 5 }), buildEntry("f", 2)], 3)
+  directory.apply([buildEntry("f", 2), buildEntry("g", 4)], 4)
+  const copy = [buildEntry("e", encodeRevision(1, 1), { startedAt: 5 })]
+  const list = () => directory.listLive("s").map(({ id }) => id)
+  directory.apply(copy, encodeRevision(1, 2))
+  expect(list()).to.deep.equal(["f", "g"])
+  await clock.advance(1999)
+  directory.apply(copy, encodeRevision(1, 3))
+  expect(list()).to.deep.equal(["f", "g"])
+  await clock.advance(1)
+  directory.apply(copy, encodeRevision(1, 4))
+  expect(list()).to.deep.equal([])
+  await clock.advance(3000)
+  directory.apply(copy, encodeRevision(1, 5))
+  expect(list()).to.deep.equal(["e"])
+})
+
+it("an endpoint that has started again doesn't return to its earlier process with a restored list", () => {
+  const { directory } = createDirectory()
+  directory.apply([buildEntry("e", 9, { startedAt: 8, address: "127.0.0.1:8" })], 9)
+  directory.apply([buildEntry("e", encodeRevision(1, 3), { startedAt: 5 })], encodeRevision(1, 3))
+  expect(directory.find("e")?.address).to.equal("127.0.0.1:8")
+})
+
+it("a restored store is read again at once, without the end of the running watch", async () => {
+  const clock = createManualClock()
+  const store = new LeaseStore(() => clock.now())
+  store.put("op/config", { version: 1 })
+  const catalogue = createCatalogue()
+  const freshness = new ReadFreshness(clock)
+  const fetchFromPeer = () => Promise.resolve([])
+  const watcher = new ConfigurationWatcher(store, format, catalogue, log, fetchFromPeer, freshness)
+  store.watchRange = () => new Promise(() => undefined)
+  watcher.start()
+  await new Promise((resolve) => setImmediate(resolve))
+  expect(catalogue.version).to.equal(1)
+  const copy = store.takeCopy()
+  expect(freshness.consistency).to.equal("stale")
+  store.restore(copy)
+  store.put("op/config", { version: 2 })
+  await new Promise((resolve) => setImmediate(resolve))
+  watcher.stop()
+  expect(catalogue.version).to.equal(2)
+  expect(freshness.consistency).to.equal("latest")
+  await clock.advance(5000)
+  expect(freshness.consistency).to.equal("stale")
+})
+
+it("an instance that starts before a restored store has the newest configuration fetches it from a peer", async () => {
+  const store = new LeaseStore(() => 0)
+  store.put("op/config", { version: 3 })
+  const catalogue = createCatalogue()
+  const items = [buildItem("op/config", { version: 9 }, encodeRevision(0, 30))]
+  const watcher = new ConfigurationWatcher(
+    store,
+    format,
+    catalogue,
+    log,
+    () => Promise.resolve(items),
+    new ReadFreshness(createManualClock()),
+  )
+  watcher.start()
+  await new Promise((resolve) => setImmediate(resolve))
+  expect(catalogue.version).to.equal(3)
+  const handled = watcher.onPeerVersion(9, "p")
+  await new Promise((resolve) => setImmediate(resolve))
+  watcher.stop()
+  await handled
+  expect(catalogue.version).to.equal(9)
+})
--- a/packages/entry/test/owner.test.ts
+++ b/packages/entry/test/owner.test.ts
@@ -97,7 +97,7 @@
 })
 
 it("unreadable fleet items are listed and the others are parsed", () => {
-  const owner = { owner: "i", incarnation: "n", isHandedOver: false }
+  const owner = { owner: "i", incarnation: "n", isHandedOver: false, isRestored: false }
   const { owners, unreadable } = parseFleetRecords([
     buildItem("galenaway/owners/e", owner, 9),
     buildItem("galenaway/owners/f", { owner: 1 }, 10),
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -15,6 +15,9 @@
 
 const MICROTASK_TURN_COUNT = 50
 const STARTUP_DELAY_MS = 2500
+/** Time after which ownership is confirmed again, and the interval at which that is checked, with a margin. */
+const CONFIRM_INTERVAL_MS = 1000
+const CONFIRM_POLL_MS = 200
 /** Time after which an owner that isn't listed counts as gone. */
 const FORGET_OWNER_MS = 400
 
@@ -67,7 +70,7 @@
   ownership.stop()
   expect(gained).to.have.members(["own", "other"])
   const { items } = await store.readRange(formatOwnerKey("own"))
-  expect(items[0]?.value).to.deep.equal(formatOwner(buildInstance("i", "now"), false))
+  expect(items[0]?.value).to.deep.equal(formatOwner(buildInstance("i", "now"), false, 0))
 })
 
 it("an owner record whose revision can't be read delays no other claim", async () => {
@@ -105,6 +108,47 @@
   expect([...ownership.instances.keys()]).to.deep.equal([])
 })
 
+it("after a restore an owner claims its engines again, and others wait before they take over", async () => {
+  const { ownership, store, gained, lost, clock } = createOwnership()
+  await putOwner(store, "own", buildInstance("i", "earlier"))
+  ownership.start()
+  await runMicrotasks()
+  expect(gained).to.deep.equal(["own"])
+  const copy = store.takeCopy()
+  await putOwner(store, "other", buildInstance("j", "j1"))
+  store.restore(copy)
+  await runMicrotasks()
+  const { items } = await store.readRange(formatOwnerKey("own"))
+  expect(items[0]?.value).to.deep.equal(formatOwner(buildInstance("i", "now"), false, 1))
+  ownership.readNow()
+  await runMicrotasks()
+  expect((await store.readRange(formatOwnerKey("other"))).items).to.deep.equal([])
+  await clock.advance(STARTUP_DELAY_MS)
+  ownership.readNow()
+  await runMicrotasks()
+  ownership.stop()
+  expect(gained).to.deep.equal(["own", "other"])
+  expect(lost).to.deep.equal([])
+})
+
+it("an owner whose claim a restore has lost doesn't replace a claim that another instance made since", async () => {
+  const { ownership, store, gained, lost, clock } = createOwnership()
+  await putOwner(store, "own", buildInstance("i", "earlier"))
+  const copy = store.takeCopy()
+  ownership.start()
+  await runMicrotasks()
+  expect(gained).to.deep.equal(["own"])
+  store.restore(copy)
+  await putOwner(store, "own", buildInstance("j", "j1"), 1)
+  await runMicrotasks()
+  await clock.advance(CONFIRM_INTERVAL_MS)
+  await new Promise((resolve) => setTimeout(resolve, CONFIRM_POLL_MS))
+  ownership.stop()
+  expect(lost).to.deep.equal(["own"])
+  const { items } = await store.readRange(formatOwnerKey("own"))
+  expect(items[0]?.value).to.deep.equal(formatOwner(buildInstance("j", "j1"), false, 1))
+})
+
 /** Starts reading and claiming, and waits until claims after the startup delay are written. */
 async function pollAfterStartup(ownership: Ownership, clock: ManualClock): Promise<void> {
   ownership.start()
@@ -127,6 +171,7 @@
     log,
     listEngines: () => ["own", "other"].map((id) => ({ id, dataCentre: "dc" })),
     isAlive: () => false,
+    getReadConsistency: () => "stale",
     fetchOwnerReports: () => Promise.resolve([]),
     onListed: () => undefined,
     onParts: () => undefined,
@@ -146,8 +191,9 @@
   store: LeaseStore,
   endpoint: string,
   owner: RegisteredInstance,
+  era = 0,
 ): Promise<void> {
-  const put = { key: formatOwnerKey(endpoint), value: formatOwner(owner, false) }
+  const put = { key: formatOwnerKey(endpoint), value: formatOwner(owner, false, era) }
   await store.runTransaction({ conditions: [], puts: [put], removals: [] })
 }
 
--- a/packages/fakes/src/lease-store.ts
+++ b/packages/fakes/src/lease-store.ts
@@ -48,6 +48,7 @@
   private history: StoreEvent[] = []
   private compactedRevision = 0
   private readonly waiters = new Set<() => void>()
+  private readonly restoreListeners: (() => void)[] = []
 
   /** `now` returns the time in milliseconds by which leases expire. */
   constructor(
@@ -57,6 +58,10 @@
     this.revision = encodeRevision(firstEra, 1)
   }
 
+  onRestore(listener: () => void): void {
+    this.restoreListeners.push(listener)
+  }
+
   /** The era, which rises by one each time that the store is restored. */
   get era(): number {
     return getEra(this.revision)
@@ -162,6 +167,7 @@
     this.history = []
     this.compactedRevision = this.revision
     this.notifyWaiters()
+    for (const listener of this.restoreListeners) listener()
   }
 
   private apply({ conditions, puts, removals }: Transaction): TransactionResult {
