Let answers that are being written finish in a stop

What callers saw: an answer that the instance had ended, but that its caller still read, was cut at two moments of a planned stop; a request that had arrived on an idle connection just before it closed was reset.

Cause: the HTTP server's close() destroys connections whose answer has been ended though its bytes aren't written yet, and connections whose bytes it hasn't read; a request counted as in progress only until its answer was ended, after which all connections were closed.

Change: the caller server closes a connection only if it has no open answer and no byte has arrived since its last request, after two turns of the event loop in which waiting bytes are read. A request is in progress until its answer has been written. The stop waits, up to its limit, for connections on which a request still arrives; the header timeout still applies to them.

--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -34,7 +34,7 @@
     for (const disconnect of this.disconnects) disconnect.abort(new StopLimitError())
   }
 
-  /** Handles one request. Resolves when its answer has been written or aborted; never rejects. */
+  /** Handles one request. Resolves when its answer has been written to the connection, or aborted; never rejects. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.inFlightCount++
     const reply = new CallerReply(
@@ -48,9 +48,10 @@
       this.context.log.write({ err: formatError(error) }, "internal error while serving a request")
       // The call may have been sent before the error.
       reply.sendError(buildUnknownOutcome("internal error"))
-    } finally {
-      this.inFlightCount--
     }
+    // A caller that reads slowly receives its answer after the call has ended.
+    await waitForClose(response)
+    this.inFlightCount--
   }
 
   private async serve(
@@ -142,6 +143,16 @@
   }
 }
 
+function waitForClose(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    if (response.closed) resolve()
+    else
+      response.once("close", () => {
+        resolve()
+      })
+  })
+}
+
 function formatError(error: unknown): string {
   return error instanceof Error ? (error.stack ?? error.message) : String(error)
 }
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -175,9 +175,11 @@
   schedule.begin()
   const handover = handOverEngines(container, log)
   await waitFor(schedule.getMsUntilRefusal())
-  container.resolve(CallerServer).close()
+  const callers = container.resolve(CallerServer)
+  await callers.close()
   const handler = container.resolve(ForwardHandler)
-  while (handler.runningCount > 0 && schedule.getMsUntilEnd() > 0) await waitFor(DRAIN_POLL_MS)
+  const isServing = () => handler.runningCount > 0 || callers.connectionCount > 0
+  while (isServing() && schedule.getMsUntilEnd() > 0) await waitFor(DRAIN_POLL_MS)
   await endRequests(container, log)
   const stopped = Promise.all([stopBackgroundTasks(container), handover])
   await Promise.race([stopped, waitFor(schedule.getMsUntilKill() - EXIT_MARGIN_MS)])
--- a/packages/entry/src/server.ts
+++ b/packages/entry/src/server.ts
@@ -1,5 +1,6 @@
-import { createServer, type Server } from "node:http"
-import type { Socket } from "node:net"
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http"
+import { Server as NetServer, type Socket } from "node:net"
+import { setImmediate as waitForTurn } from "node:timers/promises"
 import type { CallerLimits } from "@galenaway/core"
 import type { ForwardHandler } from "./forward/index.js"
 
@@ -11,11 +12,20 @@
 const NO_REQUEST_TIMEOUT = 0
 const CONNECTION_BACKLOG_COUNT = 1024
 const TIMEOUT_CHECK_INTERVAL_MS = 1000
+/** Turns of the event loop after which what had arrived on a connection has been read. */
+const TURNS_TO_READ = 2
+
+interface CallerConnection {
+  /** Number of requests whose answers have not been written to their end. */
+  openCount: number
+  /** Number of bytes that had arrived at the end of the last request. */
+  usedBytes: number
+}
 
 /** The HTTP server that callers send their requests to. */
 export class CallerServer {
   private readonly server: Server
-  private readonly sockets = new Set<Socket>()
+  private readonly connections = new Map<Socket, CallerConnection>()
 
   constructor(handler: ForwardHandler) {
     this.server = createServer(
@@ -29,12 +39,13 @@
         requireHostHeader: false,
       },
       (request, response) => {
+        this.onRequest(request, response)
         void handler.handle(request, response)
       },
     )
     this.server.on("connection", (socket) => {
-      this.sockets.add(socket)
-      socket.once("close", () => this.sockets.delete(socket))
+      this.connections.set(socket, { openCount: 0, usedBytes: 0 })
+      socket.once("close", () => this.connections.delete(socket))
     })
   }
 
@@ -55,11 +66,35 @@
     this.server.keepAliveTimeout = idleTimeoutMs
   }
 
-  /** Stops accepting connections and closes idle ones. */
-  close(): void {
-    this.server.close()
-    // The server counts a connection without any request as active until the header timeout.
-    for (const socket of this.sockets) if (socket.bytesRead === 0) socket.destroy()
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.connections.size
+  }
+
+  /** Stops accepting connections, and closes those on which nothing of a request has arrived. Resolves when these are closed. */
+  async close(): Promise<void> {
+    // The method of the HTTP server would also close connections whose answers are still being written.
+    NetServer.prototype.close.call(this.server)
+    for (let turn = 0; turn < TURNS_TO_READ; turn++) await waitForTurn()
+    this.closeIdleConnections()
+  }
+
+  private closeIdleConnections(): void {
+    for (const [socket, { openCount, usedBytes }] of this.connections)
+      if (openCount === 0 && socket.bytesRead === usedBytes) socket.destroy()
+  }
+
+  private onRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { socket } = request
+    const connection = this.connections.get(socket)
+    if (!connection) return
+    connection.openCount++
+    request.once("end", () => {
+      connection.usedBytes = socket.bytesRead
+    })
+    response.once("close", () => {
+      connection.openCount--
+    })
   }
 
   /** Closes all connections at once; requests in progress fail. */
--- a/packages/entry/test/handler.test.ts
+++ b/packages/entry/test/handler.test.ts
@@ -1,24 +1,53 @@
 import { createServer } from "node:http"
-import type { AddressInfo } from "node:net"
+import { type AddressInfo, connect } from "node:net"
 import { expect } from "chai"
 import { type ForwardContext, ForwardHandler, StopSchedule } from "@galenaway/entry"
-import { createManualClock } from "@galenaway/fakes"
+import { waitFor } from "@galenaway/core"
+import { createManualClock, flushPromises } from "@galenaway/fakes"
 
-it("an internal error is never answered as a request that hasn't run", async () => {
-  const context = {
-    catalogue: {
-      routes: {
-        findRoute: () => {
-          throw new Error("broken table")
-        },
+const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+/** More than the buffers of a connection hold. */
+const LARGE_BYTES = 16 * 1024 * 1024
+const CONTEXT = {
+  catalogue: {
+    routes: {
+      findRoute: () => {
+        throw new Error("broken table")
       },
     },
-    headerCodec: { readRequest: () => ({}), buildAnswer: () => [] },
-    clock: { now: () => 0 },
-    log: { write: () => undefined },
-    stop: new StopSchedule(createManualClock(), 8000),
+  },
+  headerCodec: { readRequest: () => ({}), buildAnswer: () => [] },
+  clock: { now: () => 0 },
+  log: { write: () => undefined },
+  stop: new StopSchedule(createManualClock(), 8000),
+} as unknown as ForwardContext
+
+it("a request is in progress until its answer has been written to the connection", async () => {
+  const handler = new ForwardHandler(CONTEXT)
+  let requestCount = 0
+  const server = createServer((request, response) => {
+    if (requestCount++ === 0) response.end(Buffer.alloc(LARGE_BYTES))
+    else void handler.handle(request, response)
+  })
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
+  const socket = connect((server.address() as AddressInfo).port, "127.0.0.1")
+  try {
+    // The second answer waits until the caller has read the first.
+    socket.write(REQUEST + REQUEST)
+    while (requestCount < 2) await waitFor(1)
+    await flushPromises()
+    expect(handler.runningCount).to.equal(1)
+    socket.resume()
+    while (handler.runningCount > 0) await waitFor(1)
+  } finally {
+    socket.destroy()
+    server.closeAllConnections()
+    server.close()
   }
-  const handler = new ForwardHandler(context as unknown as ForwardContext)
+})
+
+it("an internal error is never answered as a request that hasn't run", async () => {
+  const handler = new ForwardHandler(CONTEXT)
   const server = createServer((request, response) => {
     void handler.handle(request, response)
   })
