Don't send calls that can't end before a stopping instance

What callers saw: a stream that was too long for the rest of a planned stop was passed on and broken off at its limit, though another instance could have served it to its end. A call that waited for an endpoint late in the stop was passed on, too.

Cause: a call was sent whenever its own deadline allowed it.

Change: before each send, a call that can't end before the limit is refused with not-run (with an unknown outcome after a send that may have run). How long it runs is, for streams, what the pace table of the service has measured for its tokens (the mean run if the tokens are unknown), at most until its deadline; the speed of events is a low quantile, so that few streams that would have ended are refused. For other calls it is the latency objective, applied only to calls that still wait after the load balancer's last connections: how far runs stay below their objectives isn't measured, and bookings that would have ended must not be refused. Answers that have begun are continued.

The part for other calls than streams has no test of its own.

--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -7,6 +7,7 @@
   type Route,
   type ServiceName,
 } from "@galenaway/core"
+import type { PaceEstimator } from "@galenaway/policy"
 import type { PartId } from "@galenaway/routing"
 
 /** A caller's request with its complete body and its route. */
@@ -51,6 +52,20 @@
   }
 }
 
+/**
+ * Estimates how long an endpoint runs a call, at most until its deadline: for a
+ * stream the measured pace of its service, which is its mean run if the number
+ * of tokens is unknown, and for other calls the latency objective.
+ */
+export function estimateRunMs(call: Call, pace: PaceEstimator, now: Millis): Millis {
+  const { facts, route, deadline } = call
+  const { promptTokens, outputTokens } = facts
+  const tokensMs =
+    pace.firstTokenMs + pace.estimatePromptMs(promptTokens) + outputTokens * pace.eventMs
+  const streamMs = outputTokens > 0 ? tokensMs : pace.runMs
+  return Math.min(isStream(call) ? streamMs : route.objectiveMs, deadline - now)
+}
+
 /** Returns whether the answer to a call is an event stream. */
 export function isStream({ route }: Call): boolean {
   switch (route.kind) {
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -1,7 +1,15 @@
 import { type ErrorCode, type Millis, waitFor } from "@galenaway/core"
 import type { AttemptResult, AttemptTimeouts, CompleteAnswer, Destination } from "./answer.js"
 import { Attempt } from "./attempt.js"
-import { type Call, describeCall, getRank, isRetryable, isStopLimit, isStream } from "./call.js"
+import {
+  type Call,
+  describeCall,
+  estimateRunMs,
+  getRank,
+  isRetryable,
+  isStopLimit,
+  isStream,
+} from "./call.js"
 import type { ForwardContext } from "./context.js"
 import { type DestinationResult, DestinationSearch } from "./destinations.js"
 import {
@@ -89,6 +97,7 @@
   private async runStep(): Promise<NextAction> {
     if (this.call.disconnectSignal.aborted) return this.endCall()
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
+    if (!this.canEndInTime()) return this.reject(STOPPING.message, undefined, STOPPING.code)
     const held = this.checkParts()
     if (held) return held
     const search = await this.findDestination()
@@ -96,6 +105,7 @@
     if (search.kind === "none") return this.waitForEndpoint(search.reason)
     if (search.kind === "overloaded") return this.rejectOverload(search.waitMs)
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
+    if (!this.canEndInTime()) return this.reject(STOPPING.message, undefined, STOPPING.code)
     // The wait for admission or a load may have been long.
     const heldMeanwhile = this.checkParts()
     if (heldMeanwhile) return heldMeanwhile
@@ -103,6 +113,15 @@
     return this.send(search.destination)
   }
 
+  /** Returns whether the call ends before this instance does. The rest of an answer that has begun is always tried. */
+  private canEndInTime(): boolean {
+    const { context, call } = this
+    if (!context.stop.isStopping || this.stream.hasStarted) return true
+    const now = context.clock.now()
+    const runMs = estimateRunMs(call, context.paces.get(call.service), now)
+    return isStream(call) || !context.stop.canTake() ? context.stop.canSend(runMs) : true
+  }
+
   /** Finds the next endpoint. The wait ends when the instance ends its calls, since a load can't be cancelled. */
   private findDestination(): Promise<DestinationResult | "disconnected"> {
     const { disconnectSignal } = this.call
