Endpoints that state in an answer that they leave get no more requests

Callers saw requests sent to endpoints that were about to exit, and an instance that couldn't reach the store went on sending to them. Cause: leaving was learned from the store only; the decoded flag came from Connection: close, which occurs for other reasons too, and nothing used it.

Every answer counts that is the endpoint's own, refusals included. The directory keeps the lifetime (id and start) as leaving until a later start, or until it was removed for ten minutes; neither a read that still lists it as live nor a registration without a start brings it back. Owners send a leaving engine no orders and refuse its loads; a stream that is resumed after a load checks its engine again. An instance sends what it found to three collectors once, which publish it to their followers once.

--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -206,6 +206,7 @@
   /** Whether the answer carries the endpoint's signature. */
   readonly isSigned: boolean
   readonly hasEncodedBody: boolean
+  /** Whether the endpoint that answered states that it is leaving. */
   readonly isLeaving: boolean
   readonly load: ReportedLoad | undefined
 }
--- a/packages/entry/src/catalogue/directory.ts
+++ b/packages/entry/src/catalogue/directory.ts
@@ -9,10 +9,13 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import type { CatalogueFormat } from "./format.js"
+import { type EndpointLifetime, isLaterStart, LeavingEndpoints } from "./leaving-endpoints.js"
 
 interface DirectoryEvents {
   /** An endpoint is new, or its process has restarted. */
   started: [Registration]
+  /** An endpoint that was live is leaving. */
+  leaving: [Registration]
   /** An endpoint was removed. */
   gone: [Registration]
   /** The list was replaced, changed or not. Emitted after the other events. */
@@ -35,6 +38,7 @@
   private outageEndedAt: Millis = -Infinity
   private isStoreDown = false
   private readonly skippedRevisions = new Map<string, number>()
+  private readonly leaving = new LeavingEndpoints()
 
   constructor(
     private readonly format: CatalogueFormat,
@@ -69,6 +73,28 @@
     return [...this.entries.values()].map(({ item }) => item)
   }
 
+  /**
+   * Records that an endpoint is leaving, as one of its answers or a peer shows. Its
+   * lifetime stays leaving whatever its registration says. Returns whether the
+   * lifetime was taken for live until now.
+   */
+  addLeaving(lifetime: EndpointLifetime): boolean {
+    const entry = this.entries.get(lifetime.id)
+    if (entry && isLaterStart(entry.registration.startedAt, lifetime.startedAt)) return false
+    if (!this.leaving.add(lifetime, this.clock.now())) return false
+    if (entry?.registration.phase !== "live") return false
+    const registration: Registration = { ...entry.registration, phase: "leaving" }
+    this.entries.set(lifetime.id, { ...entry, registration })
+    this.byService = groupLiveByService(this.entries)
+    this.emit("leaving", registration)
+    return true
+  }
+
+  /** Lists the registered endpoints that are known since `maxAgeMs` ago or later to be leaving. */
+  listLeaving(maxAgeMs: Millis): readonly EndpointLifetime[] {
+    return this.leaving.listSince(this.clock.now() - maxAgeMs)
+  }
+
   /** Records that a read of the store failed. */
   onOutage(): void {
     this.isStoreDown = true
@@ -102,10 +128,16 @@
     }
     const entry = this.format.readRegistration(item)
     if (entry.kind === "registration")
-      next.set(entry.registration.id, { registration: entry.registration, item })
+      next.set(entry.registration.id, { registration: this.checkPhase(entry.registration), item })
     else this.logSkipped(item, entry.reason)
   }
 
+  /** Returns a registration with its actual phase: a lifetime that was leaving once isn't live any more. */
+  private checkPhase(registration: Registration): Registration {
+    if (registration.phase === "leaving") this.leaving.add(registration, this.clock.now())
+    return this.leaving.has(registration) ? { ...registration, phase: "leaving" } : registration
+  }
+
   private logSkipped({ key, revision }: StoreItem, reason: string): void {
     if (this.skippedRevisions.get(key) === revision) return
     this.skippedRevisions.set(key, revision)
@@ -120,11 +152,11 @@
     const before = this.entries
     this.entries = next
     this.byService = groupLiveByService(next)
+    this.leaving.update((id) => this.find(id), this.clock.now())
     for (const [id, { registration }] of next) {
       const known = before.get(id)?.registration
       if (!known || known.startedAt !== registration.startedAt) this.emit("started", registration)
-      if (known && known.phase !== registration.phase)
-        this.log.info({ endpoint: id, phase: registration.phase }, "endpoint changed phase")
+      if (known && known.phase !== registration.phase) this.onPhaseChanged(registration)
     }
     for (const [id, { registration }] of before)
       if (!next.has(id)) {
@@ -133,6 +165,12 @@
       }
     this.emit("read")
   }
+
+  private onPhaseChanged(registration: Registration): void {
+    const { id, phase } = registration
+    this.log.info({ endpoint: id, phase }, "endpoint changed phase")
+    if (phase === "leaving") this.emit("leaving", registration)
+  }
 }
 
 function groupLiveByService(
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -19,7 +19,13 @@
 } from "./catalogue/index.js"
 import { Membership, Ownership } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
-import { fetchCatalogue, PeerLinks, LinkServer, AdapterUseTable } from "./links/index.js"
+import {
+  AdapterUseTable,
+  fetchCatalogue,
+  LeavingReports,
+  LinkServer,
+  PeerLinks,
+} from "./links/index.js"
 import { Owner } from "./owner/index.js"
 import { PartGuard, PartStore } from "./quarantine/index.js"
 import { RequestLog } from "./request-log.js"
@@ -28,6 +34,7 @@
 import { ENTRY_TOKENS, type EntryPorts } from "./tokens.js"
 import {
   createForwardContext,
+  createLeavingReports,
   createLinks,
   createLinkServer,
   createOwner,
@@ -204,6 +211,7 @@
   registerCached(container, Owner, (c) => createOwner(c, engineClient))
   registerCached(container, LinkServer, createLinkServer)
   registerCached(container, PeerLinks, createLinks)
+  registerCached(container, LeavingReports, createLeavingReports)
   registerCached(container, PartGuard, createPartGuard)
   registerCached(
     container,
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -183,6 +183,7 @@
     this.status = status
     this.headMs = Math.round(now - this.startedAt)
     this.clearPending()
+    this.reportNotices(facts)
     const cause = this.findNotRunCause(facts)
     if (cause) {
       this.notRunCause = cause
@@ -200,6 +201,19 @@
     this.sink.onHead(status, headers)
   }
 
+  /** Reports what the endpoint states about itself, in whatever answer. */
+  private reportNotices(facts: AnswerMetadata): void {
+    const { context, destination } = this
+    if (!this.isFromDestination(facts)) return
+    if (facts.isLeaving) context.onLeaving(destination.endpoint)
+  }
+
+  /** Returns whether the endpoint itself has answered. A misdirected request may have reached another one, which then states its id. */
+  private isFromDestination({ answeredBy, isMisdirected }: AnswerMetadata): boolean {
+    const { id } = this.destination.endpoint
+    return answeredBy === undefined ? !isMisdirected : answeredBy === id
+  }
+
   private recordFirstByte(now: Millis, load: ReportedLoad | undefined): void {
     const { context, call, destination, pace } = this
     const { promptTokens } = call.facts
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -37,6 +37,8 @@
   readonly clock: Clock
   readonly metrics: Metrics
   readonly log: RequestLog
+  /** Handles an answer in which the endpoint that a request was sent to states that it is leaving. */
+  onLeaving(endpoint: Registration): void
   /** Returns the retry budget of this instance for a service. */
   getRetryBudget(service: ServiceName): RetryLimiter
   /** Returns the number of instances that share the fleet's retry budget, at least 1. */
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -81,7 +81,7 @@
       refused.size === 0,
     )
     if (placement.kind === "send" || busy.length > 0) this.loadReplica(now)
-    if (busy.length > 0 && !this.isInTime(placement)) return this.admitLate()
+    if (busy.length > 0 && !this.isInTime(placement)) return this.admitLate(hasStarted)
     return this.resolvePlacement(placement, hasStarted)
   }
 
@@ -99,32 +99,35 @@
 
   /** Waits until the engine may read the call's prompt. A call that the engine can't start in time goes to another one. */
   private async admit(candidate: Candidate, hasStarted: boolean): Promise<DestinationResult> {
-    if (hasStarted) return { kind: "found", destination: this.buildDestination(candidate, true) }
+    if (hasStarted) return this.useAdmitted(this.buildDestination(candidate, true), true)
     const result = await this.admission.admit(candidate)
     switch (result.kind) {
       case "admitted":
-        return this.useAdmitted(result.destination)
+        return this.useAdmitted(result.destination, hasStarted)
       case "busy":
         return this.find(hasStarted)
       case "unavailable":
-        return this.useAdmitted(this.buildDestination(candidate, false))
+        return this.useAdmitted(this.buildDestination(candidate, false), hasStarted)
     }
   }
 
-  private async admitLate(): Promise<DestinationResult> {
+  private async admitLate(hasStarted: boolean): Promise<DestinationResult> {
     const result = await this.admission.admitLate()
-    return result.kind === "admitted" ? this.useAdmitted(result.destination) : result
+    return result.kind === "admitted" ? this.useAdmitted(result.destination, hasStarted) : result
   }
 
-  /** Uses an engine after the wait for admission, in which it may have left or its adapter may have become too old. */
-  private async useAdmitted(destination: Destination): Promise<DestinationResult> {
+  /** Uses an engine after the wait for admission or a load, in which it may have left or its adapter may have become too old. */
+  private async useAdmitted(
+    destination: Destination,
+    hasStarted: boolean,
+  ): Promise<DestinationResult> {
     const { call, context } = this
     const { id } = destination.endpoint
     const view = context.buildPlacementView(call.service)
     if (canStillServe(view, id, call.facts, context.clock.now()))
       return { kind: "found", destination }
     this.exclude(id)
-    return this.find(false)
+    return this.find(hasStarted)
   }
 
   private buildDestination(candidate: Candidate, hasStarted: boolean): Destination {
--- a/packages/entry/src/links/index.ts
+++ b/packages/entry/src/links/index.ts
@@ -1,6 +1,7 @@
 export * from "./adapter-use-table.js"
 export * from "./admit-stream.js"
 export * from "./batch-interval.js"
+export * from "./leaving-reports.js"
 export * from "./link-server.js"
 export * from "./peer-link.js"
 export * from "./peer-links.js"
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -18,6 +18,7 @@
   type FleetServer,
   FleetService,
   type FollowerUpdate,
+  type LeavingEndpoint,
   type LoadReply,
   type LoadRequest,
   type OwnersReply,
@@ -41,6 +42,8 @@
   listPartStates(): readonly PartState[]
   /** Lists the prompt parts that may end engines. */
   listSuspects(): readonly PartId[]
+  /** Lists the endpoints that have begun to leave recently, which a new follower receives first. */
+  listLeaving(): readonly LeavingEndpoint[]
   /** Lists the snapshots of all owned engines, which a new follower receives first. */
   listSnapshots(): readonly EngineSnapshot[]
   /** Lists the items of the store that this instance has read. */
@@ -71,6 +74,7 @@
   private readonly published: PublishedEngines
   private readonly dropped = new Set<string>()
   private partStates: PartState[] = []
+  private leaving: LeavingEndpoint[] = []
   private urgentTimer: NodeJS.Timeout | undefined
   private timer: NodeJS.Timeout | undefined
   private heartbeat: NodeJS.Timeout | undefined
@@ -115,6 +119,12 @@
     this.scheduleUpdates()
   }
 
+  /** Sends endpoints that are leaving to the followers with the next batch. */
+  publishLeaving(leaving: readonly LeavingEndpoint[]): void {
+    this.leaving.push(...leaving)
+    this.scheduleUpdates()
+  }
+
   /** Sends changed states of prompt parts and the suspects to the followers, before the next batch. */
   publishParts(states: readonly PartState[]): void {
     this.partStates.push(...states)
@@ -143,8 +153,9 @@
     clearTimeout(this.timer)
     this.timer = undefined
     const messages = [...this.changed.values()].map((snapshot) => this.published.publish(snapshot))
-    const update = this.buildUpdate(messages, [...this.dropped], this.partStates)
+    const update = this.buildUpdate(messages, [...this.dropped], this.partStates, this.leaving)
     this.partStates = []
+    this.leaving = []
     this.changed.clear()
     this.dropped.clear()
     for (const [follower, instance] of this.followers) this.send(follower, instance, update)
@@ -163,6 +174,7 @@
     messages: readonly EngineMessage[],
     dropped: string[],
     partStates: readonly PartState[],
+    leaving: readonly LeavingEndpoint[],
   ): OwnerUpdate {
     return {
       configurationVersion: this.handlers.getConfigurationVersion(),
@@ -170,6 +182,7 @@
       changes: messages.flatMap((message) => (message.kind === "change" ? [message.change] : [])),
       dropped,
       partStates: [...partStates],
+      leaving: [...leaving],
       suspects: [...this.handlers.listSuspects()],
     }
   }
@@ -261,7 +274,9 @@
     const messages = this.handlers
       .listSnapshots()
       .map((snapshot) => ({ kind: "complete", news: formatComplete(snapshot) }) as const)
-    call.write(this.buildUpdate(messages, [], this.handlers.listPartStates()))
+    const { handlers } = this
+    const update = this.buildUpdate(messages, [], handlers.listPartStates(), handlers.listLeaving())
+    call.write(update)
   }
 }
 
--- a/packages/entry/src/links/peer-link.ts
+++ b/packages/entry/src/links/peer-link.ts
@@ -15,6 +15,7 @@
   type EndpointUse,
   FleetClient,
   type FollowerUpdate,
+  type LeavingEndpoint,
   type LoadReply,
   type LoadRequest,
   type OwnersReply,
@@ -88,7 +89,16 @@
     this.send([], report)
   }
 
-  private send(uses: EndpointUse[], { ends, soundParts, states }: PartReport): void {
+  /** Sends the peer endpoints that are leaving. Does nothing without a connection. */
+  sendLeaving(leaving: readonly LeavingEndpoint[]): void {
+    this.send([], EMPTY_REPORT, leaving)
+  }
+
+  private send(
+    uses: EndpointUse[],
+    { ends, soundParts, states }: PartReport,
+    leaving: readonly LeavingEndpoint[] = [],
+  ): void {
     this.stream?.write({
       instance: this.self,
       configurationVersion: this.handlers.getConfigurationVersion(),
@@ -96,6 +106,7 @@
       ends: ends.map(({ endpoint, parts }) => ({ endpoint, parts: [...parts] })),
       soundParts: [...soundParts],
       partStates: [...states],
+      leaving: [...leaving],
     })
   }
 
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -9,7 +9,7 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { hashText } from "@galenaway/policy"
-import type { AdmitRequest, EndpointUse } from "../generated/fleet.js"
+import type { AdmitRequest, EndpointUse, LeavingEndpoint } from "../generated/fleet.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { Ownership } from "../fleet/ownership.js"
 import type {
@@ -108,12 +108,22 @@
     for (const id of this.listCollectors()) this.linksByPeer.get(id)?.sendReport(report)
   }
 
+  /** Sends endpoints that are leaving to the instances that collect reports. */
+  sendLeaving(leaving: readonly LeavingEndpoint[]): void {
+    for (const id of this.listCollectors()) this.linksByPeer.get(id)?.sendLeaving(leaving)
+  }
+
+  /** Returns whether this instance is one of those that collect reports. */
+  isCollector(): boolean {
+    return this.listCollectors().includes(this.deps.self)
+  }
+
   /** Returns whether this instance is the first of those that collect what is seen of prompt parts. */
   isFirstCollector(): boolean {
     return this.listCollectors()[0] === this.deps.self
   }
 
-  /** Lists the owners that collect what is seen of prompt parts: the first reachable ones in an order that all instances compute. */
+  /** Lists the owners that collect reports: the first reachable ones in an order that all instances compute. */
   private listCollectors(): readonly InstanceId[] {
     const { self, ownership } = this.deps
     return [...ownership.listOwners().keys()]
--- a/packages/entry/src/owner/engine-controller.ts
+++ b/packages/entry/src/owner/engine-controller.ts
@@ -58,6 +58,7 @@
   private lastOrderAt: Millis
   private modelOrderedAt: Millis | undefined
   private pausedUntil: Millis = -Infinity
+  private stopReason = "not owned"
   private wake: () => void = () => undefined
 
   constructor(
@@ -88,8 +89,9 @@
     void this.run()
   }
 
-  /** Stops sending orders and refuses all queued loads with the given reason. */
+  /** Stops sending orders, and refuses the queued and all later loads with the given reason. */
   stop(reason: string): void {
+    this.stopReason = reason
     this.abort.abort()
     this.queue.refuseAll(reason)
     this.wake()
@@ -101,7 +103,8 @@
     version: AdapterVersion | undefined,
     options: LoadOptions,
   ): Promise<LoadOutcome> {
-    if (this.abort.signal.aborted) return Promise.resolve({ kind: "refused", reason: "not owned" })
+    if (this.abort.signal.aborted)
+      return Promise.resolve({ kind: "refused", reason: this.stopReason })
     if (options.wasMissing) this.onMissing(adapter)
     if (options.canRedirect && this.isCongested(adapter, options))
       return Promise.resolve({ kind: "refused", reason: "too many loads ahead" })
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -56,7 +56,9 @@
   onEngineLost(endpoint: EndpointId): void
 }
 
-/** Runs a controller for each engine that this instance owns. */
+const LEAVING_REASON = "the engine is leaving"
+
+/** Runs a controller for each engine that this instance owns. That of a leaving engine sends no orders. */
 export class Owner {
   private readonly controllers = new Map<EndpointId, EngineController>()
   private readonly gates = new Map<EndpointId, AdmissionGate>()
@@ -76,6 +78,9 @@
     deps.directory.on("started", ({ id }) => {
       if (this.owned.has(id)) this.startController(id)
     })
+    deps.directory.on("leaving", ({ id }) => {
+      this.controllers.get(id)?.stop(LEAVING_REASON)
+    })
     deps.directory.on("gone", ({ id }) => {
       this.stopController(id, "the engine is gone")
     })
@@ -169,7 +174,8 @@
     const { clock, getPace } = this.deps
     this.gates.set(endpoint, new AdmissionGate(clock, engine.slots, () => getPace(engine.service)))
     log.info({ endpoint, model, startedAt: engine.startedAt }, "engine controller started")
-    controller.start()
+    if (engine.phase === "live") controller.start()
+    else controller.stop(LEAVING_REASON)
   }
 
   private stopController(endpoint: EndpointId, reason: string): void {
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -17,7 +17,7 @@
 import { ConfigurationWatcher, EndpointDirectory, OperatorCatalogue } from "./catalogue/index.js"
 import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
-import { PeerLinks, LinkServer, AdapterUseTable } from "./links/index.js"
+import { PeerLinks, LeavingReports, LinkServer, AdapterUseTable } from "./links/index.js"
 import { type GatePace, Owner } from "./owner/index.js"
 import { hasEnded, PartGuard, PartStore } from "./quarantine/index.js"
 import { RequestLog } from "./request-log.js"
@@ -82,8 +82,10 @@
         owner.admit(endpoint, instance, options, signal),
       load: ({ endpoint, adapter, version, ...options }) =>
         owner.load(endpoint, adapter, version > 0 ? version : undefined, options),
-      onUpdate: ({ instance, configurationVersion, uses, ends, soundParts, partStates }) => {
+      onUpdate: (update) => {
+        const { instance, configurationVersion, uses, ends, soundParts, partStates } = update
         c.resolve(PartGuard).onReport({ ends, soundParts, states: partStates })
+        c.resolve(LeavingReports).onReport(instance, update.leaving)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, instance)
         for (const { endpoint, adapters, running } of uses) {
           owner.onRunning(endpoint, instance, running)
@@ -93,6 +95,7 @@
       },
       listSnapshots: () => owner.listSnapshots(),
       listPartStates: () => c.resolve(PartGuard).listStates(),
+      listLeaving: () => c.resolve(LeavingReports).listRecent(),
       listSuspects: () => c.resolve(PartGuard).listSuspects(),
       listItems: () => listItems(c),
       getConfigurationVersion: () => catalogue.version,
@@ -135,6 +138,21 @@
   })
 }
 
+/** Creates the reports by which instances send each other the endpoints that are leaving. */
+export function createLeavingReports(c: DependencyContainer): LeavingReports {
+  return new LeavingReports({
+    directory: c.resolve(EndpointDirectory),
+    log: c.resolve(ENTRY_TOKENS.log),
+    send: (leaving) => {
+      c.resolve(PeerLinks).sendLeaving(leaving)
+    },
+    publish: (leaving) => {
+      c.resolve(LinkServer).publishLeaving(leaving)
+    },
+    isCollector: () => c.resolve(PeerLinks).isCollector(),
+  })
+}
+
 /** Creates the links to peers. Their updates are written to the residency table. */
 export function createLinks(c: DependencyContainer): PeerLinks {
   const residency = c.resolve(Residency)
@@ -154,6 +172,7 @@
       onUpdate: (peer, update) => {
         const { configurationVersion, engines, changes, dropped, suspects, partStates } = update
         c.resolve(PartGuard).onPublished(peer, suspects, partStates)
+        c.resolve(LeavingReports).onPublished(peer, update.leaving)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, peer)
         const endpoints = endpointsByPeer.get(peer) ?? new Set<string>()
         endpointsByPeer.set(peer, endpoints)
@@ -202,6 +221,9 @@
     clock: c.resolve(ENTRY_TOKENS.clock),
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     log: c.resolve(RequestLog),
+    onLeaving: (endpoint) => {
+      c.resolve(LeavingReports).onAnswer(endpoint)
+    },
     getRetryBudget: (service) => getRetryBudget(budgets, service, settings),
     countInstances,
     buildPlacementView: (service) => ({
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai"
 import type { Dispatcher } from "undici"
-import type { HeaderCodec, ReportedLoad } from "@galenaway/core"
+import type { AnswerMetadata, HeaderCodec, Registration, ReportedLoad } from "@galenaway/core"
 import {
   Attempt,
   type AnswerSink,
@@ -53,19 +53,64 @@
   expect(await learn(1)).to.equal(false)
 })
 
-/** Runs a stream that is answered after a while, with the load that its engine reports. */
-async function runAnsweredAttempt(paces: PaceTable, load: ReportedLoad): Promise<void> {
-  let now = 0
-  const dispatcher = {
+it("an endpoint is leaving when any of its own answers states it", async () => {
+  const own = { isLeaving: true, answeredBy: ENGINE.id }
+  expect(await runStatedAttempt({ ...own })).to.deep.equal([ENGINE])
+  expect(await runStatedAttempt({ ...own, answeredBy: undefined })).to.deep.equal([ENGINE])
+  expect(await runStatedAttempt({ ...own, isNotRun: true })).to.deep.equal([ENGINE])
+  expect(await runStatedAttempt({ ...own, attempt: "other" })).to.deep.equal([ENGINE])
+  expect(await runStatedAttempt({ ...own, isMisdirected: true })).to.deep.equal([ENGINE])
+  expect(await runStatedAttempt({ ...own, isLeaving: false })).to.deep.equal([])
+})
+
+it("the answer of another endpoint at the address doesn't make one leave", async () => {
+  const other = { isLeaving: true, isMisdirected: true, answeredBy: "other" }
+  expect(await runStatedAttempt(other)).to.deep.equal([])
+  expect(await runStatedAttempt({ ...other, answeredBy: undefined })).to.deep.equal([])
+})
+
+/** Runs a stream whose answer has the given facts. Returns the endpoints that were reported as leaving. */
+async function runStatedAttempt(facts: Partial<AnswerMetadata>): Promise<readonly Registration[]> {
+  const leaving: Registration[] = []
+  const answer = { attempt: "a", isSigned: true, isNotRun: false, isMisdirected: false, ...facts }
+  const context = {
+    ...buildContext(new EndpointHealth()),
+    headerCodec: { buildRequest: () => [], readAnswer: () => answer },
+    pools: { get: () => buildAnsweringDispatcher() },
+    onLeaving: (endpoint: Registration) => leaving.push(endpoint),
+  }
+  const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
+  await new Attempt(
+    context as unknown as ForwardContext,
+    buildCall(),
+    destination,
+    IGNORING_SINK,
+    LONG_TIMEOUTS,
+  ).run()
+  return leaving
+}
+
+/** Builds connections on which each request is answered at once. */
+function buildAnsweringDispatcher(onAnswer: () => void = () => undefined) {
+  return {
     dispatch: (_request: unknown, handler: Dispatcher.DispatchHandler) => {
-      const controller = { rawHeaders: [] } as unknown as Dispatcher.DispatchController
-      handler.onRequestStart?.(controller, {})
-      now = ANSWER_AFTER_MS
-      handler.onResponseStart?.(controller, 200, {})
-      handler.onResponseEnd?.(controller, {})
+      const controller = { rawHeaders: [], abort: () => undefined }
+      const dispatchController = controller as unknown as Dispatcher.DispatchController
+      handler.onRequestStart?.(dispatchController, {})
+      onAnswer()
+      handler.onResponseStart?.(dispatchController, 200, {})
+      handler.onResponseEnd?.(dispatchController, {})
       return true
     },
   }
+}
+
+/** Runs a stream that is answered after a while, with the load that its engine reports. */
+async function runAnsweredAttempt(paces: PaceTable, load: ReportedLoad): Promise<void> {
+  let now = 0
+  const dispatcher = buildAnsweringDispatcher(() => {
+    now = ANSWER_AFTER_MS
+  })
   const answer = { attempt: "a", isSigned: true, isNotRun: false, isMisdirected: false, load }
   const context = {
     ...buildContext(new EndpointHealth()),
--- a/packages/entry/test/destinations.test.ts
+++ b/packages/entry/test/destinations.test.ts
@@ -6,8 +6,10 @@
   type Call,
   DestinationSearch,
   type ForwardContext,
+  type LoadOutcome,
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
+import { noopMetrics } from "@galenaway/observe"
 import {
   EndpointHealth,
   PaceTable,
@@ -52,6 +54,20 @@
   expect((await search.find(false)).kind).not.to.equal("found")
 })
 
+it("a stream isn't resumed at an engine that left while it loaded the adapter", async () => {
+  const fleet = createFleet(["e1"])
+  fleet.residency.update("e1", "owner", ["m"], [], 0)
+  const search = createSearch(
+    fleet,
+    () => GRANTED,
+    (id) => {
+      fleet.live.delete(id)
+      return { kind: "held", version: 1 }
+    },
+  )
+  expect((await search.find(true)).kind).not.to.equal("found")
+})
+
 it("a call isn't sent with a version that became too old while it waited", async () => {
   const fleet = createFleet(["e1"])
   const search = createSearch(fleet, async () => {
@@ -85,6 +101,7 @@
 function createSearch(
   fleet: ReturnType<typeof createFleet>,
   decide: (id: string, options: AdmissionOptions) => AdmissionOutcome | Promise<AdmissionOutcome>,
+  load?: (id: string) => LoadOutcome,
 ): DestinationSearch {
   const { live, residency, versions, health, clock } = fleet
   const findEngine = (id: string): Registration | undefined =>
@@ -100,7 +117,7 @@
     versions,
     popularity,
     localDataCentre: "dc",
-    canLoad: () => false,
+    canLoad: () => load !== undefined,
   })
   const context = {
     clock,
@@ -108,12 +125,15 @@
     versions,
     buildPlacementView,
     paces,
+    residency,
+    metrics: noopMetrics,
     uses: { add: () => undefined, remove: () => undefined },
     links: {
       admit: async (id: string, options: AdmissionOptions) => {
         fleet.asked.push(id)
         return decide(id, options)
       },
+      load: (id: string) => Promise.resolve(load?.(id)),
     },
   }
   const call = {
