--- a/packages/entry/src/catalogue/directory.ts
+++ b/packages/entry/src/catalogue/directory.ts
@@ -11,11 +11,14 @@
 import type { Log } from "@galenaway/observe"
 import type { CatalogueFormat } from "./format.js"
 import { GoneEndpoints } from "./gone-endpoints.js"
+import { type EndpointLifetime, isLaterStart, LeavingEndpoints } from "./leaving-endpoints.js"
 import { SkipLog } from "./skip-log.js"
 
 interface DirectoryEvents {
   /** An endpoint is new, or its process has restarted. */
   started: [Registration]
+  /** An endpoint that was live is leaving. */
+  leaving: [Registration]
   /** An endpoint was removed. */
   gone: [Registration]
   /** The list was replaced, changed or not. Emitted after the other events. */
@@ -38,6 +41,7 @@
   private outageEndedAt: Millis = -Infinity
   private isStoreDown = false
   private readonly gone = new GoneEndpoints()
+  private readonly leaving = new LeavingEndpoints()
   private readonly skipLog: SkipLog
 
   constructor(
@@ -74,6 +78,28 @@
     return [...this.entries.values()].map(({ item }) => item)
   }
 
+  /**
+   * Records that an endpoint is leaving, as one of its answers or a peer shows. Its
+   * lifetime stays leaving whatever its registration says. Returns whether the
+   * lifetime was taken for live until now.
+   */
+  addLeaving(lifetime: EndpointLifetime): boolean {
+    const entry = this.entries.get(lifetime.id)
+    if (entry && isLaterStart(entry.registration.startedAt, lifetime.startedAt)) return false
+    if (!this.leaving.add(lifetime, this.clock.now())) return false
+    if (entry?.registration.phase !== "live") return false
+    const registration: Registration = { ...entry.registration, phase: "leaving" }
+    this.entries.set(lifetime.id, { ...entry, registration })
+    this.byService = groupLiveByService(this.entries)
+    this.emit("leaving", registration)
+    return true
+  }
+
+  /** Lists the registered endpoints that are known since `maxAgeMs` ago or later to be leaving. */
+  listLeaving(maxAgeMs: Millis): readonly EndpointLifetime[] {
+    return this.leaving.listSince(this.clock.now() - maxAgeMs)
+  }
+
   /** Records that a read of the store failed. */
   onOutage(): void {
     this.isStoreDown = true
@@ -115,10 +141,16 @@
     }
     this.skipLog.remove(item.key)
     const { registration } = entry
-    if (known && (registration.startedAt ?? 0) < (known.registration.startedAt ?? 0))
+    if (known && isLaterStart(known.registration.startedAt, registration.startedAt))
       next.set(registration.id, known)
     else if (!this.gone.has(registration, this.clock.now()))
-      next.set(registration.id, { registration, item })
+      next.set(registration.id, { registration: this.checkPhase(registration), item })
+  }
+
+  /** Returns a registration with its actual phase: a lifetime that was leaving once isn't live any more. */
+  private checkPhase(registration: Registration): Registration {
+    if (registration.phase === "leaving") this.leaving.add(registration, this.clock.now())
+    return this.leaving.has(registration) ? { ...registration, phase: "leaving" } : registration
   }
 
   private addMissing(next: Map<EndpointId, DirectoryEntry>): void {
@@ -129,11 +161,11 @@
     const before = this.entries
     this.entries = next
     this.byService = groupLiveByService(next)
+    this.leaving.update((id) => this.find(id), this.clock.now())
     for (const [id, { registration }] of next) {
       const known = before.get(id)?.registration
       if (!known || known.startedAt !== registration.startedAt) this.emit("started", registration)
-      if (known && known.phase !== registration.phase)
-        this.log.info({ endpoint: id, phase: registration.phase }, "endpoint changed phase")
+      if (known && known.phase !== registration.phase) this.onPhaseChanged(registration)
     }
     for (const [id, { registration }] of before)
       if (!next.has(id)) {
@@ -143,6 +175,12 @@
       }
     this.emit("read")
   }
+
+  private onPhaseChanged(registration: Registration): void {
+    const { id, phase } = registration
+    this.log.info({ endpoint: id, phase }, "endpoint changed phase")
+    if (phase === "leaving") this.emit("leaving", registration)
+  }
 }
 
 function groupLiveByService(
--- a/packages/entry/test/part-records.test.ts
+++ b/packages/entry/test/part-records.test.ts
@@ -62,6 +62,7 @@
     onUpdate: () => undefined,
     listPartStates: () => states,
     listSuspects: () => [],
+    listLeaving: () => [],
     listSnapshots: () => [],
     getConfigurationVersion: () => 1,
     onFollowerGone: () => undefined,
@@ -81,6 +82,7 @@
       received.push(...partStates),
     getConfigurationVersion: () => 1,
     listPartStates: () => [],
+    listLeaving: () => [],
   }
   const deps = { self: "i", ownership, handlers, clock: createManualClock(), log, owner: {} }
   const links = new PeerLinks(deps as unknown as PeerLinksDependencies)
