Endpoints that ask for a pause get nothing from the instance until then

Endpoints that refused requests with 503 and Retry-After were sent requests, orders and reports all the same: 190 lookups, and 71 requests and orders at an engine, between half a second after the first refusal and the end of 2.5 s. Cause: the time was never read.

EndpointHealth keeps the pause for this instance: no placement, no probe request; calls that waited for admission, a load or a connection check it again; the owner sends no orders and reports and refuses loads that another engine can do. Where all endpoints of a service are in a pause, callers are refused at once with the shortest one. A pause ends when the endpoint starts again, and after five minutes at the latest, because no answer could correct an absurd value.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -75,6 +75,19 @@
   }
 }
 
+/** A refusal by an endpoint that wants nothing from this instance for a time. */
+export class EndpointPausedError extends GalenawayError {
+  override readonly name = "EndpointPausedError"
+  constructor(
+    step: ErrorStep,
+    peer: string,
+    /** Time for which the endpoint wants nothing, in ms. */
+    readonly retryAfterMs: number,
+  ) {
+    super("endpoint-failed", step, peer, "not-run", "the endpoint asked for a pause")
+  }
+}
+
 /** A failure after a byte may have been sent. Its outcome is always `unknown`. */
 export class UnknownOutcomeError extends GalenawayError {
   override readonly name = "UnknownOutcomeError"
--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -144,9 +144,13 @@
 
 /** Sends orders to engines and reads their state. */
 export interface EngineClient {
-  /** Sends an order. Throws an UnknownOutcomeError if no answer is received; the engine may still execute the order. */
+  /**
+   * Sends an order. Throws an EndpointPausedError if the engine refused it and wants
+   * nothing for a time, and an UnknownOutcomeError if no answer is received; the
+   * engine may still execute the order then.
+   */
   order(endpoint: Registration, order: EngineOrder, timeoutMs: number): Promise<OrderAnswer>
-  /** Reads an engine's state. Throws a GalenawayError on failure. */
+  /** Reads an engine's state. Throws an EndpointPausedError if the engine wants nothing for a time, another GalenawayError on other failures. */
   readState(endpoint: Registration, timeoutMs: number): Promise<EngineState>
 }
 
@@ -208,6 +212,8 @@
   readonly hasEncodedBody: boolean
   /** Whether the endpoint that answered states that it is leaving. */
   readonly isLeaving: boolean
+  /** Time for which the endpoint wants no requests from this instance, in ms, as it stated with a refusal. */
+  readonly retryAfterMs?: number
   readonly load: ReportedLoad | undefined
 }
 
--- a/packages/entry/src/forward/answer.ts
+++ b/packages/entry/src/forward/answer.ts
@@ -8,6 +8,8 @@
   | "missing"
   /** Another endpoint answered at the registered address. */
   | "moved"
+  /** The endpoint asked for a pause while the request waited for a connection. */
+  | "paused"
   /** No connection could be opened. */
   | "unreachable"
 
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -62,6 +62,7 @@
       this.abort({ kind: "failed", cause: "quarantined" }, undefined)
     })
     this.exchange = new HttpExchange({
+      canSend: () => this.canSend(),
       onHead: (status, headers) => {
         this.onHead(status, headers)
       },
@@ -206,6 +207,16 @@
     const { context, destination } = this
     if (!this.isFromDestination(facts)) return
     if (facts.isLeaving) context.onLeaving(destination.endpoint)
+    if (facts.retryAfterMs !== undefined)
+      context.onPause(destination.endpoint.id, facts.retryAfterMs)
+  }
+
+  /** Aborts a request that waited for a connection until its endpoint had asked for a pause. */
+  private canSend(): boolean {
+    const { health, clock } = this.context
+    if (health.getPause(this.destination.endpoint.id, clock.now()) === 0) return true
+    this.abort({ kind: "not-run", cause: "paused" }, undefined)
+    return false
   }
 
   /** Returns whether the endpoint itself has answered. A misdirected request may have reached another one, which then states its id. */
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -1,4 +1,12 @@
-import type { Clock, DataCentre, HeaderCodec, Registration, ServiceName } from "@galenaway/core"
+import type {
+  Clock,
+  DataCentre,
+  EndpointId,
+  HeaderCodec,
+  Millis,
+  Registration,
+  ServiceName,
+} from "@galenaway/core"
 import type { Metrics } from "@galenaway/observe"
 import type {
   EndpointHealth,
@@ -39,6 +47,8 @@
   readonly log: RequestLog
   /** Handles an answer in which the endpoint that a request was sent to states that it is leaving. */
   onLeaving(endpoint: Registration): void
+  /** Handles a refusal in which an endpoint asks this instance to send nothing for a time. */
+  onPause(endpoint: EndpointId, ms: Millis): void
   /** Returns the retry budget of this instance for a service. */
   getRetryBudget(service: ServiceName): RetryLimiter
   /** Returns the number of instances that share the fleet's retry budget, at least 1. */
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -17,6 +17,8 @@
 export type DestinationResult =
   | { readonly kind: "found"; readonly destination: Destination }
   | { readonly kind: "none"; readonly reason: string }
+  /** All endpoints of the service have asked for a pause. `waitMs` is the time until the first one ends. */
+  | { readonly kind: "paused"; readonly waitMs: Millis }
   /** No engine can start the call in time, nor later with what is left over. `waitMs` is the shortest expected wait. */
   | { readonly kind: "overloaded"; readonly waitMs: Millis }
 
@@ -71,6 +73,8 @@
     const now = this.context.clock.now()
     if (this.call.facts.model === undefined) return this.findServiceEndpoint(now)
     const view = this.context.buildPlacementView(this.call.service)
+    const pauseMs = view.health.findShortestPause(view.engines, now)
+    if (pauseMs !== undefined) return { kind: "paused", waitMs: pauseMs }
     const refused = this.refusingEngines
     const busy = this.admission.busyEngines
     const placement = choosePlacement(
@@ -116,7 +120,7 @@
     return result.kind === "admitted" ? this.useAdmitted(result.destination, hasStarted) : result
   }
 
-  /** Uses an engine after the wait for admission or a load, in which it may have left or its adapter may have become too old. */
+  /** Uses an engine after the wait for admission or a load, in which it may have left or asked for a pause, or its adapter may have become too old. */
   private async useAdmitted(
     destination: Destination,
     hasStarted: boolean,
@@ -141,6 +145,8 @@
   private findServiceEndpoint(now: Millis): DestinationResult {
     const { directory, health, localDataCentre } = this.context
     const endpoints = directory.listLive(this.call.service)
+    const pauseMs = health.findShortestPause(endpoints, now)
+    if (pauseMs !== undefined) return { kind: "paused", waitMs: pauseMs }
     const endpoint = chooseEndpoint(endpoints, health, localDataCentre, this.excluded, now)
     return endpoint
       ? { kind: "found", destination: { endpoint, isLate: false, waitMs: 0 } }
--- a/packages/entry/src/forward/exchange.ts
+++ b/packages/entry/src/forward/exchange.ts
@@ -12,6 +12,8 @@
 
 /** Events of an exchange. `onEnd` or `onError` is the last one. */
 export interface ExchangeEvents {
+  /** A connection is free. Returns false after having aborted the exchange, so that nothing is sent. */
+  canSend(): boolean
   onHead(status: number, headers: RawHeaders): void
   onData(chunk: Buffer): void
   /** The answer is complete. */
@@ -70,7 +72,7 @@
     this.controller = controller
     if (this.isEnded)
       controller.abort(new ExchangeAbortedError("exchange aborted before the request was sent"))
-    else this.isSendStarted = true
+    else this.isSendStarted = this.events.canSend()
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -85,6 +85,7 @@
     if (held) return held
     const search = await this.search.find(this.stream.hasStarted)
     if (search.kind === "none") return this.waitForEndpoint(search.reason)
+    if (search.kind === "paused") return this.rejectPaused(search.waitMs)
     if (search.kind === "overloaded") return this.rejectOverload(search.waitMs)
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
     // The wait for admission or a load may have been long.
@@ -207,6 +208,12 @@
     return this.reject("every engine has more work than it can do in time", retryAfterMs)
   }
 
+  /** Rejects a call whose service wants no requests for a time. A stream that has started waits, since it can't be refused any more. */
+  private rejectPaused(waitMs: Millis): NextAction | Promise<NextAction> {
+    const reason = "every endpoint asked for a pause"
+    return this.stream.hasStarted ? this.waitForEndpoint(reason) : this.reject(reason, waitMs)
+  }
+
   private chooseTimeouts({ isLate, waitMs }: Destination): AttemptTimeouts {
     const { route, service, facts } = this.call
     if (!isRetryable(this.call) || this.runCount + 1 >= route.maxAttempts) return NO_TIMEOUTS
--- a/packages/entry/src/owner/engine-controller.ts
+++ b/packages/entry/src/owner/engine-controller.ts
@@ -1,6 +1,8 @@
 import {
   type AdapterName,
   type AdapterVersion,
+  type EndpointId,
+  EndpointPausedError,
   type EngineLimits,
   type HeldAdapter,
   type InstanceId,
@@ -24,6 +26,8 @@
   extends OrderSenderDependencies, Omit<AdapterLoaderDependencies, "send"> {
   /** Monotonic time of the start of this process. */
   readonly startedAt: Millis
+  /** Returns the time for which an engine wants nothing from this instance, neither requests nor orders, in ms. */
+  getPause(endpoint: EndpointId): Millis
   /** One estimator is shared by the controllers of all engines of an owner. */
   readonly loadTimeEstimator: LoadTimeEstimator
 }
@@ -40,6 +44,9 @@
 const RETRY_MS = 200
 const TOKEN_POLL_MS = 30
 const MODEL_POLL_MS = 250
+/** Interval at which queued loads are checked while the engine wants no orders. */
+const PAUSE_POLL_MS = 200
+const PAUSE_REASON = "the engine asked for a pause"
 
 /**
  * Controls the base model and the adapters of one engine. It sends one order at
@@ -105,6 +112,9 @@
   ): Promise<LoadOutcome> {
     if (this.abort.signal.aborted)
       return Promise.resolve({ kind: "refused", reason: this.stopReason })
+    const pauseMs = this.deps.getPause(this.engine.id)
+    if (pauseMs >= options.waitMs || (options.canRedirect && pauseMs > 0))
+      return Promise.resolve({ kind: "refused", reason: PAUSE_REASON })
     if (options.wasMissing) this.onMissing(adapter)
     if (options.canRedirect && this.isCongested(adapter, options))
       return Promise.resolve({ kind: "refused", reason: "too many loads ahead" })
@@ -176,6 +186,8 @@
     this.queue.refuseExpired()
     this.queue.hasNewEntries = false
     if (this.deps.getToken() === undefined) return TOKEN_POLL_MS
+    const pauseMs = this.deps.getPause(this.engine.id)
+    if (pauseMs > 0) return this.waitInPause(pauseMs)
     const pause = this.pausedUntil - this.deps.clock.now()
     if (pause > 0) return pause
     if (!this.isStateKnown) return this.readState()
@@ -184,6 +196,13 @@
     return this.loader.runNext()
   }
 
+  /** Refuses the queued loads that another engine can do. The others wait for the end of the pause. */
+  private waitInPause(pauseMs: Millis): Millis {
+    for (const { adapter, canRedirect } of this.queue.list())
+      if (canRedirect) this.queue.refuse(adapter, PAUSE_REASON)
+    return Math.min(pauseMs, PAUSE_POLL_MS)
+  }
+
   private async readState(): Promise<Millis> {
     const { clock, engineClient, log } = this.deps
     const wait = this.lastOrderAt + REPORT_LAG_MS - clock.now()
@@ -206,6 +225,8 @@
       this.deps.onChange()
       return 0
     } catch (error) {
+      if (error instanceof EndpointPausedError)
+        this.deps.onPause(this.engine.id, error.retryAfterMs)
       log.warn({ endpoint: this.engine.id, err: error }, "reading the engine state failed")
       return RETRY_MS
     }
@@ -247,6 +268,10 @@
       case "refused":
       case "no-authority":
         break
+      case "paused":
+        // A very short pause would otherwise be followed by orders in a tight loop.
+        this.pausedUntil = this.lastOrderAt + RETRY_MS
+        break
       case "unresolved":
         // The next order has the same expected sequence, so the engine executes at most one of the two.
         this.slots.onUnresolved(canTakeSlot, this.lastOrderAt)
--- a/packages/entry/src/owner/order-sender.ts
+++ b/packages/entry/src/owner/order-sender.ts
@@ -1,13 +1,15 @@
-import type {
-  AdapterName,
-  AdapterVersion,
-  Clock,
-  EngineClient,
-  EngineOrder,
-  InstanceId,
-  Millis,
-  OrderAnswer,
-  Registration,
+import {
+  type AdapterName,
+  type AdapterVersion,
+  type Clock,
+  type EndpointId,
+  EndpointPausedError,
+  type EngineClient,
+  type EngineOrder,
+  type InstanceId,
+  type Millis,
+  type OrderAnswer,
+  type Registration,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 
@@ -18,6 +20,8 @@
   readonly clock: Clock
   readonly log: Log
   readonly orderTimeoutMs: Millis
+  /** Handles a refusal in which an engine asks this instance to send nothing for a time. */
+  onPause(endpoint: EndpointId, ms: Millis): void
   /** Returns the fencing token for an order, or undefined if this instance may not send orders to the engine now. */
   getToken(): number | undefined
 }
@@ -25,8 +29,8 @@
 /** The action of an order and the model, adapter and version that it applies to. */
 export type OrderBody = Pick<EngineOrder, "action" | "model" | "adapter" | "version">
 
-/** The engine's answer to an order; `unresolved` if none was received, `no-authority` if the order was not sent. */
-export type OrderSendResult = OrderAnswer | "unresolved" | "no-authority"
+/** The engine's answer to an order; `unresolved` if none was received, `no-authority` if the order was not sent; `paused` if the engine refused it and wants nothing for a time. */
+export type OrderSendResult = OrderAnswer | "unresolved" | "no-authority" | "paused"
 
 const ADAPTER_SEPARATOR = "/"
 
@@ -48,6 +52,10 @@
       this.logAnswer(order, answer)
       return answer
     } catch (error) {
+      if (error instanceof EndpointPausedError) {
+        this.deps.onPause(this.engine.id, error.retryAfterMs)
+        return "paused"
+      }
       log.info({ endpoint: this.engine.id, err: error }, "no answer to order")
       return "unresolved"
     }
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -50,6 +50,10 @@
   readonly getPace: (service: ServiceName) => GatePace
   /** Monotonic time of the start of this process. */
   readonly startedAt: Millis
+  /** Returns the time for which an engine wants nothing from this instance, in ms. */
+  getPause(endpoint: EndpointId): Millis
+  /** Handles a refusal in which an engine asks this instance to send nothing for a time. */
+  onPause(endpoint: EndpointId, ms: Millis): void
   /** Called when the models or adapters of an owned engine have changed. */
   onEngineChanged(snapshot: EngineSnapshot): void
   /** Called when an engine is no longer owned by this instance. */
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,7 +1,9 @@
 import type { DependencyContainer } from "tsyringe"
 import type {
+  EndpointId,
   EngineClient,
   HeaderCodec,
+  Millis,
   Registration,
   ServiceName,
   StoreItem,
@@ -46,6 +48,10 @@
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     getPace: (service) => buildPace(c, service),
     orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
+    getPause: (endpoint) => c.resolve(EndpointHealth).getPause(endpoint, clock.now()),
+    onPause: (endpoint, ms) => {
+      recordPause(c, endpoint, ms)
+    },
     // The monotonic clock starts at 0 with the process.
     startedAt: 0,
     onEngineChanged: (snapshot) => {
@@ -59,6 +65,13 @@
   })
 }
 
+/** Records that an endpoint wants neither requests nor orders from this instance for a time. */
+function recordPause(c: DependencyContainer, endpoint: EndpointId, ms: Millis): void {
+  const now = c.resolve(ENTRY_TOKENS.clock).now()
+  if (c.resolve(EndpointHealth).onPause(endpoint, ms, now))
+    c.resolve(ENTRY_TOKENS.log).info({ endpoint, ms }, "endpoint asks for a pause")
+}
+
 function buildPace(c: DependencyContainer, service: ServiceName): GatePace {
   const pace = c.resolve(PaceTable).get(service)
   const pauseMs = c.resolve(OperatorCatalogue).routes?.getPauseMs(service) ?? DEFAULT_PAUSE_MS
@@ -221,6 +234,9 @@
     clock: c.resolve(ENTRY_TOKENS.clock),
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     log: c.resolve(RequestLog),
+    onPause: (endpoint, ms) => {
+      recordPause(c, endpoint, ms)
+    },
     onLeaving: (endpoint) => {
       c.resolve(LeavingReports).onAnswer(endpoint)
     },
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -69,6 +69,31 @@
   expect(await runStatedAttempt({ ...other, answeredBy: undefined })).to.deep.equal([])
 })
 
+it("an endpoint's refusal pauses it, and requests that wait for a connection aren't sent", async () => {
+  const health = new EndpointHealth()
+  const clock = createManualClock()
+  const answer = { attempt: "a", isNotRun: true, isMisdirected: false, retryAfterMs: 1000 }
+  let sent = 0
+  const context = {
+    ...buildContext(health),
+    clock,
+    headerCodec: { buildRequest: () => [], readAnswer: () => answer },
+    pools: { get: () => buildAnsweringDispatcher(() => sent++) },
+    onPause: (endpoint: string, ms: number) => health.onPause(endpoint, ms, clock.now()),
+  }
+  const run = () => {
+    const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
+    const forwardContext = context as unknown as ForwardContext
+    return new Attempt(forwardContext, buildCall(), destination, IGNORING_SINK, LONG_TIMEOUTS).run()
+  }
+  expect(await run()).to.deep.equal({ kind: "not-run", cause: "full" })
+  expect(await run()).to.deep.equal({ kind: "not-run", cause: "paused" })
+  expect(health.countInFlight(ENGINE.id)).to.equal(0)
+  await clock.advance(1000)
+  expect(await run()).to.deep.equal({ kind: "not-run", cause: "full" })
+  expect(sent).to.equal(2)
+})
+
 /** Runs a stream whose answer has the given facts. Returns the endpoints that were reported as leaving. */
 async function runStatedAttempt(facts: Partial<AnswerMetadata>): Promise<readonly Registration[]> {
   const leaving: Registration[] = []
@@ -94,9 +119,14 @@
 function buildAnsweringDispatcher(onAnswer: () => void = () => undefined) {
   return {
     dispatch: (_request: unknown, handler: Dispatcher.DispatchHandler) => {
-      const controller = { rawHeaders: [], abort: () => undefined }
+      const state = { isAborted: false }
+      const abort = () => {
+        state.isAborted = true
+      }
+      const controller = { rawHeaders: [], abort }
       const dispatchController = controller as unknown as Dispatcher.DispatchController
       handler.onRequestStart?.(dispatchController, {})
+      if (state.isAborted) return true
       onAnswer()
       handler.onResponseStart?.(dispatchController, 200, {})
       handler.onResponseEnd?.(dispatchController, {})
--- a/packages/entry/test/destinations.test.ts
+++ b/packages/entry/test/destinations.test.ts
@@ -68,6 +68,42 @@
   expect((await search.find(true)).kind).not.to.equal("found")
 })
 
+it("a call isn't sent to an engine that asked for a pause while it waited for admission", async () => {
+  const fleet = createFleet(["e1", "e2"])
+  let paused = ""
+  const search = createSearch(fleet, (id) => {
+    if (fleet.asked.length === 1) fleet.health.onPause((paused = id), 1000, 0)
+    return GRANTED
+  })
+  const result = await search.find(false)
+  expect(result.kind === "found" && result.destination.endpoint.id).to.equal(
+    paused === "e1" ? "e2" : "e1",
+  )
+})
+
+it("a stream isn't resumed at an engine that asked for a pause while it loaded the adapter", async () => {
+  const fleet = createFleet(["e1"])
+  fleet.residency.update("e1", "owner", ["m"], [], 0)
+  const search = createSearch(
+    fleet,
+    () => GRANTED,
+    (id) => {
+      fleet.health.onPause(id, 1000, 0)
+      return { kind: "held", version: 1 }
+    },
+  )
+  expect(await search.find(true)).to.deep.equal({ kind: "paused", waitMs: 1000 })
+})
+
+it("when all engines have asked for a pause, the shortest one is known at once", async () => {
+  const fleet = createFleet(["e1", "e2"])
+  fleet.health.onPause("e1", 700, 0)
+  const search = createSearch(fleet, () => GRANTED)
+  expect((await search.find(false)).kind).to.equal("found")
+  fleet.health.onPause("e2", 300, 0)
+  expect(await search.find(false)).to.deep.equal({ kind: "paused", waitMs: 300 })
+})
+
 it("a call isn't sent with a version that became too old while it waited", async () => {
   const fleet = createFleet(["e1"])
   const search = createSearch(fleet, async () => {
--- a/packages/entry/test/engine-controller.test.ts
+++ b/packages/entry/test/engine-controller.test.ts
@@ -1,5 +1,11 @@
 import { expect } from "chai"
-import type { EngineClient, EngineOrder, EngineState, OrderAnswer } from "@galenaway/core"
+import {
+  EndpointPausedError,
+  type EngineClient,
+  type EngineOrder,
+  type EngineState,
+  type OrderAnswer,
+} from "@galenaway/core"
 import {
   EngineController,
   type LoadOptions,
@@ -8,7 +14,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { VersionTable } from "@galenaway/routing"
+import { EndpointHealth, VersionTable } from "@galenaway/routing"
 import { ENGINE, log } from "./support.js"
 
 const OPTIONS: LoadOptions = {
@@ -107,6 +113,38 @@
   expect(orders).to.deep.equal([])
 })
 
+it("an engine that refuses an order and asks for a pause gets no orders in it", async () => {
+  const answer = (): OrderAnswer => {
+    throw new EndpointPausedError("load", "e", 1000)
+  }
+  const { controller, orders, pauses } = startController(STATE_WITH_MODEL, answer, TOKEN)
+  const redirected = controller.load("m/a", undefined, { ...OPTIONS, canRedirect: true })
+  await runMicrotasks()
+  expect(pauses.getPause("e", 0)).to.equal(1000)
+  const refusal = { kind: "refused", reason: "the engine asked for a pause" }
+  expect(await redirected).to.deep.equal(refusal)
+  expect(await controller.load("m/a", undefined, { ...OPTIONS, waitMs: 900 })).to.deep.equal(
+    refusal,
+  )
+  void controller.load("m/b", undefined, OPTIONS)
+  await runMicrotasks()
+  controller.stop("test")
+  expect(orders).to.have.length(1)
+})
+
+it("an engine that asked this instance's requests for a pause gets no orders nor reports in it", async () => {
+  const { controller, orders, reports } = startController(
+    STATE_WITH_MODEL,
+    () => "accepted",
+    TOKEN,
+    1000,
+  )
+  void controller.load("m/a", undefined, OPTIONS)
+  await runMicrotasks()
+  controller.stop("test")
+  expect([orders, reports]).to.deep.equal([[], []])
+})
+
 it("no order is sent without a fencing token, and a stop refuses the queued loads", async () => {
   const { controller, orders } = startController(STATE_WITH_MODEL, () => "accepted", undefined)
   const outcome = controller.load("m/a", undefined, OPTIONS)
@@ -116,20 +154,32 @@
   expect(await outcome).to.deep.equal({ kind: "refused", reason: "not owned any more" })
 })
 
-function startController(state: EngineState, answer: () => OrderAnswer, token: number | undefined) {
+function startController(
+  state: EngineState,
+  answer: () => OrderAnswer,
+  token: number | undefined,
+  pauseMs = 0,
+) {
+  const reports: string[] = []
   const orders: EngineOrder[] = []
+  const clock = createManualClock()
+  const pauses = new EndpointHealth()
+  pauses.onPause("e", pauseMs, clock.now())
   const engineClient: EngineClient = {
     order: (_engine, order) => {
       orders.push(order)
       return Promise.resolve().then(answer)
     },
-    readState: () => Promise.resolve(state),
+    readState: ({ id }) => {
+      reports.push(id)
+      return Promise.resolve(state)
+    },
   }
   const limits = { models: [{ name: "m", loadMs: 1 }], adapterSlots: 2, batchSize: 8 }
   const controller = new EngineController(ENGINE, limits, "m", {
     self: "i",
     engineClient,
-    clock: createManualClock(),
+    clock,
     log,
     orderTimeoutMs: 90,
     startedAt: -1000,
@@ -137,10 +187,14 @@
     versions: new VersionTable(1000),
     metrics: noopMetrics,
     getToken: () => token,
+    getPause: () => pauses.getPause("e", clock.now()),
+    onPause: (_engine, ms) => {
+      pauses.onPause("e", ms, clock.now())
+    },
     onChange: () => undefined,
   })
   controller.start()
-  return { controller, orders }
+  return { controller, orders, reports, pauses }
 }
 
 /** Runs all pending microtasks that don't wait for a timer. */
--- a/packages/entry/test/leaving.test.ts
+++ b/packages/entry/test/leaving.test.ts
@@ -185,6 +185,7 @@
     metrics: noopMetrics,
     orderTimeoutMs: 90,
     startedAt: -1000,
+    getPause: () => 0,
     onEngineChanged: () => undefined,
     onEngineLost: () => undefined,
   }
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -1,4 +1,4 @@
-import type { EndpointId, Millis, ReportedLoad } from "@galenaway/core"
+import type { EndpointId, Millis, Registration, ReportedLoad } from "@galenaway/core"
 
 /** The outcome of a request that is evidence of the endpoint's health. */
 export type EndpointOutcome =
@@ -22,6 +22,8 @@
   backoffMs: Millis
   /** Time at which a probe request may be sent. 0 while the endpoint isn't excluded. */
   excludedUntil: Millis
+  /** End of the pause that the endpoint has asked for. */
+  pausedUntil: Millis
   /** Whether a probe request is in flight. */
   isProbing: boolean
   /** Requests of this instance that wait for response headers: those that can meet their deadline, and the late ones. */
@@ -45,6 +47,8 @@
 const FAILURE_RATE_LIMIT_SHARE = 0.5
 const FIRST_BACKOFF_MS = 600
 const MAX_BACKOFF_MS = 4000
+/** A pause ends after this time even if the endpoint asked for more: in a pause no answer arrives that could correct an absurd value. */
+const MAX_PAUSE_MS = 300_000
 const REPORTED_LOAD_LIFETIME_MS = 1000
 /** Weight of the latest request in the moving average of slowness. */
 const SLOWNESS_SMOOTHING_SHARE = 0.1
@@ -101,10 +105,36 @@
     row.slowness += SLOWNESS_SMOOTHING_SHARE * (ratio - row.slowness)
   }
 
-  /** Returns whether requests may be sent to an endpoint. An excluded one gets a single probe request after its backoff. */
+  /** Records that an endpoint asked this instance to send nothing for a time. Returns false if it is in a pause already; the later end counts. */
+  onPause(endpoint: EndpointId, ms: Millis, now: Millis): boolean {
+    const row = this.getRow(endpoint)
+    const isNew = row.pausedUntil <= now
+    row.pausedUntil = Math.max(row.pausedUntil, now + Math.min(ms, MAX_PAUSE_MS))
+    return isNew
+  }
+
+  /** Returns the time until the end of an endpoint's pause, in ms; 0 if it isn't in one. */
+  getPause(endpoint: EndpointId, now: Millis): Millis {
+    return Math.max(0, (this.rows.get(endpoint)?.pausedUntil ?? 0) - now)
+  }
+
+  /** Returns the shortest pause if all the endpoints are in one. Undefined without endpoints. */
+  findShortestPause(endpoints: readonly Registration[], now: Millis): Millis | undefined {
+    let shortest: Millis | undefined
+    for (const { id } of endpoints) {
+      const pause = this.getPause(id, now)
+      if (pause === 0) return undefined
+      shortest = Math.min(shortest ?? pause, pause)
+    }
+    return shortest
+  }
+
+  /** Returns whether requests may be sent to an endpoint. One in a pause gets none, not even a probe request; an excluded one gets a single probe request after its backoff. */
   isUsable(endpoint: EndpointId, now: Millis): boolean {
     const row = this.rows.get(endpoint)
-    if (!row || row.excludedUntil === 0) return true
+    if (!row) return true
+    if (row.pausedUntil > now) return false
+    if (row.excludedUntil === 0) return true
     return now >= row.excludedUntil && !row.isProbing
   }
 
@@ -169,7 +199,7 @@
       if (!listed.has(id) && row.inFlight === 0) this.rows.delete(id)
   }
 
-  /** Clears the failures and load of an endpoint that was restarted. Requests in flight still count. */
+  /** Clears the failures, the load and the pause of an endpoint that was restarted. Requests in flight still count. */
   reset(endpoint: EndpointId): void {
     const { inFlight, pendingOnTime, pendingLate } = this.getRow(endpoint)
     this.rows.set(endpoint, { ...createRow(), inFlight, pendingOnTime, pendingLate })
@@ -193,6 +223,7 @@
     consecutiveFailures: 0,
     backoffMs: FIRST_BACKOFF_MS,
     excludedUntil: 0,
+    pausedUntil: 0,
     isProbing: false,
     pendingOnTime: 0,
     pendingLate: 0,
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -139,14 +139,15 @@
     : undefined
 }
 
-/** Returns whether an engine that was chosen earlier can still serve a request: it is live and holds the adapter in a version that may be used. */
+/** Returns whether an engine that was chosen earlier can still serve a request: it is live, isn't in a pause and holds the adapter in a version that may be used. */
 export function canStillServe(
   view: PlacementView,
   endpoint: EndpointId,
   { model, adapter }: RequestMetadata,
   now: Millis,
 ): boolean {
-  return view.findEngine(endpoint) !== undefined && canServe(view, endpoint, model, adapter, now)
+  if (!view.findEngine(endpoint) || view.health.getPause(endpoint, now) > 0) return false
+  return canServe(view, endpoint, model, adapter, now)
 }
 
 /** Ranks engines for an adapter, or for another key, by rendezvous hashing. Every instance computes the same order. */
--- a/packages/routing/test/health.test.ts
+++ b/packages/routing/test/health.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai"
+import type { Registration } from "@galenaway/core"
 import { EndpointHealth, type EndpointOutcome } from "@galenaway/routing"
 
 it("an endpoint is excluded after several broken requests in a row", () => {
@@ -47,6 +48,39 @@
   expect(health.countInFlight("e")).to.equal(1)
 })
 
+it("an endpoint in a pause gets nothing, not even a probe request", () => {
+  const health = new EndpointHealth()
+  endRequests(health, 3, "broken", 0)
+  expect(health.onPause("e", 5000, 0)).to.equal(true)
+  expect(health.onPause("e", 100, 10)).to.equal(false)
+  expect(health.isUsable("e", 4999)).to.equal(false)
+  expect(health.getPause("e", 4000)).to.equal(1000)
+  expect(health.isUsable("e", 5000)).to.equal(true)
+})
+
+it("a pause ends when the endpoint starts again, and after five minutes at the latest", () => {
+  const health = new EndpointHealth()
+  health.onPause("e", Number.MAX_VALUE, 0)
+  expect(health.getPause("e", 0)).to.equal(300_000)
+  health.reset("e")
+  expect(health.isUsable("e", 0)).to.equal(true)
+})
+
+it("the shortest pause counts only while all endpoints are in one", () => {
+  const health = new EndpointHealth()
+  const endpoints = [createRegistration("e"), createRegistration("f")]
+  health.onPause("e", 300, 0)
+  expect(health.findShortestPause(endpoints, 0)).to.equal(undefined)
+  health.onPause("f", 200, 0)
+  expect(health.findShortestPause(endpoints, 0)).to.equal(200)
+  expect(health.findShortestPause(endpoints, 200)).to.equal(undefined)
+  expect(health.findShortestPause([], 0)).to.equal(undefined)
+})
+
+function createRegistration(id: string): Registration {
+  return { id, service: "s", address: "h:1", dataCentre: "dc", slots: 1, phase: "live" }
+}
+
 function endRequests(
   health: EndpointHealth,
   count: number,
