--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -104,6 +104,7 @@
     const search = await this.findDestination()
     if (search === "disconnected") return this.endCall()
     if (search.kind === "none") return this.waitForEndpoint(search.reason)
+    if (search.kind === "paused") return this.rejectPaused(search.waitMs)
     if (search.kind === "overloaded") return this.rejectOverload(search.waitMs)
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
     if (!this.canEndInTime()) return this.reject(STOPPING.message, undefined, STOPPING.code)
@@ -276,6 +277,12 @@
     return this.reject("every engine has more work than it can do in time", retryAfterMs)
   }
 
+  /** Rejects a call whose service wants no requests for a time. A stream that has started waits, since it can't be refused any more. */
+  private rejectPaused(waitMs: Millis): NextAction | Promise<NextAction> {
+    const reason = "every endpoint asked for a pause"
+    return this.stream.hasStarted ? this.waitForEndpoint(reason) : this.reject(reason, waitMs)
+  }
+
   private acquireRetry(): boolean {
     const { context, call } = this
     return context
