--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -120,7 +120,16 @@
   const run = () => {
     const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
     const forwardContext = context as unknown as ForwardContext
-    return new Attempt(forwardContext, buildCall(), destination, IGNORING_SINK, LONG_TIMEOUTS).run()
+    const ignore = () => undefined
+    const call = buildCall()
+    return new Attempt(
+      forwardContext,
+      call,
+      destination,
+      IGNORING_SINK,
+      LONG_TIMEOUTS,
+      ignore,
+    ).run()
   }
   expect(await run()).to.deep.equal({ kind: "not-run", cause: "full" })
   expect(await run()).to.deep.equal({ kind: "not-run", cause: "paused" })
