A stream that has started isn't refused by its earlier wait for admission

A call that all engines had refused for their work, was then sent, started and lost its engine, was judged by the refusals from before: the search answered 'overloaded', and the instance closed the connection. The test fails without the change (expected 'overloaded' to equal 'found').

--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -76,7 +76,8 @@
     const pauseMs = view.health.findShortestPause(view.engines, now)
     if (pauseMs !== undefined) return { kind: "paused", waitMs: pauseMs }
     const refused = this.refusingEngines
-    const busy = this.admission.busyEngines
+    // An answer that has started isn't held back by what its owners decided before.
+    const busy = hasStarted ? [] : this.admission.busyEngines
     const placement = choosePlacement(
       { ...view, canLoad: (id) => !refused.has(id) && view.canLoad(id) },
       this.call.facts,
--- a/packages/entry/test/destinations.test.ts
+++ b/packages/entry/test/destinations.test.ts
@@ -104,6 +104,13 @@
   expect(await search.find(false)).to.deep.equal({ kind: "paused", waitMs: 300 })
 })
 
+it("a stream that has started isn't ended because all engines were busy before", async () => {
+  const fleet = createFleet(["e1", "e2"])
+  const search = createSearch(fleet, () => ({ kind: "refused", waitMs: 10_000 }))
+  expect((await search.find(false)).kind).to.equal("overloaded")
+  expect((await search.find(true)).kind).to.equal("found")
+})
+
 it("a call isn't sent with a version that became too old while it waited", async () => {
   const fleet = createFleet(["e1"])
   const search = createSearch(fleet, async () => {
