An answer that can't be continued elsewhere has no silence timeout

What callers see: a long lookup (over 256 KiB, so that its answer is passed on while it arrives) whose endpoint pauses for more than 0.9 s is closed within its body: the instance began it again at another endpoint, and the second head could not be written. The same for a stream whose events have no ids. Once bytes have been passed on, a call is repeated only if the events after the last one can be asked for; else its endpoint's silence ends nothing.

--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -172,6 +172,7 @@
   /** Searches for another endpoint while the silent one may still go on. */
   private handleSilence({ endpoint }: Destination, attempt: Attempt): void {
     const { context, call } = this
+    if (!this.canRetryAfter(this.runCount + 1)) return
     const endpointSilentMs = context.health.getSilence(endpoint.id, context.clock.now())
     context.log.write(
       { ...describeCall(call), endpoint: endpoint.id, endpointSilentMs },
@@ -234,8 +235,8 @@
 
   /** Returns whether the call may run at another endpoint after `runCount` runs. */
   private canRetryAfter(runCount: number): boolean {
-    const { route } = this.call
-    return isRetryable(this.call) && runCount < route.maxAttempts && this.sendCount < MAX_SEND_COUNT
+    const isWithinLimits = runCount < this.call.route.maxAttempts && this.sendCount < MAX_SEND_COUNT
+    return isRetryable(this.call) && isWithinLimits && this.stream.canContinue
   }
 
   /** Returns what happens to a call with a part that ends engines, or may do so; undefined if the call may be sent. */
--- a/packages/entry/src/forward/sinks.ts
+++ b/packages/entry/src/forward/sinks.ts
@@ -97,6 +97,11 @@
     return this.reply.hasHead
   }
 
+  /** Whether another attempt can continue the answer: it hasn't started, or the events after the last one can be asked for. */
+  get canContinue(): boolean {
+    return !this.hasStarted || (this.isResumable && this.lastEventNumber !== undefined)
+  }
+
   /** Creates the sink of one attempt. Attempts run one after the other. */
   createSink(getFlowControl: () => FlowControl): AnswerSink {
     const errorSink = new BufferingSink(this.reply, getFlowControl)
