A new owner that still waits hands its engines over without the right to use them at once

An instance that had just claimed an engine from another one and was stopped in its wait wrote 'handed over'; the next owner sent orders at once while the former one, cut off from the store, could still send some. Now only engines whose wait has ended are handed over for use at once; the next owner of another one waits a lease. The test 'waited false' fails without the change and passes with it.

--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -179,16 +179,20 @@
   }
 
   private async writeHandovers(): Promise<void> {
-    const { authority, log } = this.deps
+    const { authority, clock, log } = this.deps
     // A record of an earlier era can't be handed over; it is claimed anew.
     for (const endpoint of authority.listFrozen()) this.release(endpoint)
     const records = new Map(this.listOwnRecords().map((record) => [record.endpoint, record]))
     const instances = [...this.instancesById.values()]
     const claims = planHandovers(this.self, instances, this.deps.listEngines(), records)
-    // The next owner may send orders as soon as the claim is written.
+    const isActive = ({ endpoint }: OwnershipClaim) => authority.isActive(endpoint, clock.now())
+    const active = claims.filter(isActive)
+    const waiting = claims.filter((claim) => !isActive(claim))
+    // The next owner of an active engine may send orders as soon as the claim is written.
     for (const { endpoint } of claims) this.release(endpoint)
-    for (let start = 0; start < claims.length; start += MAX_CLAIMS_PER_TRANSACTION)
-      await this.writeClaims(claims.slice(start, start + MAX_CLAIMS_PER_TRANSACTION), true)
+    await this.writeInParts(active, true)
+    // That of another one waits for as long as a new owner, since the one before this instance may still send orders.
+    await this.writeInParts(waiting, false)
     log.info({ engines: claims.length, kept: records.size - claims.length }, "engines handed over")
   }
 
@@ -296,7 +300,7 @@
       before: this.records.find(endpoint),
     }))
     try {
-      await this.writeClaims(claims, false)
+      await this.writeInParts(claims, false)
     } catch (error) {
       log.info({ engines: claims.length, err: error }, "engines not claimed again")
     }
@@ -326,8 +330,15 @@
     const engines = this.deps.listEngines()
     const claims = planClaims(this.self, this.listLive(), engines, this.records.all)
     const allowed = claims.filter((claim) => this.canClaim(claim))
-    for (let start = 0; start < allowed.length; start += MAX_CLAIMS_PER_TRANSACTION)
-      await this.writeClaims(allowed.slice(start, start + MAX_CLAIMS_PER_TRANSACTION), false)
+    await this.writeInParts(allowed, false)
+  }
+
+  private async writeInParts(
+    claims: readonly OwnershipClaim[],
+    isHandedOver: boolean,
+  ): Promise<void> {
+    for (let start = 0; start < claims.length; start += MAX_CLAIMS_PER_TRANSACTION)
+      await this.writeClaims(claims.slice(start, start + MAX_CLAIMS_PER_TRANSACTION), isHandedOver)
   }
 
   /** Finds an instance that is listed, or that isn't listed but still sends messages. */
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -14,6 +14,7 @@
 import { log } from "./support.js"
 
 const MICROTASK_TURN_COUNT = 50
+const LEASE_MS = 3000
 const STARTUP_DELAY_MS = 2500
 /** Time after which ownership is confirmed again, and the interval at which that is checked, with a margin. */
 const CONFIRM_INTERVAL_MS = 1000
@@ -51,6 +52,24 @@
   ownership.stop()
 })
 
+for (const isHandedOver of [false, true])
+  it(`an engine is handed over for use at once only after this instance's own wait as a new owner, waited ${String(isHandedOver)}`, async () => {
+    const { ownership, store, gained, clock } = createOwnership()
+    await putOwner(store, "own", buildInstance("k", "k1"))
+    await pollAfterStartup(ownership, clock)
+    expect(gained).to.include("own")
+    await putInstance(store, buildInstance("j", "j1"))
+    // The claim was written before the last wait for an owner that is gone.
+    const restMs = LEASE_MS - FORGET_OWNER_MS
+    await clock.advance(isHandedOver ? restMs : restMs - 1)
+    ownership.readNow()
+    await runMicrotasks()
+    await ownership.handOver()
+    ownership.stop()
+    const { items } = await store.readRange(formatOwnerKey("own"))
+    expect(items[0]?.value).to.deep.equal(formatOwner(buildInstance("j", "j1"), isHandedOver, 0))
+  })
+
 it("an instance that ends before another one can take its engines stops waiting", async () => {
   const { ownership, store, lost } = createOwnership()
   await putOwner(store, "own", buildInstance("i", "earlier"))
@@ -165,7 +184,7 @@
   const store = new LeaseStore(() => clock.now())
   const ownership = new Ownership(buildInstance("i", "now"), {
     store,
-    authority: new OrderAuthority(computeAuthorityTimes(3000)),
+    authority: new OrderAuthority(computeAuthorityTimes(LEASE_MS)),
     suspension: new SuspensionDetector(clock, 250),
     clock,
     log,
