Items of operators of two eras are compared by their versions

An instance that started after a restore read the store's older configuration and then ignored a peer's newer one, since the peer's was of an earlier era; its callers got 404 on routes that were added since.

--- a/packages/entry/src/catalogue/operator-catalogue.ts
+++ b/packages/entry/src/catalogue/operator-catalogue.ts
@@ -1,5 +1,5 @@
 import { EventEmitter } from "node:events"
-import type { Clock, ServingConfiguration, StoreItem } from "@galenaway/core"
+import { type Clock, getEra, type ServingConfiguration, type StoreItem } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { RouteTable, type VersionTable } from "@galenaway/routing"
 import type { CatalogueFormat } from "./format.js"
@@ -46,11 +46,13 @@
 
   /**
    * Applies an item that an operator wrote. Ignores a revision that isn't newer
-   * than the last decoded one of its key. `source` is logged.
+   * than the last decoded one of its key in its era; items of two eras are compared
+   * by their versions. `source` is logged.
    */
   apply(item: StoreItem, source: string): void {
     const known = this.items.get(item.key)
-    if (known && known.revision >= item.revision) return
+    const isSameEra = known && getEra(known.revision) === getEra(item.revision)
+    if (isSameEra && known.revision >= item.revision) return
     const entry = this.format.readOperatorItem(item)
     switch (entry.kind) {
       case "configuration":
--- a/packages/entry/test/catalogue.test.ts
+++ b/packages/entry/test/catalogue.test.ts
@@ -268,3 +268,14 @@
   await handled
   expect(catalogue.version).to.equal(9)
 })
+
+it("an instance that starts in a later era takes a newer configuration of an earlier era from a peer", () => {
+  const catalogue = createCatalogue()
+  catalogue.apply(buildItem("op/config", { version: 3 }, encodeRevision(3, 40)), "read")
+  catalogue.apply(buildItem("op/config", { version: 9 }, encodeRevision(2, 900)), "peer p")
+  expect(catalogue.version).to.equal(9)
+  catalogue.apply(buildItem("op/config", { version: 8 }, encodeRevision(3, 41)), "read")
+  expect(catalogue.version).to.equal(9)
+  catalogue.apply(buildItem("op/config", { version: 10 }, encodeRevision(3, 42)), "watch")
+  expect(catalogue.version).to.equal(10)
+})
