A later attempt that is silent is searched for too

A call whose first endpoint fell silent and then broke, and whose second one fell silent while the search for the first was still waiting for a load, got no search: it hung until its deadline. The review's test failed before and passes.

--- a/packages/entry/src/forward/failover.ts
+++ b/packages/entry/src/forward/failover.ts
@@ -31,16 +31,19 @@
  */
 export class Failover {
   private isSearching = false
+  /** The attempt that is replaced next; a later one takes the place of an earlier one. */
+  private attempt: SilentAttempt | undefined
   private destination: Destination | undefined
 
   constructor(private readonly deps: FailoverDependencies) {}
 
-  /** Searches until an endpoint is found, and ends the attempt then. Stops when the attempt goes on or ends. Never rejects. */
+  /** Searches until an endpoint is found, and ends the attempt then. Stops when the attempt goes on or ends. A search that runs is continued for the later attempt. Never rejects. */
   async run(attempt: SilentAttempt): Promise<void> {
+    this.attempt = attempt
     if (this.isSearching) return
     this.isSearching = true
     try {
-      while (attempt.isSilent && !this.deps.disconnectSignal.aborted) await this.search(attempt)
+      while (this.attempt.isSilent && !this.deps.disconnectSignal.aborted) await this.search()
     } catch (error) {
       this.deps.onError(error)
     } finally {
@@ -55,9 +58,10 @@
     return destination
   }
 
-  private async search(attempt: SilentAttempt): Promise<void> {
+  private async search(): Promise<void> {
     const result = await this.deps.find()
-    if (!attempt.isSilent) return
+    const { attempt } = this
+    if (!attempt?.isSilent) return
     if (result.kind === "found" && this.deps.acquireRetry()) {
       this.destination = result.destination
       attempt.endSilent()
--- a/packages/entry/test/failover.test.ts
+++ b/packages/entry/test/failover.test.ts
@@ -52,6 +52,30 @@
   expect(attempt.hasEnded).to.equal(true)
 })
 
+it("an attempt that falls silent during the search for an earlier one is replaced too", async () => {
+  const earlier = createAttempt()
+  const later = createAttempt()
+  let endSearch: () => void = () => undefined
+  const waiting = new Promise<void>((resolve) => (endSearch = resolve))
+  let searchCount = 0
+  const failover = new Failover({
+    find: async () => {
+      if (searchCount++ === 0) await waiting
+      return FOUND
+    },
+    acquireRetry: () => true,
+    disconnectSignal: new AbortController().signal,
+    onError: () => undefined,
+  })
+  const runs = [failover.run(earlier)]
+  earlier.isSilent = false
+  runs.push(failover.run(later))
+  endSearch()
+  await Promise.all(runs)
+  expect(earlier.hasEnded).to.equal(false)
+  expect(later.hasEnded).to.equal(true)
+})
+
 it("a search that fails leaves the attempt as it is", async () => {
   const attempt = createAttempt()
   const errors: unknown[] = []
