A silent endpoint is asked again when the one that should continue the answer refuses it

After an attempt was ended for an endpoint that had accepted the call and then refused it, both endpoints were excluded for good, and a second refusal of the retry limit closed the caller's connection, though the silent endpoint was sound. It is allowed again now, and an answer that this instance took from a silent endpoint waits for its retry.

--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -57,6 +57,11 @@
     this.admission.remove(endpoint)
   }
 
+  /** Allows an endpoint again that was excluded only because it was silent. */
+  readmit(endpoint: EndpointId): void {
+    this.excluded.delete(endpoint)
+  }
+
   /** Records that an engine refused the call because it doesn't hold the model, the adapter or the version. */
   onAdapterMissing(endpoint: EndpointId): void {
     const { adapter } = this.call.facts
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -1,4 +1,10 @@
-import { describeError, type ErrorCode, type Millis, waitFor } from "@galenaway/core"
+import {
+  describeError,
+  type EndpointId,
+  type ErrorCode,
+  type Millis,
+  waitFor,
+} from "@galenaway/core"
 import type { AttemptResult, CompleteAnswer, Destination } from "./answer.js"
 import { Attempt } from "./attempt.js"
 import {
@@ -52,6 +58,8 @@
   private sendCount = 0
   /** Number of sends that an endpoint may have run. */
   private runCount = 0
+  /** The last endpoint whose attempt was ended because it was silent. */
+  private silentEndpoint: EndpointId | undefined
   /** Whether the call tests a quarantined part of it. */
   private isTrial = false
   /** The last server error of an endpoint, sent when no later attempt succeeds. */
@@ -111,7 +119,7 @@
     // The wait for admission or a load may have been long.
     const heldMeanwhile = this.checkParts()
     if (heldMeanwhile) return heldMeanwhile
-    if (this.sendCount > 0 && !this.acquireRetry()) return this.reject("the retry limit is reached")
+    if (this.sendCount > 0 && !this.acquireRetry()) return this.handleRetryLimit()
     return this.send(search.destination)
   }
 
@@ -200,10 +208,12 @@
       case "not-run":
         if (result.cause === "missing") this.search.onAdapterMissing(endpoint.id)
         else this.search.exclude(endpoint.id)
+        this.readmitSilent()
         return this.sendCount < MAX_SEND_COUNT ? RETRY : this.reject(`not run: ${result.cause}`)
       case "failed":
         this.runCount++
         this.search.exclude(endpoint.id)
+        this.silentEndpoint = result.cause === "silent" ? endpoint.id : undefined
         return this.canRetryAfter(this.runCount)
           ? RETRY
           : this.reject(`the endpoint failed: ${result.cause}`)
@@ -284,6 +294,19 @@
     return this.stream.hasStarted ? this.waitForEndpoint(reason) : this.reject(reason, waitMs)
   }
 
+  /** Allows the silent endpoint again when the one that should continue the answer has refused it: the silent one may be sound. */
+  private readmitSilent(): void {
+    if (this.silentEndpoint !== undefined && this.stream.hasStarted)
+      this.search.readmit(this.silentEndpoint)
+  }
+
+  /** An answer that this instance took from a silent endpoint waits for a retry; other calls are rejected, so that their callers can come back. */
+  private handleRetryLimit(): NextAction | Promise<NextAction> {
+    const reason = "the retry limit is reached"
+    const mustContinue = this.silentEndpoint !== undefined && this.stream.hasStarted
+    return mustContinue ? this.waitForEndpoint(reason) : this.reject(reason)
+  }
+
   private acquireRetry(): boolean {
     const { context, call } = this
     return context
