--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -294,11 +294,9 @@
       return
     }
     this.isClaimingAgain = true
-    const claims = endpoints.map((endpoint) => ({
-      endpoint,
-      owner: this.self,
-      before: this.records.find(endpoint),
-    }))
+    const claims = endpoints
+      .map((endpoint) => ({ endpoint, owner: this.self, before: this.records.find(endpoint) }))
+      .filter((claim) => isReplaceable(claim))
     try {
       await this.writeInParts(claims, false)
     } catch (error) {
@@ -365,9 +363,9 @@
     return [this.self, ...others, ...missing]
   }
 
-  private canClaim({ before }: OwnershipClaim): boolean {
-    // A record whose revision can't be read can't be replaced, and would fail the claims beside it.
-    if (before?.revision === 0) return false
+  private canClaim(claim: OwnershipClaim): boolean {
+    const { before } = claim
+    if (!isReplaceable(claim)) return false
     const now = this.deps.clock.now()
     // After a restore, owners first claim their engines again.
     const isOwnersTurn = this.hasSeenRestore && now - this.eraSeenAt < STARTUP_DELAY_MS
@@ -450,3 +448,8 @@
     this.emit("lost", endpoint)
   }
 }
+
+/** Returns whether a claim can be written. A record whose revision can't be read can't be replaced, and would fail the claims beside it. */
+function isReplaceable({ before }: OwnershipClaim): boolean {
+  return before?.revision !== 0
+}
