--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -11,6 +11,8 @@
 
 /** Revisions of one era, more than a store writes in decades. The product with any likely era is a safe integer. */
 const REVISIONS_PER_ERA = 2 ** 36
+/** The highest revision that an era can have. */
+export const MAX_REVISION = REVISIONS_PER_ERA - 1
 
 /**
  * Encodes the revision of a store that can be restored from an older copy. The
