--- a/review/lib/endpoint.mjs
+++ b/review/lib/endpoint.mjs
@@ -3,9 +3,9 @@
 import { createServer } from "node:http"
 import { sleep } from "./store.mjs"
 
-const EVENT_COUNT = 6
-const EVENT_GAP_MS = 10
 const UNLOAD_DONE = 200
+const RECENT_FACTOR = 10
+const MAX_RECENT_COUNT = 84
 
 export class Endpoint {
   /** Requests that ran: {attempt, adapter, version, at}. */
@@ -20,9 +20,22 @@
   state = "ready"
   /** Time of a load of an adapter, in ms. */
   loadMs = 250
+  /** Adapters that the engine held recently, which load ten times as fast. */
+  recent = new Set()
   /** The newest version of each adapter, which a load without a version fetches. */
   newest = new Map()
   workMs = 20
+  /** Time after which an order is answered, in ms. */
+  orderMs = 0
+  /** Every how many orders one is answered after `slowOrderMs` instead. */
+  slowOrderInterval = Infinity
+  slowOrderMs = 60
+  eventCount = 6
+  eventGapMs = 10
+  /** Orders to load that the places for adapters don't hold: {at, adapter, held}. */
+  excessLoads = []
+  /** Returns whether a copy of the answer to an order comes late, where the next answer on its channel is expected. */
+  shouldRepeatOrder = () => false
   /** Number of answers to requests of clients. */
   answerCount = 0
   /** Returns whether a copy of an answer with this status comes late, where the next answer on its channel is expected. */
@@ -84,7 +97,7 @@
       return
     }
     if (request.url === "/-/order")
-      this.onOrder(JSON.parse(Buffer.concat(chunks).toString()), response)
+      await this.onOrder(JSON.parse(Buffer.concat(chunks).toString()), request, response)
     else if (request.url === "/-/report") this.sendReport(response)
     else await this.run(request, response, echo)
   }
@@ -111,8 +124,10 @@
     )
   }
 
-  onOrder(order, response) {
+  async onOrder(order, request, response) {
     const { op_kind, adapter, version, precondition, holder, fence_token } = order
+    const { orderCopy } = request.socket
+    delete request.socket.orderCopy
     const status = this.applyOrder(op_kind, adapter, version, precondition)
     this.orders.push({
       at: performance.now(),
@@ -120,9 +135,16 @@
       fence: fence_token,
       kind: op_kind,
       adapter,
+      precondition,
       status,
+      misread: orderCopy,
     })
-    response.writeHead(status).end()
+    if (orderCopy !== undefined) request.socket.write(formatOrderAnswer(orderCopy))
+    const isSlow = this.orders.length % this.slowOrderInterval === 0
+    const ms = isSlow ? this.slowOrderMs : this.orderMs
+    if (ms > 0) await sleep(ms)
+    response.writeHead(status, { "Content-Length": "0" }).end()
+    if (this.shouldRepeatOrder(op_kind, status)) request.socket.orderCopy = status
   }
 
   applyOrder(kind, adapter, version, precondition) {
@@ -131,18 +153,36 @@
     const known = this.adapters.get(adapter)
     if (kind === "load" && known?.version === wanted) return known.isHeld ? 200 : 202
     if (kind === "unload" && !known) return UNLOAD_DONE
+    if (kind === "unload" && known.isLeaving) return 202
     if (precondition !== undefined && precondition !== this.sequence) return 409
     this.sequence++
-    if (kind === "unload") {
-      this.adapters.delete(adapter)
-      return UNLOAD_DONE
-    }
-    const entry = { version: wanted, isHeld: false }
+    if (kind === "unload") return this.unload(adapter, known)
+    if (!known && this.adapters.size >= this.adapterSlots)
+      this.excessLoads.push({ at: performance.now(), adapter, held: this.adapters.size })
+    const entry = { version: wanted, isHeld: false, isLeaving: false, runCount: 0 }
     this.adapters.set(adapter, entry)
-    setTimeout(() => (entry.isHeld = true), this.loadMs)
+    const ms = this.recent.has(adapter) ? this.loadMs / RECENT_FACTOR : this.loadMs
+    setTimeout(() => (entry.isHeld = true), ms)
     return 202
   }
 
+  /** Unloads an adapter: at once, or when its last run ends. */
+  unload(adapter, entry) {
+    if (entry.runCount > 0) {
+      entry.isLeaving = true
+      return 202
+    }
+    this.adapters.delete(adapter)
+    this.addRecent(adapter)
+    return UNLOAD_DONE
+  }
+
+  addRecent(adapter) {
+    this.recent.delete(adapter)
+    this.recent.add(adapter)
+    if (this.recent.size > MAX_RECENT_COUNT) this.recent.delete(this.recent.values().next().value)
+  }
+
   /** Sends the copy of an earlier answer on this channel, if there is one, before the answer to the next request. */
   sendLateCopy(request) {
     const { lateCopy } = request.socket
@@ -204,10 +244,24 @@
       "Weight-Versions": String(held?.version ?? 1),
     })
     const first = Number(headers["last-event-id"] ?? 0) + 1
-    for (let number = first; number <= EVENT_COUNT && !response.destroyed; number++) {
+    for (let number = first; number <= this.eventCount && !response.destroyed; number++) {
       response.write(`id: ${number}\ndata: token ${number}\n\n`)
-      await sleep(EVENT_GAP_MS)
+      await sleep(this.eventGapMs)
     }
     response.end()
+    this.endRun(adapter, held)
+  }
+
+  endRun(adapter, entry) {
+    if (!entry) return
+    entry.runCount--
+    if (!entry.isLeaving || entry.runCount > 0 || this.adapters.get(adapter) !== entry) return
+    this.adapters.delete(adapter)
+    this.addRecent(adapter)
   }
 }
+
+function formatOrderAnswer(status) {
+  const reason = status === 202 ? "Accepted" : "OK"
+  return `HTTP/1.1 ${status} ${reason}\r\nContent-Length: 0\r\n\r\n`
+}
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -17,6 +17,10 @@
   answerMs = 4
   /** Watches that began before this time hear nothing until `releaseWatches`. */
   areWatchesDeaf = false
+  /** How far stale reads (`serializable`) are behind, in ms. */
+  staleMs = 0
+  /** All values of the keys under `servers/`, for stale reads: {at, key, item}. */
+  log = []
   /** Whether each call is reset. */
   isDown = false
   /** Set of client ports whose connections are silent for good. */
@@ -72,6 +76,10 @@
   }
 
   addEvent(event) {
+    if (event.key.startsWith("servers/")) {
+      const item = event.tombstone ? undefined : event
+      this.log.push({ at: performance.now(), key: event.key, revision: event.revision, item })
+    }
     this.history.push(event)
     if (this.history.length > 100_000) this.history.splice(0, 50_000)
     if (this.areWatchesDeaf) return
@@ -145,7 +153,7 @@
           : { status: 404, body: {} }
       }
       case "kv-range":
-        return this.readPage(query.get("path_prefix") ?? "", query.get("after") ?? "")
+        return this.readRange(query)
       case "kv-txn":
         return this.change(JSON.parse(body))
       case "kv-lease": {
@@ -168,6 +176,27 @@
     }
   }
 
+  readRange(query) {
+    const prefix = query.get("path_prefix") ?? ""
+    const isStale = query.get("serializable") === "1" && prefix === "servers/" && this.staleMs > 0
+    return isStale ? this.readStale() : this.readPage(prefix, query.get("after") ?? "")
+  }
+
+  /** Reads the keys under `servers/` as they were `staleMs` ago. */
+  readStale() {
+    const until = performance.now() - this.staleMs
+    const known = new Map()
+    let asOf = 1
+    for (const { at, key, revision, item } of this.log) {
+      if (at > until) break
+      asOf = revision
+      if (item) known.set(key, item)
+      else known.delete(key)
+    }
+    const items = [...known.keys()].sort().map((key) => known.get(key))
+    return { status: 200, body: { items, more_pages: false, as_of: asOf } }
+  }
+
   readPage(prefix, after) {
     this.sortedKeys ??= [...this.items.keys()].sort()
     const keys = this.sortedKeys.filter((key) => key.startsWith(prefix) && key > after)
