--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -15,6 +15,9 @@
 } from "../lib/fleet.mjs"
 import { sleep, Store } from "../lib/store.mjs"
 
+/** With TROUBLE=0 the case runs without its disruption. */
+const IS_TROUBLE = process.env.TROUBLE !== "0"
+
 const ADAPTER_COUNT = 110
 const TRAFFIC_MS = 72_000
 const REQUESTS_PER_S = 90
@@ -48,107 +51,112 @@
   }
 }
 
-await runCase(dirname(fileURLToPath(import.meta.url)), async ({ journal, isTrouble, onEnd }) => {
-  const store = new Store()
-  await store.start()
-  onEnd(() => store.stop())
-  const engines = [1, 2, 3, 4].map(
-    (n) =>
-      new Endpoint(`i-engine-${n}`, {
-        model: MODEL,
-        service: "assistant",
-        zone: `zone-${"abca"[n - 1]}`,
-      }),
-  )
-  for (const engine of engines) {
-    await engine.start()
-    onEnd(() => engine.stop())
-    if (isTrouble && GARBLED_ENGINES.includes(engine.id)) engine.shouldRepeat = createGarble(engine)
-  }
-  let beats = 0
-  const register = () => {
-    beats++
-    for (const engine of engines)
-      store.put(`servers/${engine.id}`, { ...engine.buildRegistration(), sequence: beats })
-  }
-  register()
-  const heartbeat = setInterval(register, 1200)
-  onEnd(() => clearInterval(heartbeat))
-  const later = {
-    resumable: false,
-    max_attempts: 1,
-    priority: 2,
-    goal_ms: 2000,
-    timeout_ms: 10_000,
-    gap_aim_ms: 250,
-  }
-  store.put(
-    "op/config",
-    buildConfiguration(1, [buildRoute("later", "streaming", "assistant", later)]),
-  )
+await runCase(
+  dirname(fileURLToPath(import.meta.url)),
+  IS_TROUBLE,
+  async ({ journal, isTrouble, onEnd }) => {
+    const store = new Store()
+    await store.start()
+    onEnd(() => store.stop())
+    const engines = [1, 2, 3, 4].map(
+      (n) =>
+        new Endpoint(`i-engine-${n}`, {
+          model: MODEL,
+          service: "assistant",
+          zone: `zone-${"abca"[n - 1]}`,
+        }),
+    )
+    for (const engine of engines) {
+      await engine.start()
+      onEnd(() => engine.stop())
+      if (isTrouble && GARBLED_ENGINES.includes(engine.id))
+        engine.shouldRepeat = createGarble(engine)
+    }
+    let beats = 0
+    const register = () => {
+      beats++
+      for (const engine of engines)
+        store.put(`servers/${engine.id}`, { ...engine.buildRegistration(), sequence: beats })
+    }
+    register()
+    const heartbeat = setInterval(register, 1200)
+    onEnd(() => clearInterval(heartbeat))
+    const later = {
+      resumable: false,
+      max_attempts: 1,
+      priority: 2,
+      goal_ms: 2000,
+      timeout_ms: 10_000,
+      gap_aim_ms: 250,
+    }
+    store.put(
+      "op/config",
+      buildConfiguration(1, [buildRoute("later", "streaming", "assistant", later)]),
+    )
 
-  const fleet = new Fleet(SMALL_BOUNDS)
-  onEnd(() => fleet.stop())
-  await fleet.start(() => store.address)
-  if (!(await fleet.waitUntilReady())) throw new Error("the instances were not ready")
-  await sleep(6000)
-  journal.write("4 instances ready")
+    const fleet = new Fleet(SMALL_BOUNDS)
+    onEnd(() => fleet.stop())
+    await fleet.start(() => store.address)
+    if (!(await fleet.waitUntilReady())) throw new Error("the instances were not ready")
+    await sleep(6000)
+    journal.write("4 instances ready")
 
-  const results = []
-  const startedAt = performance.now()
-  for (let n = 0; performance.now() - startedAt < TRAFFIC_MS; n++) {
-    const adapter = `a${1 + Math.floor(Math.random() * ADAPTER_COUNT)}`
-    const instance = fleet.instances[n % fleet.instances.length]
-    const headers = {
-      Model: `${MODEL}/${adapter}`,
-      "Token-Counts": "100,30",
-      "Prompt-Prefix": "1a:50,2b:50",
+    const results = []
+    const startedAt = performance.now()
+    for (let n = 0; performance.now() - startedAt < TRAFFIC_MS; n++) {
+      const adapter = `a${1 + Math.floor(Math.random() * ADAPTER_COUNT)}`
+      const instance = fleet.instances[n % fleet.instances.length]
+      const headers = {
+        Model: `${MODEL}/${adapter}`,
+        "Token-Counts": "100,30",
+        "Prompt-Prefix": "1a:50,2b:50",
+      }
+      results.push(
+        call(instance, "POST", "/later/q", headers, 10_000).then((result) => ({
+          ...result,
+          adapter,
+          instance,
+        })),
+      )
+      await sleep(startedAt + ((n + 1) * 1000) / REQUESTS_PER_S - performance.now())
     }
-    results.push(
-      call(instance, "POST", "/later/q", headers, 10_000).then((result) => ({
-        ...result,
-        adapter,
-        instance,
-      })),
-    )
-    await sleep(startedAt + ((n + 1) * 1000) / REQUESTS_PER_S - performance.now())
-  }
-  const answers = await Promise.all(results)
+    const answers = await Promise.all(results)
 
-  const runs = new Map()
-  for (const engine of engines)
-    for (const run of engine.runs)
-      runs.set(run.attempt, [...(runs.get(run.attempt) ?? []), { ...run, engine: engine.id }])
-  for (const engine of engines) {
-    journal.write(
-      `${engine.id}: ${engine.answerCount} answers, ${engine.runs.length} runs, ${engine.copies.length} late copies`,
-    )
-    for (const copy of engine.copies)
+    const runs = new Map()
+    for (const engine of engines)
+      for (const run of engine.runs)
+        runs.set(run.attempt, [...(runs.get(run.attempt) ?? []), { ...run, engine: engine.id }])
+    for (const engine of engines) {
       journal.write(
-        `${engine.id}: late copy of the answer to ${copy.attempt}, where that to ${copy.before} was due`,
+        `${engine.id}: ${engine.answerCount} answers, ${engine.runs.length} runs, ${engine.copies.length} late copies`,
       )
-  }
-  let twice = 0
-  let refused = 0
-  for (const { attempt, status, adapter, instance } of answers) {
-    const own = runs.get(attempt) ?? []
-    const isTwice = own.length > 1
-    const isRefused = status === 503 && own.length > 0
-    twice += isTwice ? 1 : 0
-    refused += isRefused ? 1 : 0
-    const where = own
-      .map((run) => `${run.engine} at ${Math.round(run.at - startedAt)} ms`)
-      .join(", ")
-    journal.write(
-      `${attempt} for ${adapter} to ${instance.id}: ${status}, ran ${own.length === 0 ? "nowhere" : where}${isTwice ? "  RAN TWICE" : ""}${isRefused ? "  REFUSED AND RAN" : ""}`,
-    )
-  }
-  const counts = countBy(answers.map(({ status }) => status))
-  return {
-    isBroken: twice > 0,
-    text: `TWICE: of ${answers.length} requests on a stream that may not be resumed, ${twice} ran more than once; ${refused} were answered 503 and ran (answers: ${counts})`,
-  }
-})
+      for (const copy of engine.copies)
+        journal.write(
+          `${engine.id}: late copy of the answer to ${copy.attempt}, where that to ${copy.before} was due`,
+        )
+    }
+    let twice = 0
+    let refused = 0
+    for (const { attempt, status, adapter, instance } of answers) {
+      const own = runs.get(attempt) ?? []
+      const isTwice = own.length > 1
+      const isRefused = status === 503 && own.length > 0
+      twice += isTwice ? 1 : 0
+      refused += isRefused ? 1 : 0
+      const where = own
+        .map((run) => `${run.engine} at ${Math.round(run.at - startedAt)} ms`)
+        .join(", ")
+      journal.write(
+        `${attempt} for ${adapter} to ${instance.id}: ${status}, ran ${own.length === 0 ? "nowhere" : where}${isTwice ? "  RAN TWICE" : ""}${isRefused ? "  REFUSED AND RAN" : ""}`,
+      )
+    }
+    const counts = countBy(answers.map(({ status }) => status))
+    return {
+      isBroken: twice > 0,
+      text: `TWICE: of ${answers.length} requests on a stream that may not be resumed, ${twice} ran more than once; ${refused} were answered 503 and ran (answers: ${counts})`,
+    }
+  },
+)
 
 function countBy(values) {
   const counts = new Map()
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -234,10 +234,9 @@
   }
 }
 
-/** Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
-export async function runCase(folder, play) {
+/** Runs a case, with its disruption if `isTrouble`, and exits: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
+export async function runCase(folder, isTrouble, play) {
   const journal = new Journal()
-  const isTrouble = process.env.TROUBLE !== "0"
   const cleanups = []
   const limit = setTimeout(() => void finish(2, "the case took too long"), 110_000)
   let isFinished = false
