A call is sent again only on a connection that hasn't answered it

Cause: all sends of one call have the same Attempt-Id, and an engine may write an answer twice; the copy arrives where the next answer on the connection is expected. After a 421 the adapter is loaded and the call goes to the same engine, mostly on the same connection. The copy of the first refusal was taken for the answer to the second send, which ran, and the call was sent once more.

Ruled out: another id for each send (the platform wants the caller's own id); excluding the engine after a 421 (it is the one that loads the adapter).

Change: CallConnections keeps the addresses that a call was sent to. A further send there takes a connection of its own. The request id tells the answers of different calls apart, the connection those of one call. Sends to another address share connections as before.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -14,9 +14,10 @@
   Destination,
   NotRunCause,
 } from "./answer.js"
-import { type Call, isRetryable, isStream } from "./call.js"
+import { type Call, isStream } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import { HttpExchange } from "./exchange.js"
+import type { ConnectionUse } from "./pools.js"
 import type { AttemptGuard } from "../quarantine/index.js"
 
 /** Expected time to the first byte, to which the time for the prompt is added. */
@@ -29,6 +30,15 @@
 const FIRST_ERROR_STATUS = 300
 const SERVER_ERROR_STATUS = 500
 
+/** How one attempt is sent and watched. */
+export interface AttemptOptions {
+  readonly timeouts: AttemptTimeouts
+  /** The connections on which it is sent. */
+  readonly connectionUse: ConnectionUse
+  /** Called each time that the endpoint has been silent for longer than its timeout. The attempt continues. */
+  onSilent(attempt: Attempt): void
+}
+
 /** Runs one attempt of a call at an endpoint. */
 export class Attempt {
   private readonly exchange: HttpExchange
@@ -61,9 +71,7 @@
     private readonly call: Call,
     private readonly destination: Destination,
     private readonly sink: AnswerSink,
-    private readonly timeouts: AttemptTimeouts,
-    /** Called each time that the endpoint has been silent for longer than its timeout. The attempt continues. */
-    private readonly onSilent: (attempt: Attempt) => void,
+    private readonly options: AttemptOptions,
   ) {
     this.startedAt = context.clock.now()
     this.pace = context.paces.get(call.service)
@@ -183,10 +191,13 @@
     this.deadlineTimer = setTimeout(() => {
       this.abort({ kind: "out-of-time" }, undefined)
     }, remainingMs)
-    this.startTimeout(this.timeouts.firstByteMs)
+    this.startTimeout(this.options.timeouts.firstByteMs)
     this.startVersionCheck()
-    const use = isRetryable(call) || isStream(call) ? "shared" : "single"
-    const connections = context.pools.get(endpoint, use, context.computeConnectionLimit(endpoint))
+    const connections = context.pools.get(
+      endpoint,
+      this.options.connectionUse,
+      context.computeConnectionLimit(endpoint),
+    )
     this.exchange.start(connections, {
       method: call.method,
       path: call.path,
@@ -230,7 +241,7 @@
     if (isStream(call)) this.recordFirstByte(now, facts.load)
     this.isHeadAccepted = true
     clearInterval(this.versionTimer)
-    this.startTimeout(this.timeouts.betweenBytesMs)
+    this.startTimeout(this.options.timeouts.betweenBytesMs)
     this.sink.onHead(status, headers)
   }
 
@@ -310,7 +321,7 @@
       case "used":
         this.progressCount++
         this.guard.onProgress()
-        this.startTimeout(this.timeouts.betweenBytesMs)
+        this.startTimeout(this.options.timeouts.betweenBytesMs)
         this.recordEvent(this.context.clock.now())
         return
       case "kept":
@@ -389,7 +400,7 @@
     // Late requests have the lowest priority, so their wait for the first byte doesn't show that the endpoint failed.
     const isQueued = destination.isLate && !this.isHeadAccepted
     if (!isQueued) context.health.onSilent(destination.endpoint.id, context.clock.now())
-    this.onSilent(this)
+    this.options.onSilent(this)
   }
 
   private abort(result: AttemptResult, outcome: EndpointOutcome | undefined): void {
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -16,6 +16,7 @@
   isStopLimit,
   isStream,
 } from "./call.js"
+import { CallConnections } from "./call-connections.js"
 import type { ForwardContext } from "./context.js"
 import { type DestinationResult, DestinationSearch } from "./destinations.js"
 import {
@@ -53,6 +54,7 @@
 export class ForwardJob {
   private readonly search: DestinationSearch
   private readonly failover: Failover
+  private readonly connections: CallConnections
   private readonly stream: StreamSink
   private attempt: Attempt | undefined
   private sendCount = 0
@@ -71,6 +73,7 @@
     private readonly reply: CallerReply,
   ) {
     this.search = new DestinationSearch(context, call)
+    this.connections = new CallConnections(call)
     this.stream = new StreamSink(reply, isRetryable(call), call.facts.lastEventId)
     this.failover = new Failover({
       find: () => this.search.find(this.stream.hasStarted),
@@ -166,8 +169,12 @@
     this.sendCount++
     const isReplaceable = this.canRetryAfter(this.runCount + 1)
     const timeouts = isReplaceable ? chooseTimeouts(context, call, destination) : NO_TIMEOUTS
-    this.attempt = new Attempt(context, call, destination, sink, timeouts, (attempt) => {
-      this.handleSilence(destination, attempt)
+    this.attempt = new Attempt(context, call, destination, sink, {
+      timeouts,
+      connectionUse: this.connections.choose(destination.endpoint),
+      onSilent: (attempt) => {
+        this.handleSilence(destination, attempt)
+      },
     })
     const sentAt = context.clock.now()
     const result = await this.attempt.run()
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -3,6 +3,7 @@
 import type { AnswerMetadata, HeaderCodec, Registration, ReportedLoad } from "@galenaway/core"
 import {
   Attempt,
+  type AttemptOptions,
   type AnswerSink,
   type Call,
   EndpointPools,
@@ -16,7 +17,11 @@
 /** More than the consecutive failures after which an endpoint is excluded. */
 const ATTEMPT_COUNT = 5
 const TIMEOUTS = { firstByteMs: 1, betweenBytesMs: 1 }
-const LONG_TIMEOUTS = { firstByteMs: 1000, betweenBytesMs: 1000 }
+const OPTIONS: AttemptOptions = {
+  timeouts: { firstByteMs: 1000, betweenBytesMs: 1000 },
+  connectionUse: "shared",
+  onSilent: () => undefined,
+}
 const ANSWER_AFTER_MS = 400
 const IGNORING_SINK: AnswerSink = {
   onHead: () => undefined,
@@ -80,8 +85,7 @@
       buildCall(),
       { endpoint: { ...ENGINE, address }, isLate: false, waitMs: 0 },
       IGNORING_SINK,
-      LONG_TIMEOUTS,
-      () => undefined,
+      OPTIONS,
     )
     expect(await attempt.run()).to.deep.equal({ kind: "not-run", cause: "unreachable" })
     expect(health.countInFlight("e")).to.equal(0)
@@ -120,16 +124,7 @@
   const run = () => {
     const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
     const forwardContext = context as unknown as ForwardContext
-    const ignore = () => undefined
-    const call = buildCall()
-    return new Attempt(
-      forwardContext,
-      call,
-      destination,
-      IGNORING_SINK,
-      LONG_TIMEOUTS,
-      ignore,
-    ).run()
+    return new Attempt(forwardContext, buildCall(), destination, IGNORING_SINK, OPTIONS).run()
   }
   expect(await run()).to.deep.equal({ kind: "not-run", cause: "full" })
   expect(await run()).to.deep.equal({ kind: "not-run", cause: "paused" })
@@ -155,8 +150,7 @@
     buildCall(),
     destination,
     IGNORING_SINK,
-    LONG_TIMEOUTS,
-    () => undefined,
+    OPTIONS,
   ).run()
   return leaving
 }
@@ -201,8 +195,7 @@
     buildCall(),
     destination,
     IGNORING_SINK,
-    LONG_TIMEOUTS,
-    () => undefined,
+    OPTIONS,
   ).run()
 }
 
@@ -211,16 +204,13 @@
   const context = buildContext(health)
   for (let i = 0; i < ATTEMPT_COUNT; i++) {
     const destination = { endpoint: ENGINE, isLate, waitMs: 0 }
-    const result = await new Attempt(
-      context,
-      buildCall(),
-      destination,
-      IGNORING_SINK,
-      TIMEOUTS,
-      (attempt) => {
+    const result = await new Attempt(context, buildCall(), destination, IGNORING_SINK, {
+      ...OPTIONS,
+      timeouts: TIMEOUTS,
+      onSilent: (attempt) => {
         attempt.endSilent()
       },
-    ).run()
+    }).run()
     expect(result).to.deep.equal({ kind: "failed", cause: "silent" })
   }
   return health
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -37,14 +37,11 @@
   }
   const destination = { endpoint, isLate: false, waitMs: 0 }
   const forwardContext = context as unknown as ForwardContext
-  return new Attempt(
-    forwardContext,
-    buildCall(kind),
-    destination,
-    sink,
-    NO_TIMEOUTS,
-    () => undefined,
-  ).run()
+  return new Attempt(forwardContext, buildCall(kind), destination, sink, {
+    timeouts: NO_TIMEOUTS,
+    connectionUse: kind === "non-idempotent" ? "single" : "shared",
+    onSilent: () => undefined,
+  }).run()
 }
 
 /** Starts an engine that handles each connection by a function. */
@@ -58,12 +55,12 @@
 }
 
 /** Reads the headers of the platform that decide whose answer it is and whether the request ran. */
-const HEADER_CODEC: Partial<HeaderCodec> = {
+export const HEADER_CODEC: Partial<HeaderCodec> = {
   buildRequest: () => [],
-  readAnswer: (_status, headers) => ({
+  readAnswer: (status, headers) => ({
     attempt: findHeader(headers, "attempt-id"),
     isNotRun: findHeader(headers, "not-run") !== undefined,
-    isMisdirected: false,
+    isMisdirected: status === 421,
     answeredBy: undefined,
     isSigned: true,
     hasEncodedBody: false,
