A watch on a silent connection is renewed before a configuration is due

Callers saw: after all open connections to the store had gone silent (new ones worked), all bookings were run by the old service, 2.3 s and more after the acknowledgement of the configuration that moved their route.

Cause: a watch waits for up to 10 s, and while nothing changes a silent connection looks like a quiet store.

Owners tell it in their updates; one instance, the first collector, uses short watches. All others renew theirs when nothing was confirmed for three quarters of the limit, or when a peer knows a change that they lack. The limit is a setting, `--configuration-limit-ms`. A watch has a connection of its own and is continued from its revision also after a failure; the items are read again only after a gap. A call to the store without an answer replaces the connections of later calls, so that silence costs one timeout, not one for each connection.

--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -80,8 +80,13 @@
   /** Calls a function each time that an answer shows that the store was restored from an older copy: what was written since the copy is gone. */
   onRestore(listener: () => void): void
   readRange(prefix: string, consistency: ReadConsistency, timeoutMs: number): Promise<StoreRange>
-  /** Waits up to `waitMs` for changes under a prefix after a revision. Returns an empty list if there were none. */
-  watchRange(prefix: string, afterRevision: number, waitMs: number): Promise<WatchResult>
+  /** Waits up to `waitMs` for changes under a prefix after a revision. Returns an empty list if there were none. Rejects when `signal` is aborted. */
+  watchRange(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<WatchResult>
   runTransaction(change: Transaction, timeoutMs: number): Promise<TransactionResult>
   /** Opens a lease that ends if it isn't renewed within `ttlMs`. Returns its id. */
   openLease(ttlMs: number, timeoutMs: number): Promise<string>
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -160,14 +160,18 @@
     container,
     ConfigurationWatcher,
     (c) =>
-      new ConfigurationWatcher(
+      new ConfigurationWatcher({
         store,
         format,
-        c.resolve(OperatorCatalogue),
-        c.resolve(ENTRY_TOKENS.log),
-        (peer) => fetchCatalogue(c.resolve(Ownership).instances.get(peer)?.peerAddress ?? peer),
-        c.resolve(ReadFreshness),
-      ),
+        catalogue: c.resolve(OperatorCatalogue),
+        freshness: c.resolve(ReadFreshness),
+        clock: c.resolve(ENTRY_TOKENS.clock),
+        log: c.resolve(ENTRY_TOKENS.log),
+        limitMs: c.resolve(ENTRY_TOKENS.settings).configurationLimitMs,
+        fetchFromPeer: (peer) =>
+          fetchCatalogue(c.resolve(Ownership).instances.get(peer)?.peerAddress ?? peer),
+        isConfirming: () => c.resolve(PeerLinks).isFirstCollector(),
+      }),
   )
   registerCached(
     container,
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -25,6 +25,7 @@
   type OwnersRequest,
   type OwnerUpdate,
 } from "../generated/fleet.js"
+import type { WatchState } from "../catalogue/index.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { AdmissionOutcome, EngineSnapshot, LoadOutcome } from "../owner/index.js"
 import { computeBatchIntervalMs } from "./batch-interval.js"
@@ -48,6 +49,8 @@
   listSnapshots(): readonly EngineSnapshot[]
   /** Lists the items of the store that this instance has read. */
   listItems(): readonly StoreItem[]
+  /** Returns which changes of the operators' items this instance has, which is sent to followers; undefined before the first read. */
+  getWatchState(): WatchState | undefined
   /** Returns the version of this instance's configuration, which is sent to followers. */
   getConfigurationVersion(): number
   /** Returns the owner records that this instance has read; undefined before the first read. */
@@ -83,7 +86,7 @@
 
   constructor(
     private readonly handlers: LinkServerHandlers,
-    clock: Clock,
+    private readonly clock: Clock,
     private readonly log: Log,
   ) {
     this.published = new PublishedEngines(clock)
@@ -184,6 +187,20 @@
       partStates: [...partStates],
       leaving: [...leaving],
       suspects: [...this.handlers.listSuspects()],
+      ...this.buildStoreNews(),
+    }
+  }
+
+  /** Builds what this instance knows of the store, with the time since it was confirmed. */
+  private buildStoreNews(): Pick<OwnerUpdate, "catalogue"> {
+    const now = this.clock.now()
+    const watched = this.handlers.getWatchState()
+    return {
+      catalogue: watched && {
+        revision: watched.revision,
+        lastChange: watched.lastChange,
+        ageMs: now - watched.at,
+      },
     }
   }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -20,6 +20,7 @@
   store: ADDRESS_SCHEMA,
   seeds: z.array(ADDRESS_SCHEMA),
   leaseMs: MS_SCHEMA,
+  configurationLimitMs: MS_SCHEMA,
   versionLimitMs: MS_SCHEMA,
   drainLimitMs: MS_SCHEMA,
   stopLimitS: SECONDS_SCHEMA,
@@ -46,6 +47,8 @@
   readonly seeds: readonly string[]
   /** Lease of an engine's ownership, in ms. A new owner waits this long before its first order when the previous owner may be running, so that two instances never order one engine at the same time. */
   readonly leaseMs: number
+  /** Time in which a configuration must be in force after the store has acknowledged it, in ms. */
+  readonly configurationLimitMs: number
   /** How long requests may start on an adapter version after a newer one is in force, in ms. */
   readonly versionLimitMs: number
   /** How long requests may be sent to an endpoint after it has announced that it leaves, in ms. */
@@ -94,6 +97,11 @@
       "lease of an engine's ownership; a new owner waits this long before its first order",
     defaultValue: "3000",
   },
+  configurationLimitMs: {
+    flag: "--configuration-limit-ms <ms>",
+    description: "time in which a configuration must be in force",
+    defaultValue: "2000",
+  },
   versionLimitMs: {
     flag: "--version-limit-ms <ms>",
     description: "how long requests may start on a replaced adapter version",
@@ -179,7 +187,7 @@
   for (const [name, { flag, description, defaultValue }] of Object.entries(FLAG_DEFINITIONS)) {
     const variable = formatVariable(name)
     const option = new Option(flag, `${description} (env ${variable})`)
-    const value = variables[variable] ?? defaultValue
+    const value = findValue(variables[variable]) ?? defaultValue
     if (value !== undefined) option.default(value)
     command.addOption(option)
   }
@@ -188,6 +196,11 @@
   return { ...options, seeds: (options.seeds ?? "").split(",").filter((seed) => seed !== "") }
 }
 
+/** Returns a variable's value. The platform's templates render one that it doesn't set as an empty text. */
+function findValue(text: string | undefined): string | undefined {
+  return text === "" ? undefined : text
+}
+
 function describeIssue(issue: z.core.$ZodIssue, raw: Record<string, unknown>): string {
   const name = String(issue.path[0])
   const value = raw[name]
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -19,6 +19,7 @@
 import { ConfigurationWatcher, EndpointDirectory, OperatorCatalogue } from "./catalogue/index.js"
 import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
+import type { OwnerUpdate } from "./generated/fleet.js"
 import { PeerLinks, LeavingReports, LinkServer, AdapterUseTable } from "./links/index.js"
 import { type GatePace, Owner } from "./owner/index.js"
 import { hasEnded, PartGuard, PartStore } from "./quarantine/index.js"
@@ -112,6 +113,7 @@
       listLeaving: () => c.resolve(LeavingReports).listRecent(),
       listSuspects: () => c.resolve(PartGuard).listSuspects(),
       listItems: () => listItems(c),
+      getWatchState: () => c.resolve(ConfigurationWatcher).state,
       getConfigurationVersion: () => catalogue.version,
       getOwnerReport: () => c.resolve(Ownership).getOwnerReport(),
       onFollowerGone: (instance) => {
@@ -187,6 +189,7 @@
         const { configurationVersion, engines, changes, dropped, suspects, partStates } = update
         c.resolve(PartGuard).onPublished(peer, suspects, partStates)
         c.resolve(LeavingReports).onPublished(peer, update.leaving)
+        handleStoreNews(c, update)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, peer)
         const endpoints = endpointsByPeer.get(peer) ?? new Set<string>()
         endpointsByPeer.set(peer, endpoints)
@@ -203,6 +206,14 @@
   })
 }
 
+/** Handles what a peer knows of the store. */
+function handleStoreNews(c: DependencyContainer, { catalogue }: OwnerUpdate): void {
+  const now = c.resolve(ENTRY_TOKENS.clock).now()
+  if (!catalogue) return
+  const { revision, lastChange, ageMs } = catalogue
+  c.resolve(ConfigurationWatcher).onPeerState({ revision, lastChange, at: now - ageMs })
+}
+
 /** Creates the context of the modules that forward calls. */
 export function createForwardContext(
   c: DependencyContainer,
--- a/packages/entry/test/catalogue.test.ts
+++ b/packages/entry/test/catalogue.test.ts
@@ -2,6 +2,7 @@
 import { encodeRevision, type StorePort } from "@galenaway/core"
 import {
   ConfigurationWatcher,
+  type ConfigurationWatcherDependencies,
   EndpointDirectory,
   OperatorCatalogue,
   ReadFreshness,
@@ -105,15 +106,7 @@
     fetched.push(peer)
     return Promise.resolve([buildItem("op/config", { version: 9 }, 3), buildEntry("e", 4)])
   }
-  const freshness = new ReadFreshness(createManualClock())
-  const watcher = new ConfigurationWatcher(
-    store.port,
-    format,
-    catalogue,
-    log,
-    fetchFromPeer,
-    freshness,
-  )
+  const watcher = createWatcher({ store: store.port, catalogue, fetchFromPeer })
   watcher.start()
   await Promise.resolve()
   await new Promise((resolve) => setImmediate(resolve))
@@ -127,6 +120,24 @@
   expect(store.reads).to.equal(1)
 })
 
+/** Creates a watcher that finds nothing at peers and has no news of them. */
+function createWatcher(
+  deps: Pick<ConfigurationWatcherDependencies, "store" | "catalogue"> &
+    Partial<ConfigurationWatcherDependencies>,
+): ConfigurationWatcher {
+  const clock = createManualClock()
+  return new ConfigurationWatcher({
+    format,
+    freshness: new ReadFreshness(clock),
+    clock,
+    log,
+    limitMs: 2000,
+    fetchFromPeer: () => Promise.resolve([]),
+    isConfirming: () => false,
+    ...deps,
+  })
+}
+
 function createFailingStore() {
   const state = {
     reads: 0,
@@ -228,8 +239,7 @@
   store.put("op/config", { version: 1 })
   const catalogue = createCatalogue()
   const freshness = new ReadFreshness(clock)
-  const fetchFromPeer = () => Promise.resolve([])
-  const watcher = new ConfigurationWatcher(store, format, catalogue, log, fetchFromPeer, freshness)
+  const watcher = createWatcher({ store, catalogue, freshness })
   store.watchRange = () => new Promise(() => undefined)
   watcher.start()
   await new Promise((resolve) => setImmediate(resolve))
@@ -251,14 +261,11 @@
   store.put("op/config", { version: 3 })
   const catalogue = createCatalogue()
   const items = [buildItem("op/config", { version: 9 }, encodeRevision(0, 30))]
-  const watcher = new ConfigurationWatcher(
+  const watcher = createWatcher({
     store,
-    format,
     catalogue,
-    log,
-    () => Promise.resolve(items),
-    new ReadFreshness(createManualClock()),
-  )
+    fetchFromPeer: () => Promise.resolve(items),
+  })
   watcher.start()
   await new Promise((resolve) => setImmediate(resolve))
   expect(catalogue.version).to.equal(3)
--- a/packages/fakes/src/lease-store.ts
+++ b/packages/fakes/src/lease-store.ts
@@ -76,14 +76,21 @@
     }))
   }
 
-  async watchRange(prefix: string, afterRevision: number, waitMs: number): Promise<WatchResult> {
+  async watchRange(
+    prefix: string,
+    afterRevision: number,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<WatchResult> {
     const isKnown = () =>
       getEra(afterRevision) === this.era &&
       afterRevision >= this.compactedRevision &&
       afterRevision <= this.revision
     const findEvents = () =>
       this.history.filter(({ key, revision }) => key.startsWith(prefix) && revision > afterRevision)
-    if (!this.isDown && isKnown() && findEvents().length === 0) await this.waitForChange(waitMs)
+    if (!this.isDown && isKnown() && findEvents().length === 0)
+      await this.waitForChange(waitMs, signal)
+    signal?.throwIfAborted()
     return this.runCall(() =>
       isKnown()
         ? { kind: "events", events: findEvents(), revision: this.revision }
@@ -218,14 +225,16 @@
     for (const { key, lease } of [...this.items.values()]) if (lease === id) this.remove(key)
   }
 
-  private waitForChange(ms: number): Promise<void> {
+  private waitForChange(ms: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
       const end = () => {
         clearTimeout(timer)
+        signal?.removeEventListener("abort", end)
         this.waiters.delete(end)
         resolve()
       }
       const timer = setTimeout(end, ms)
+      signal?.addEventListener("abort", end, { once: true })
       this.waiters.add(end)
     })
   }
