How far a stale read is behind is known, and leaving ends a wait for a connection

Callers saw: requests sent to endpoints more than the limit after the store had acknowledged that they leave; those that come after the endpoint's exit fail.

All were requests to endpoints whose registrations were read stale.

Cause: registrations are read stale, "may be seconds old", and were taken for current unless a watch had just ended with 410; then for 5 s they weren't. How far a read is behind was assumed.

Change: linearizable reads state the store's revision. Each owner makes one 0.9 s for its engines anyway and tells the newest to its followers. A stale read counts if its revision is at least one that was stated within half of the limit; otherwise the registrations are read linearizably. A request that waited for a connection isn't sent to an endpoint that has left meanwhile.

--- a/packages/entry/src/catalogue/configuration-watcher.ts
+++ b/packages/entry/src/catalogue/configuration-watcher.ts
@@ -200,10 +200,11 @@
   }
 
   private async read(): Promise<void> {
-    const { store, format, catalogue, clock } = this.deps
+    const { store, format, catalogue, clock, freshness } = this.deps
     const at = clock.now()
     const range = await store.readRange(format.operatorPrefix, "latest", READ_TIMEOUT_MS)
     for (const item of range.items) catalogue.apply(item, "read")
+    freshness.onStated({ revision: range.revision, at })
     this.progress.onAnswer(range.revision, range.items.map(getRevision), at)
     this.dependency.onSuccess()
   }
--- a/packages/entry/src/catalogue/directory-poller.ts
+++ b/packages/entry/src/catalogue/directory-poller.ts
@@ -1,17 +1,18 @@
-import { type Millis, type StorePort, waitFor } from "@galenaway/core"
+import { type Clock, type Millis, type StorePort, type StoreRange, waitFor } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { DependencyState } from "./dependency.js"
 import type { EndpointDirectory } from "./directory.js"
 import type { ReadFreshness } from "./read-freshness.js"
 
 const READ_TIMEOUT_MS = 1000
-/** Interval between reads, as a share of the time in which an endpoint's leaving must take effect. A read may be outdated, and another one may fail. */
+/** Interval between reads, as a share of the time in which an endpoint's leaving must take effect. A read may be behind for half of that time. */
 const POLL_SHARE = 0.25
 
 /**
  * Reads the registrations at a fixed interval. A watch would end with every
  * endpoint's heartbeat and costs ten times as much as stale reads, whose number
- * doesn't depend on how many endpoints write.
+ * doesn't depend on how many endpoints write. A stale read that may be too far
+ * behind is followed by a linearizable one.
  */
 export class DirectoryPoller {
   private readonly abortController = new AbortController()
@@ -23,8 +24,9 @@
     private readonly prefix: string,
     private readonly directory: EndpointDirectory,
     private readonly freshness: ReadFreshness,
+    private readonly clock: Clock,
     drainLimitMs: Millis,
-    log: Log,
+    private readonly log: Log,
   ) {
     this.intervalMs = POLL_SHARE * drainLimitMs
     this.dependency = new DependencyState("store-registrations", log)
@@ -49,12 +51,7 @@
 
   private async read(): Promise<void> {
     try {
-      const { consistency } = this.freshness
-      const { items, revision } = await this.store.readRange(
-        this.prefix,
-        consistency,
-        READ_TIMEOUT_MS,
-      )
+      const { items, revision } = await this.readRecent()
       this.directory.apply(items, revision)
       this.dependency.onSuccess()
     } catch (error) {
@@ -62,4 +59,21 @@
       this.dependency.onFailure(error)
     }
   }
+
+  private async readRecent(): Promise<StoreRange> {
+    const { freshness } = this
+    if (freshness.consistency === "latest") return this.readLatest()
+    const range = await this.store.readRange(this.prefix, "stale", READ_TIMEOUT_MS)
+    if (freshness.isRecent(range.revision)) return range
+    const stated = freshness.newest?.revision
+    this.log.debug({ revision: range.revision, stated }, "stale read may be behind, reading again")
+    return this.readLatest()
+  }
+
+  private async readLatest(): Promise<StoreRange> {
+    const at = this.clock.now()
+    const range = await this.store.readRange(this.prefix, "latest", READ_TIMEOUT_MS)
+    this.freshness.onStated({ revision: range.revision, at })
+    return range
+  }
 }
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -138,7 +138,15 @@
 }
 
 function registerCatalogue(container: DependencyContainer, { store, format }: EntryPorts): void {
-  registerCached(container, ReadFreshness, (c) => new ReadFreshness(c.resolve(ENTRY_TOKENS.clock)))
+  registerCached(
+    container,
+    ReadFreshness,
+    (c) =>
+      new ReadFreshness(
+        c.resolve(ENTRY_TOKENS.clock),
+        c.resolve(ENTRY_TOKENS.settings).drainLimitMs,
+      ),
+  )
   registerCached(
     container,
     OperatorCatalogue,
@@ -182,6 +190,7 @@
         format.registrationPrefix,
         c.resolve(EndpointDirectory),
         c.resolve(ReadFreshness),
+        c.resolve(ENTRY_TOKENS.clock),
         c.resolve(ENTRY_TOKENS.settings).drainLimitMs,
         c.resolve(ENTRY_TOKENS.log),
       ),
@@ -212,6 +221,9 @@
         listEngines: () => c.resolve(Owner).listEngines(),
         isAlive: (id) => c.resolve(PeerLinks).isAlive(id),
         getReadConsistency: () => c.resolve(ReadFreshness).consistency,
+        onStated: (state) => {
+          c.resolve(ReadFreshness).onStated(state)
+        },
         fetchOwnerReports: () => c.resolve(PeerLinks).fetchOwnerReports(),
         onParts: (parts) => {
           c.resolve(PartGuard).onStored(parts)
--- a/packages/entry/src/fleet/ownership-confirmer.ts
+++ b/packages/entry/src/fleet/ownership-confirmer.ts
@@ -10,6 +10,7 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import type { DependencyState } from "../catalogue/dependency.js"
+import type { StatedRevision } from "../catalogue/read-freshness.js"
 import { OWNER_PREFIX, parseFleetRecords } from "./records.js"
 
 /** The owner records that an instance has read. They are at least as new as a linearizable read that was sent `ageMs` ago. */
@@ -35,6 +36,8 @@
   fetchOwnerReports(): Promise<readonly OwnerReport[]>
   /** Lists the other instances that the last read of the store showed. */
   listOthers(): readonly InstanceId[]
+  /** Called with the revision that a linearizable read has stated, and the time at which it was sent. */
+  onStated(state: StatedRevision): void
   /** Called with the era of the store before owner records of it are applied. */
   onEra(era: number): void
   /** Called with the owner records of a read of the store and the endpoints that this instance no longer owns. */
@@ -118,6 +121,7 @@
     const { store, authority, dependency } = this.deps
     const range = await store.readRange(OWNER_PREFIX, "latest", READ_TIMEOUT_MS)
     if (this.rejectIfSuspended()) return
+    this.deps.onStated({ revision: range.revision, at: sentAt })
     const { owners } = parseFleetRecords(range.items)
     this.deps.onEra(getEra(range.revision))
     this.readAt = sentAt
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -22,6 +22,7 @@
 import type { Log } from "@galenaway/observe"
 import type { PartState } from "@galenaway/routing"
 import { DependencyState } from "../catalogue/dependency.js"
+import type { StatedRevision } from "../catalogue/read-freshness.js"
 import { SkipLog } from "../catalogue/skip-log.js"
 import { OwnerRecords } from "./owner-records.js"
 import { OwnershipConfirmer, type OwnerReport } from "./ownership-confirmer.js"
@@ -57,6 +58,8 @@
   fetchOwnerReports(): Promise<readonly OwnerReport[]>
   /** Returns how consistent a regular read must be. */
   getReadConsistency(): ReadConsistency
+  /** Called with the revision that a linearizable read has stated, and the time at which it was sent. */
+  onStated(state: StatedRevision): void
   /** Called after each read with the stored states of prompt parts. */
   onParts(parts: readonly PartState[]): void
   /** Called after each read with whether the registration of this process was listed. */
--- a/packages/entry/src/forward/answer.ts
+++ b/packages/entry/src/forward/answer.ts
@@ -10,6 +10,8 @@
   | "moved"
   /** The endpoint asked for a pause while the request waited for a connection. */
   | "paused"
+  /** The endpoint left while the request waited for a connection. */
+  | "left"
   /** No connection could be opened. */
   | "unreachable"
 
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -254,14 +254,21 @@
       context.onPause(destination.endpoint.id, facts.retryAfterMs)
   }
 
-  /** Aborts a request that waited for a connection until its endpoint had asked for a pause. */
+  /** Aborts a request that waited for a connection until its endpoint had left or asked for a pause. */
   private canSend(): boolean {
-    const { health, clock } = this.context
-    if (health.getPause(this.destination.endpoint.id, clock.now()) === 0) return true
-    this.abort({ kind: "not-run", cause: "paused" }, undefined)
+    const cause = this.findHindrance()
+    if (cause === undefined) return true
+    this.abort({ kind: "not-run", cause }, undefined)
     return false
   }
 
+  private findHindrance(): NotRunCause | undefined {
+    const { health, clock, directory } = this.context
+    const { id } = this.destination.endpoint
+    if (directory.find(id)?.phase !== "live") return "left"
+    return health.getPause(id, clock.now()) > 0 ? "paused" : undefined
+  }
+
   /** Returns whether the endpoint itself has answered. A misdirected request may have reached another one, which then states its id. */
   private isFromDestination({ answeredBy, isMisdirected }: AnswerMetadata): boolean {
     const { id } = this.destination.endpoint
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -25,7 +25,7 @@
   type OwnersRequest,
   type OwnerUpdate,
 } from "../generated/fleet.js"
-import type { WatchState } from "../catalogue/index.js"
+import type { StatedRevision, WatchState } from "../catalogue/index.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { AdmissionOutcome, EngineSnapshot, LoadOutcome } from "../owner/index.js"
 import { computeBatchIntervalMs } from "./batch-interval.js"
@@ -49,6 +49,8 @@
   listSnapshots(): readonly EngineSnapshot[]
   /** Lists the items of the store that this instance has read. */
   listItems(): readonly StoreItem[]
+  /** Returns the newest revision that the store has stated, which is sent to followers; undefined if none is recent. */
+  getStatedRevision(): StatedRevision | undefined
   /** Returns which changes of the operators' items this instance has, which is sent to followers; undefined before the first read. */
   getWatchState(): WatchState | undefined
   /** Returns the version of this instance's configuration, which is sent to followers. */
@@ -192,10 +194,12 @@
   }
 
   /** Builds what this instance knows of the store, with the time since it was confirmed. */
-  private buildStoreNews(): Pick<OwnerUpdate, "catalogue"> {
+  private buildStoreNews(): Pick<OwnerUpdate, "store" | "catalogue"> {
     const now = this.clock.now()
+    const stated = this.handlers.getStatedRevision()
     const watched = this.handlers.getWatchState()
     return {
+      store: stated && { revision: stated.revision, ageMs: now - stated.at },
       catalogue: watched && {
         revision: watched.revision,
         lastChange: watched.lastChange,
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -16,7 +16,12 @@
   RetryLimiter,
   VersionTable,
 } from "@galenaway/routing"
-import { ConfigurationWatcher, EndpointDirectory, OperatorCatalogue } from "./catalogue/index.js"
+import {
+  ConfigurationWatcher,
+  EndpointDirectory,
+  OperatorCatalogue,
+  ReadFreshness,
+} from "./catalogue/index.js"
 import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
 import type { OwnerUpdate } from "./generated/fleet.js"
@@ -113,6 +118,7 @@
       listLeaving: () => c.resolve(LeavingReports).listRecent(),
       listSuspects: () => c.resolve(PartGuard).listSuspects(),
       listItems: () => listItems(c),
+      getStatedRevision: () => c.resolve(ReadFreshness).newest,
       getWatchState: () => c.resolve(ConfigurationWatcher).state,
       getConfigurationVersion: () => catalogue.version,
       getOwnerReport: () => c.resolve(Ownership).getOwnerReport(),
@@ -207,8 +213,9 @@
 }
 
 /** Handles what a peer knows of the store. */
-function handleStoreNews(c: DependencyContainer, { catalogue }: OwnerUpdate): void {
+function handleStoreNews(c: DependencyContainer, { store, catalogue }: OwnerUpdate): void {
   const now = c.resolve(ENTRY_TOKENS.clock).now()
+  if (store) c.resolve(ReadFreshness).onStated({ revision: store.revision, at: now - store.ageMs })
   if (!catalogue) return
   const { revision, lastChange, ageMs } = catalogue
   c.resolve(ConfigurationWatcher).onPeerState({ revision, lastChange, at: now - ageMs })
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -134,6 +134,22 @@
   expect(sent).to.equal(2)
 })
 
+// DRAIN: a request that waited for a connection reached an endpoint long after it had left.
+for (const state of [undefined, { ...ENGINE, phase: "leaving" }])
+  it(`a request isn't sent to an endpoint that left while it waited for a connection, ${state?.phase ?? "gone"}`, async () => {
+    let sent = 0
+    const context = {
+      ...buildContext(new EndpointHealth()),
+      directory: { find: () => state },
+      pools: { get: () => buildAnsweringDispatcher(() => sent++) },
+    }
+    const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
+    const forwardContext = context as unknown as ForwardContext
+    const attempt = new Attempt(forwardContext, buildCall(), destination, IGNORING_SINK, OPTIONS)
+    expect(await attempt.run()).to.deep.equal({ kind: "not-run", cause: "left" })
+    expect(sent).to.equal(0)
+  })
+
 /** Runs a stream whose answer has the given facts. Returns the endpoints that were reported as leaving. */
 async function runStatedAttempt(facts: Partial<AnswerMetadata>): Promise<readonly Registration[]> {
   const leaving: Registration[] = []
@@ -231,6 +247,7 @@
   const context = {
     health,
     headerCodec,
+    directory: { find: () => ENGINE },
     clock: createManualClock(),
     versions: new VersionTable(1000),
     paces: new PaceTable(),
--- a/packages/entry/test/catalogue.test.ts
+++ b/packages/entry/test/catalogue.test.ts
@@ -13,6 +13,8 @@
 import { VersionTable } from "@galenaway/routing"
 import { buildEntry, buildItem, format, log } from "./support.js"
 
+const DRAIN_LIMIT_MS = 2000
+
 it("a configuration of a lower version never replaces a higher one", () => {
   const catalogue = createCatalogue()
   catalogue.apply(buildItem("op/config", { version: 7 }, 10), "watch")
@@ -128,7 +130,7 @@
   const clock = createManualClock()
   return new ConfigurationWatcher({
     format,
-    freshness: new ReadFreshness(clock),
+    freshness: new ReadFreshness(clock, DRAIN_LIMIT_MS),
     clock,
     log,
     limitMs: 2000,
@@ -238,7 +240,7 @@
   const store = new LeaseStore(() => clock.now())
   store.put("op/config", { version: 1 })
   const catalogue = createCatalogue()
-  const freshness = new ReadFreshness(clock)
+  const freshness = new ReadFreshness(clock, DRAIN_LIMIT_MS)
   const watcher = createWatcher({ store, catalogue, freshness })
   store.watchRange = () => new Promise(() => undefined)
   watcher.start()
--- a/packages/entry/test/configuration-watcher.test.ts
+++ b/packages/entry/test/configuration-watcher.test.ts
@@ -119,7 +119,7 @@
     store: store as StorePort,
     format,
     catalogue,
-    freshness: new ReadFreshness(clock),
+    freshness: new ReadFreshness(clock, 2000),
     clock,
     log,
     limitMs: LIMIT_MS,
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -28,6 +28,7 @@
   const context = {
     health: new EndpointHealth(),
     headerCodec: HEADER_CODEC,
+    directory: { find: () => endpoint },
     clock: createManualClock(),
     versions: new VersionTable(1000),
     paces: new PaceTable(),
--- a/packages/entry/test/late-answers.test.ts
+++ b/packages/entry/test/late-answers.test.ts
@@ -82,7 +82,7 @@
 function createContext(pools: EndpointPools, endpoint: Registration): ForwardContext {
   const context = {
     localDataCentre: endpoint.dataCentre,
-    directory: { listLive: createListing(endpoint) },
+    directory: { listLive: createListing(endpoint), find: () => endpoint },
     headerCodec: HEADER_CODEC,
     pools,
     health: new EndpointHealth(),
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -191,6 +191,7 @@
     listEngines: () => ["own", "other"].map((id) => ({ id, dataCentre: "dc" })),
     isAlive: () => false,
     getReadConsistency: () => "stale",
+    onStated: () => undefined,
     fetchOwnerReports: () => Promise.resolve([]),
     onListed: () => undefined,
     onParts: () => undefined,
--- a/packages/entry/test/part-records.test.ts
+++ b/packages/entry/test/part-records.test.ts
@@ -64,6 +64,7 @@
     listSuspects: () => [],
     listLeaving: () => [],
     listSnapshots: () => [],
+    getStatedRevision: () => undefined,
     getWatchState: () => undefined,
     getConfigurationVersion: () => 1,
     onFollowerGone: () => undefined,
