--- a/packages/core/src/store.ts
+++ b/packages/core/src/store.ts
@@ -43,7 +43,7 @@
 /** All items under a prefix. They are read in pages, and the pages may reflect different revisions. */
 export interface StoreRange {
   readonly items: readonly StoreItem[]
-  /** The store's revision at the last page. */
+  /** The lowest revision of a page. All changes up to it are in the items; later ones may be or not, so changes are followed from here. */
   readonly revision: number
 }
 
