A stream's adapter version is checked until its first event

Callers could see: a stream begins on an older version of its adapter later than the limit after the newer one was acknowledged.

Cause: the version of a call that waits at an engine is checked until the head of its answer. An engine may send the head when it takes a request and the first event when it runs it; from then on nothing ended an outdated one.

Evidence: the new test fails without the change (the attempt goes on).

Change: for streams, the check ends with the first event.

--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -206,7 +206,7 @@
     })
   }
 
-  /** Aborts the attempt if, before the answer starts, its adapter version becomes older than requests may start on. */
+  /** Aborts the attempt if its adapter version becomes older than requests may start on before it starts, which the first event of a stream shows. */
   private startVersionCheck(): void {
     const { adapter } = this.call.facts
     if (adapter === undefined) return
@@ -239,8 +239,8 @@
       return
     }
     if (isStream(call)) this.recordFirstByte(now, facts.load)
+    else clearInterval(this.versionTimer)
     this.isHeadAccepted = true
-    clearInterval(this.versionTimer)
     this.startTimeout(this.options.timeouts.betweenBytesMs)
     this.sink.onHead(status, headers)
   }
@@ -327,6 +327,7 @@
     switch (this.sink.onData(chunk)) {
       case "used":
         this.progressCount++
+        clearInterval(this.versionTimer)
         this.guard.onProgress()
         this.startTimeout(this.options.timeouts.betweenBytesMs)
         this.recordEvent(this.context.clock.now())
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -150,6 +150,43 @@
     expect(sent).to.equal(0)
   })
 
+// VERSION: an engine may send the head of an answer before the request starts to run.
+it("a stream without an event ends when its adapter version becomes too old", async () => {
+  const clock = createManualClock()
+  const versions = new VersionTable(1000)
+  const answer = { attempt: "a", isSigned: true, isNotRun: false, isMisdirected: false }
+  const context = {
+    ...buildContext(new EndpointHealth()),
+    clock,
+    versions,
+    headerCodec: { buildRequest: () => [], readAnswer: () => answer },
+    pools: { get: () => ({ dispatch: sendHead }) },
+  }
+  const destination = { endpoint: ENGINE, isLate: false, waitMs: 0, version: 1 }
+  const attempt = new Attempt(
+    context as unknown as ForwardContext,
+    buildCall(),
+    destination,
+    IGNORING_SINK,
+    OPTIONS,
+  )
+  const result = attempt.run()
+  versions.add("m/a", 2, clock.now())
+  await clock.advance(1000)
+  expect(await result).to.deep.equal({ kind: "failed", cause: "outdated" })
+})
+
+/** Answers a request with a head only. */
+function sendHead(_request: unknown, handler: Dispatcher.DispatchHandler): boolean {
+  const controller = {
+    rawHeaders: [],
+    abort: () => undefined,
+  } as unknown as Dispatcher.DispatchController
+  handler.onRequestStart?.(controller, {})
+  handler.onResponseStart?.(controller, 200, {})
+  return true
+}
+
 /** Runs a stream whose answer has the given facts. Returns the endpoints that were reported as leaving. */
 async function runStatedAttempt(facts: Partial<AnswerMetadata>): Promise<readonly Registration[]> {
   const leaving: Registration[] = []
