Split the checks of answers and the table of instances from two large files

The checks that decide whose answer it is are pure functions now (answer-check.ts), and which instances are live is a table of its own (instance-table.ts).

--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -1,6 +1,5 @@
 import { EventEmitter, once } from "node:events"
 import {
-  type LiveInstance,
   type OrderAuthority,
   type OwnedEndpoint,
   type OwnerRecord,
@@ -24,6 +23,7 @@
 import { DependencyState } from "../catalogue/dependency.js"
 import type { StatedRevision } from "../catalogue/read-freshness.js"
 import { SkipLog } from "../catalogue/skip-log.js"
+import { InstanceTable } from "./instance-table.js"
 import { OwnerRecords } from "./owner-records.js"
 import { OwnershipConfirmer, type OwnerReport } from "./ownership-confirmer.js"
 import {
@@ -72,8 +72,6 @@
 const STORE_TIMEOUT_MS = 700
 /** During this time a new process claims only engines that this instance owned before, so that all instances can register first. */
 const STARTUP_DELAY_MS = 2500
-/** An instance whose registration is missing for this time is considered gone. */
-const MISSING_TIMEOUT_MS = 350
 const UNREADABLE_REASON = "the key is unknown, or the value can't be parsed"
 /** Limit on the claims that are written in one transaction. */
 const MAX_CLAIMS_PER_TRANSACTION = 15
@@ -87,13 +85,10 @@
   private readonly skipLog: SkipLog
   private readonly confirmer: OwnershipConfirmer
   private readonly startedAt: Millis
-  private readonly seenAt = new Map<InstanceId, Millis>()
   private isStopping = false
   private isClaimingAgain = false
   private listRevision = 0
-  private instancesById: ReadonlyMap<InstanceId, RegisteredInstance> = new Map()
-  /** The last known registration of each instance, including those that are missing now. */
-  private readonly lastListed = new Map<InstanceId, RegisteredInstance>()
+  private readonly table: InstanceTable
   private readonly records = new OwnerRecords()
   /** Time at which the store's current era was first seen. */
   private eraSeenAt: Millis = -Infinity
@@ -106,6 +101,7 @@
   ) {
     super()
     this.startedAt = deps.clock.now()
+    this.table = new InstanceTable(self, deps.clock, (id) => deps.isAlive(id))
     this.dependency = new DependencyState("store-ownership", deps.log)
     this.skipLog = new SkipLog(deps.log, "unreadable fleet item skipped")
     this.confirmer = new OwnershipConfirmer(self.id, {
@@ -129,20 +125,20 @@
 
   /** The instances that the last read showed. */
   get instances(): ReadonlyMap<InstanceId, RegisteredInstance> {
-    return this.instancesById
+    return this.table.all
   }
 
   /** Finds the instance that is recorded as an engine's owner. Returns undefined if there is none or it is gone. */
   findOwner(endpoint: EndpointId): RegisteredInstance | undefined {
     const record = this.records.find(endpoint)
-    return record && this.findInstance(record.owner)
+    return record && this.table.find(record.owner)
   }
 
   /** Lists the instances that are recorded as owners of engines. */
   listOwners(): ReadonlyMap<InstanceId, RegisteredInstance> {
     const owners = new Map<InstanceId, RegisteredInstance>()
     for (const { owner } of this.records.all.values()) {
-      const instance = owners.has(owner) ? undefined : this.findInstance(owner)
+      const instance = owners.has(owner) ? undefined : this.table.find(owner)
       if (instance) owners.set(owner, instance)
     }
     return owners
@@ -186,7 +182,7 @@
     // A record of an earlier era can't be handed over; it is claimed anew.
     for (const endpoint of authority.listFrozen()) this.release(endpoint)
     const records = new Map(this.listOwnRecords().map((record) => [record.endpoint, record]))
-    const instances = [...this.instancesById.values()]
+    const instances = [...this.table.all.values()]
     const claims = planHandovers(this.self, instances, this.deps.listEngines(), records)
     const isActive = ({ endpoint }: OwnershipClaim) => authority.isActive(endpoint, clock.now())
     const active = claims.filter(isActive)
@@ -242,8 +238,7 @@
     this.onEra(getEra(range.revision))
     const { instances, owners, parts, unreadable } = parseFleetRecords(range.items)
     for (const key of unreadable) this.skipLog.write(key, UNREADABLE_REASON)
-    this.instancesById = instances
-    for (const [id, instance] of instances) this.lastListed.set(id, instance)
+    this.table.replace(instances)
     this.mergeRecords(owners)
     this.deps.onParts(parts)
     this.deps.onListed(instances.get(this.self.id)?.incarnation === this.self.incarnation)
@@ -283,8 +278,7 @@
   /** Lists the other instances, after a restore also those whose registrations may be lost. */
   private listOthers(): readonly InstanceId[] {
     const isSettled = !this.hasSeenRestore || this.deps.clock.now() >= this.settledAt
-    const ids = isSettled ? this.instancesById.keys() : this.lastListed.keys()
-    return [...ids].filter((id) => id !== this.self.id)
+    return this.table.listOthers(!isSettled)
   }
 
   /** Claims the engines again whose claims the restored store may have lost. */
@@ -329,7 +323,12 @@
   private async claim(): Promise<void> {
     if (this.isStopping) return
     const engines = this.deps.listEngines()
-    const claims = planClaims(this.self, this.listLive(), engines, this.records.all)
+    const claims = planClaims(
+      this.self,
+      this.table.listLive(this.records.all.values()),
+      engines,
+      this.records.all,
+    )
     const allowed = claims.filter((claim) => this.canClaim(claim))
     await this.writeInParts(allowed, false)
   }
@@ -342,30 +341,6 @@
       await this.writeClaims(claims.slice(start, start + MAX_CLAIMS_PER_TRANSACTION), isHandedOver)
   }
 
-  /** Finds an instance that is listed, or that isn't listed but still sends messages. */
-  private findInstance(id: InstanceId): RegisteredInstance | undefined {
-    const listed = this.instancesById.get(id)
-    return listed ?? (this.deps.isAlive(id) ? this.lastListed.get(id) : undefined)
-  }
-
-  /** Lists the instances that are listed, were listed until recently, or still send messages. */
-  private listLive(): readonly LiveInstance[] {
-    const now = this.deps.clock.now()
-    for (const id of this.instancesById.keys()) this.seenAt.set(id, now)
-    this.seenAt.set(this.self.id, now)
-    const missing = [...this.records.all.values()].flatMap(({ owner, incarnation }) => {
-      if (this.instancesById.has(owner) || owner === this.self.id) return []
-      const instance = this.findInstance(owner)
-      if (instance) return [instance]
-      if (!this.seenAt.has(owner)) this.seenAt.set(owner, now)
-      const isRecent = now - (this.seenAt.get(owner) ?? now) < MISSING_TIMEOUT_MS
-      return isRecent ? [{ id: owner, incarnation, dataCentre: "", isStopping: false }] : []
-    })
-    // This process is live even if its registration isn't listed yet or is still that of an earlier process.
-    const others = [...this.instancesById.values()].filter(({ id }) => id !== this.self.id)
-    return [this.self, ...others, ...missing]
-  }
-
   private canClaim(claim: OwnershipClaim): boolean {
     const { before } = claim
     if (!isReplaceable(claim)) return false
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -14,6 +14,7 @@
   Destination,
   NotRunCause,
 } from "./answer.js"
+import { findNotRunCause, isFromEndpoint, isMatchingAnswer } from "./answer-check.js"
 import { type Call, isStream } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import { HttpExchange } from "./exchange.js"
@@ -26,8 +27,6 @@
 const NOT_RUN_BODY_MS = 100
 const NOT_RUN_BODY_BYTES = 64 * 1024
 const VERSION_CHECK_INTERVAL_MS = 500
-const OK_STATUS = 200
-const FIRST_ERROR_STATUS = 300
 const SERVER_ERROR_STATUS = 500
 
 /** How one attempt is sent and watched. */
@@ -228,13 +227,13 @@
     this.headMs = Math.round(now - this.startedAt)
     this.clearPending()
     this.reportNotices(facts)
-    const cause = this.findNotRunCause(facts)
+    const cause = findNotRunCause(facts, call.facts.attempt, id)
     if (cause) {
       this.notRunCause = cause
       this.startNotRunTimeout(cause)
       return
     }
-    if (!this.isMatchingAnswer(facts, status)) {
+    if (!isMatchingAnswer(facts, call.facts.attempt, status)) {
       this.abort({ kind: "failed", cause: "wrong-answer" }, "broken")
       return
     }
@@ -248,7 +247,7 @@
   /** Reports what the endpoint states about itself, in whatever answer. */
   private reportNotices(facts: AnswerMetadata): void {
     const { context, destination } = this
-    if (!this.isFromDestination(facts)) return
+    if (!isFromEndpoint(facts, destination.endpoint.id)) return
     if (facts.isLeaving) context.onLeaving(destination.endpoint)
     if (facts.retryAfterMs !== undefined)
       context.onPause(destination.endpoint.id, facts.retryAfterMs)
@@ -269,12 +268,6 @@
     return health.getPause(id, clock.now()) > 0 ? "paused" : undefined
   }
 
-  /** Returns whether the endpoint itself has answered. A misdirected request may have reached another one, which then states its id. */
-  private isFromDestination({ answeredBy, isMisdirected }: AnswerMetadata): boolean {
-    const { id } = this.destination.endpoint
-    return answeredBy === undefined ? !isMisdirected : answeredBy === id
-  }
-
   private recordFirstByte(now: Millis, load: ReportedLoad | undefined): void {
     const { context, call, destination, pace } = this
     const { promptTokens } = call.facts
@@ -296,29 +289,6 @@
     this.lastEventAt = now
   }
 
-  /** Finds why the endpoint hasn't run the call. A refusal without the call's id may be that of an earlier request on the connection. */
-  private findNotRunCause(facts: AnswerMetadata): NotRunCause | undefined {
-    if (facts.attempt !== this.call.facts.attempt) return undefined
-    if (facts.isMisdirected)
-      return facts.answeredBy === undefined || facts.answeredBy === this.destination.endpoint.id
-        ? "missing"
-        : "moved"
-    return facts.isNotRun ? "full" : undefined
-  }
-
-  /**
-   * Returns whether an answer belongs to this call. A success or a server error
-   * must have the endpoint's signature. A success must carry the request id of
-   * this call, and no answer may carry another one. An encoded body is never
-   * accepted, nor a refusal, which would say that this call hasn't run.
-   */
-  private isMatchingAnswer(facts: AnswerMetadata, status: number): boolean {
-    if (facts.hasEncodedBody || facts.isNotRun || facts.isMisdirected) return false
-    const isSuccess = status >= OK_STATUS && status < FIRST_ERROR_STATUS
-    if (!facts.isSigned && (isSuccess || status >= SERVER_ERROR_STATUS)) return false
-    return facts.attempt === undefined ? !isSuccess : facts.attempt === this.call.facts.attempt
-  }
-
   private onData(chunk: Buffer): void {
     const { context, destination } = this
     context.health.onBytes(destination.endpoint.id, context.clock.now())
