Connections to endpoints are kept idle for 2.5 s at most

Callers could see: a stream that may not be repeated is sent on a kept connection that went silent while idle, and waits for its deadline.

Cause: idle connections were kept as long as the endpoint allows in its Keep-Alive header, half a minute and more. While idle, nothing shows silence.

Change: 2.5 s, below the time after which instances must work normally again.

--- a/packages/entry/src/forward/pools.ts
+++ b/packages/entry/src/forward/pools.ts
@@ -1,5 +1,5 @@
 import { type Dispatcher, Pool } from "undici"
-import type { Registration } from "@galenaway/core"
+import type { Millis, Registration } from "@galenaway/core"
 import { buildResetAwareConnector } from "./resets.js"
 
 /** A `shared` connection serves one request after another; a `single` connection serves one request. */
@@ -11,8 +11,12 @@
 }
 
 const CONNECT_TIMEOUT_MS = 450
-/** Below the idle timeout of endpoints that send no Keep-Alive header. */
-const KEEP_ALIVE_MS = 4000
+/**
+ * Longest time that a connection is kept without a request, also if its endpoint allows
+ * more. An idle one may have gone silent, and a request that can't be repeated would
+ * wait on it until its deadline.
+ */
+const MAX_IDLE_MS = 2500
 /** Subtracted from the idle timeout that an endpoint sends, which is rounded to seconds. */
 const KEEP_ALIVE_MARGIN_MS = 1200
 const MIN_CONNECTION_COUNT = 8
@@ -23,6 +27,9 @@
 export class EndpointPools {
   private readonly pools = new Map<string, AddressPools>()
 
+  /** `maxIdleMs` is how long a connection is kept without a request. */
+  constructor(private readonly maxIdleMs: Millis = MAX_IDLE_MS) {}
+
   /**
    * Returns the pool of an endpoint for one use. It opens at most `limit`
    * connections, or 8 if that is more. The limit of the first call for an
@@ -31,7 +38,7 @@
   get({ address }: Registration, use: ConnectionUse, limit: number): Dispatcher {
     let pools = this.pools.get(address)
     if (!pools) {
-      pools = createAddressPools(address, Math.max(MIN_CONNECTION_COUNT, limit))
+      pools = createAddressPools(address, Math.max(MIN_CONNECTION_COUNT, limit), this.maxIdleMs)
       this.pools.set(address, pools)
     }
     return pools[use]
@@ -58,12 +65,13 @@
   }
 }
 
-function createAddressPools(address: string, connections: number): AddressPools {
+function createAddressPools(address: string, connections: number, maxIdleMs: Millis): AddressPools {
   const options = {
     connections,
     headersTimeout: 0,
     bodyTimeout: 0,
-    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveTimeout: maxIdleMs,
+    keepAliveMaxTimeout: maxIdleMs,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
     connect: buildResetAwareConnector({
