--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -25,7 +25,6 @@
   type OwnersRequest,
   type OwnerUpdate,
 } from "../generated/fleet.js"
-import type { StatedRevision, WatchState } from "../catalogue/index.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { AdmissionOutcome, EngineSnapshot, LoadOutcome } from "../owner/index.js"
 import { computeBatchIntervalMs } from "./batch-interval.js"
@@ -49,10 +48,8 @@
   listSnapshots(): readonly EngineSnapshot[]
   /** Lists the items of the store that this instance has read. */
   listItems(): readonly StoreItem[]
-  /** Returns the newest revision that the store has stated, which is sent to followers; undefined if none is recent. */
-  getStatedRevision(): StatedRevision | undefined
-  /** Returns which changes of the operators' items this instance has, which is sent to followers; undefined before the first read. */
-  getWatchState(): WatchState | undefined
+  /** Returns what this instance knows of the store, which is sent to followers. */
+  getStoreNews(): StoreNews
   /** Returns the version of this instance's configuration, which is sent to followers. */
   getConfigurationVersion(): number
   /** Returns the owner records that this instance has read; undefined before the first read. */
@@ -61,6 +58,12 @@
   onFollowerGone(instance: InstanceId): void
 }
 
+/** What an instance knows of the store. A field is absent if nothing recent is known. */
+export type StoreNews = Pick<OwnerUpdate, "store" | "catalogue">
+
+/** Nothing is known of the store, or others send it. */
+export const NO_STORE_NEWS: StoreNews = { store: undefined, catalogue: undefined }
+
 type Follower = ServerDuplexStream<FollowerUpdate, OwnerUpdate>
 type AdmitCall = ServerDuplexStream<AdmitRequest, AdmitReply>
 
@@ -88,7 +91,7 @@
 
   constructor(
     private readonly handlers: LinkServerHandlers,
-    private readonly clock: Clock,
+    clock: Clock,
     private readonly log: Log,
   ) {
     this.published = new PublishedEngines(clock)
@@ -189,22 +192,7 @@
       partStates: [...partStates],
       leaving: [...leaving],
       suspects: [...this.handlers.listSuspects()],
-      ...this.buildStoreNews(),
-    }
-  }
-
-  /** Builds what this instance knows of the store, with the time since it was confirmed. */
-  private buildStoreNews(): Pick<OwnerUpdate, "store" | "catalogue"> {
-    const now = this.clock.now()
-    const stated = this.handlers.getStatedRevision()
-    const watched = this.handlers.getWatchState()
-    return {
-      store: stated && { revision: stated.revision, ageMs: now - stated.at },
-      catalogue: watched && {
-        revision: watched.revision,
-        lastChange: watched.lastChange,
-        ageMs: now - watched.at,
-      },
+      ...this.handlers.getStoreNews(),
     }
   }
 
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -24,8 +24,14 @@
 } from "./catalogue/index.js"
 import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
-import type { OwnerUpdate } from "./generated/fleet.js"
-import { PeerLinks, LeavingReports, LinkServer, AdapterUseTable } from "./links/index.js"
+import {
+  PeerLinks,
+  LeavingReports,
+  LinkServer,
+  AdapterUseTable,
+  NO_STORE_NEWS,
+  type StoreNews,
+} from "./links/index.js"
 import { type GatePace, Owner } from "./owner/index.js"
 import { hasEnded, PartGuard, PartStore } from "./quarantine/index.js"
 import { RequestLog } from "./request-log.js"
@@ -118,8 +124,7 @@
       listLeaving: () => c.resolve(LeavingReports).listRecent(),
       listSuspects: () => c.resolve(PartGuard).listSuspects(),
       listItems: () => listItems(c),
-      getStatedRevision: () => c.resolve(ReadFreshness).newest,
-      getWatchState: () => c.resolve(ConfigurationWatcher).state,
+      getStoreNews: () => buildStoreNews(c),
       getConfigurationVersion: () => catalogue.version,
       getOwnerReport: () => c.resolve(Ownership).getOwnerReport(),
       onFollowerGone: (instance) => {
@@ -212,8 +217,24 @@
   })
 }
 
+/** Builds what this instance knows of the store for its followers. The news of a few instances are enough for all. */
+function buildStoreNews(c: DependencyContainer): StoreNews {
+  if (!c.resolve(PeerLinks).isCollector()) return NO_STORE_NEWS
+  const now = c.resolve(ENTRY_TOKENS.clock).now()
+  const stated = c.resolve(ReadFreshness).newest
+  const watched = c.resolve(ConfigurationWatcher).state
+  return {
+    store: stated && { revision: stated.revision, ageMs: now - stated.at },
+    catalogue: watched && {
+      revision: watched.revision,
+      lastChange: watched.lastChange,
+      ageMs: now - watched.at,
+    },
+  }
+}
+
 /** Handles what a peer knows of the store. */
-function handleStoreNews(c: DependencyContainer, { store, catalogue }: OwnerUpdate): void {
+function handleStoreNews(c: DependencyContainer, { store, catalogue }: StoreNews): void {
   const now = c.resolve(ENTRY_TOKENS.clock).now()
   if (store) c.resolve(ReadFreshness).onStated({ revision: store.revision, at: now - store.ageMs })
   if (!catalogue) return
--- a/packages/entry/test/part-records.test.ts
+++ b/packages/entry/test/part-records.test.ts
@@ -4,6 +4,7 @@
   formatPartItem,
   formatPartKey,
   LinkServer,
+  NO_STORE_NEWS,
   type LinkServerHandlers,
   parseFleetRecords,
   parseParts,
@@ -64,8 +65,7 @@
     listSuspects: () => [],
     listLeaving: () => [],
     listSnapshots: () => [],
-    getStatedRevision: () => undefined,
-    getWatchState: () => undefined,
+    getStoreNews: () => NO_STORE_NEWS,
     getConfigurationVersion: () => 1,
     onFollowerGone: () => undefined,
   }
