--- a/packages/entry/test/broken-answers.test.ts
+++ b/packages/entry/test/broken-answers.test.ts
@@ -1,17 +1,9 @@
 import type { Socket } from "node:net"
 import { expect } from "chai"
 import type { RequestKind } from "@galenaway/core"
-import {
-  type AnswerSink,
-  type AttemptResult,
-  BufferingSink,
-  type CallerReply,
-  EndpointPools,
-  StreamSink,
-} from "@galenaway/entry"
-import { ATTEMPT_ID, runAttempt, startRawEngine } from "./engine-attempt.js"
+import { type AttemptResult, EndpointPools } from "@galenaway/entry"
+import { ATTEMPT_ID, createSink, runAttempt, startRawEngine } from "./engine-attempt.js"
 
-const FLOW_CONTROL = { pause: () => undefined, resume: () => undefined }
 const EARLIER_REFUSAL =
   "HTTP/1.1 503 Full\r\nAttempt-Id: earlier\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 const ANONYMOUS_REFUSAL = "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
@@ -85,15 +77,3 @@
     engine.stop()
   }
 }
-
-function createSink(kind: RequestKind): AnswerSink {
-  const reply = {
-    hasHead: false,
-    writeHead: () => undefined,
-    write: () => true,
-    end: () => undefined,
-  }
-  const callerReply = reply as unknown as CallerReply
-  if (kind === "idempotent") return new BufferingSink(callerReply, () => FLOW_CONTROL)
-  return new StreamSink(callerReply, false, undefined).createSink(() => FLOW_CONTROL)
-}
--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -1,11 +1,10 @@
 import { expect } from "chai"
-import { type AttemptResult, type CallerReply, EndpointPools, StreamSink } from "@galenaway/entry"
-import { ATTEMPT_ID, runAttempt, startRawEngine } from "./engine-attempt.js"
+import { EndpointPools } from "@galenaway/entry"
+import { ATTEMPT_ID, createSink, runAttempt, startRawEngine } from "./engine-attempt.js"
 
 const CHUNK = "x".repeat(16 * 1024)
 const MEBIBYTE = 1024 * 1024
 const HEAD = `HTTP/1.1 200 OK\r\nAttempt-Id: ${ATTEMPT_ID}\r\n`
-const FLOW_CONTROL = { pause: () => undefined, resume: () => undefined }
 
 /** What an endpoint in trouble sends before the bytes without end. */
 const BEGINNINGS = {
@@ -20,7 +19,7 @@
     const engine = await startEndlessEngine(beginning)
     const pools = new EndpointPools()
     try {
-      const result = await runStream(pools, engine.port)
+      const result = await runAttempt(pools, engine.port, createSink())
       expect(result.kind).to.equal(place === "the body of a refusal" ? "not-run" : "failed")
       expect(engine.countSent()).to.be.lessThan(64 * MEBIBYTE)
     } finally {
@@ -29,17 +28,6 @@
     }
   })
 
-/** Runs a stream that may run only once, for which no timeout applies. */
-function runStream(pools: EndpointPools, port: number): Promise<AttemptResult> {
-  const reply = { hasHead: false, writeHead: () => undefined, write: () => true }
-  const stream = new StreamSink(reply as unknown as CallerReply, false, undefined)
-  return runAttempt(
-    pools,
-    port,
-    stream.createSink(() => FLOW_CONTROL),
-  )
-}
-
 /** Starts an engine that answers each request with a beginning and then with bytes without end. */
 async function startEndlessEngine(beginning: string) {
   let sent = 0
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -5,8 +5,11 @@
   type AnswerSink,
   Attempt,
   type AttemptResult,
+  BufferingSink,
+  type CallerReply,
   type EndpointPools,
   type ForwardContext,
+  StreamSink,
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { EndpointHealth, PaceTable, VersionTable } from "@galenaway/routing"
@@ -45,6 +48,21 @@
   }).run()
 }
 
+/** Creates the sink of a stream that may run only once, or of a whole answer, whose caller reads everything. */
+export function createSink(kind: RequestKind = "stream"): AnswerSink {
+  const reply = {
+    hasHead: false,
+    writeHead: () => undefined,
+    write: () => true,
+    end: () => undefined,
+  }
+  const callerReply = reply as unknown as CallerReply
+  const getFlowControl = () => ({ pause: () => undefined, resume: () => undefined })
+  return kind === "stream"
+    ? new StreamSink(callerReply, false, undefined).createSink(getFlowControl)
+    : new BufferingSink(callerReply, getFlowControl)
+}
+
 /** Starts an engine that handles each connection by a function. */
 export async function startRawEngine(onConnection: (socket: Socket) => void) {
   const server: Server = createServer((socket) => {
--- a/packages/entry/test/pools.test.ts
+++ b/packages/entry/test/pools.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai"
-import { EndpointPools, StreamSink, type CallerReply } from "@galenaway/entry"
-import { ATTEMPT_ID, runAttempt, startRawEngine } from "./engine-attempt.js"
+import { EndpointPools } from "@galenaway/entry"
+import { ATTEMPT_ID, createSink, runAttempt, startRawEngine } from "./engine-attempt.js"
 
 const MAX_IDLE_MS = 50
 /** Longer than the limit, and much shorter than the engine allows. */
@@ -27,16 +27,3 @@
     engine.stop()
   }
 })
-
-function createSink() {
-  const reply = {
-    hasHead: false,
-    writeHead: () => undefined,
-    write: () => true,
-    end: () => undefined,
-  }
-  const flowControl = { pause: () => undefined, resume: () => undefined }
-  return new StreamSink(reply as unknown as CallerReply, false, undefined).createSink(
-    () => flowControl,
-  )
-}
