--- a/packages/entry/src/catalogue/configuration-watcher.ts
+++ b/packages/entry/src/catalogue/configuration-watcher.ts
@@ -50,7 +50,7 @@
  * since then, or was restored from an older copy.
  *
  * A watch whose connection has gone silent is renewed. To find that out, one
- * instance uses short watches and tells its peers what the store confirmed; the
+ * instance uses short watches and sends its peers what the store confirmed; the
  * others renew theirs when they miss a change, or when no instance has confirmed
  * anything for some time.
  *
--- a/packages/entry/src/catalogue/watch-progress.ts
+++ b/packages/entry/src/catalogue/watch-progress.ts
@@ -19,7 +19,7 @@
  * Tracks which changes of the operators' items this instance has, and when that was
  * last confirmed by the store, to this instance or to a peer. A watch that waits
  * receives nothing while nothing changes, so a connection that has gone silent looks
- * the same; the time since the last confirmation tells how long it may have been.
+ * the same; the time since the last confirmation limits how long it may have been.
  */
 export class WatchProgress {
   private known: WatchState | undefined
--- a/packages/entry/src/forward/call-connections.ts
+++ b/packages/entry/src/forward/call-connections.ts
@@ -5,7 +5,7 @@
 /**
  * Chooses the connections of one call, so that each answer belongs to one send of
  * it. An endpoint may write an answer twice; the copy arrives where the answer to
- * the next request on the connection is expected. The request id tells the answers
+ * the next request on the connection is expected. The request id separates the answers
  * of different calls apart, but all sends of a call have the same one.
  */
 export class CallConnections {
