--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./account.js"
 export * from "./adapter.js"
 export * from "./address.js"
 export * from "./clock.js"
--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -1,3 +1,4 @@
+import type { ClientAccount } from "./account.js"
 import type { AdapterVersion } from "./store.js"
 import type { DataCentre, EndpointId, InstanceId } from "./model.js"
 
@@ -37,6 +38,8 @@
   readonly pauseMs?: number
   /** 0 is the most urgent. */
   readonly priority: number
+  /** Whether callers need no key although the configuration has client accounts. */
+  readonly isPublic?: boolean
 }
 
 /** The configuration of a base model. */
@@ -79,6 +82,8 @@
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<ServiceName, ServiceInfo>
   readonly limits: CallerLimits
+  /** Undefined if callers need no account. */
+  readonly accounts?: readonly ClientAccount[]
 }
 
 /** The name of an adapter without its version, `base/adapter`. */
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -182,7 +182,7 @@
     const headers = context.headerCodec.buildRequest(call.headers, {
       endpoint: endpoint.id,
       remainingMs,
-      priority: call.route.priority,
+      priority: call.priority,
       isLate: destination.isLate,
       ...(version !== undefined && { version }),
       ...(lastEventId !== undefined && { lastEventId }),
--- a/packages/entry/src/forward/call-admission.ts
+++ b/packages/entry/src/forward/call-admission.ts
@@ -119,10 +119,10 @@
   }
 
   private buildOptions(waitMs: Millis, isLate: boolean): AdmissionOptions {
-    const { facts, route } = this.call
+    const { facts, priority } = this.call
     const objectiveInMs = Math.max(0, this.computeObjectiveIn())
     const { promptTokens } = facts
-    return { promptTokens, priority: route.priority, objectiveInMs, waitMs, isLate }
+    return { promptTokens, priority, objectiveInMs, waitMs, isLate }
   }
 
   /** Computes how long the call can wait until its prompt must be read. */
--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -1,4 +1,5 @@
 import {
+  type ClientAccount,
   type Millis,
   type Rank,
   RANKS,
@@ -21,6 +22,10 @@
   /** What the request has in common with others and what may end engines. */
   readonly parts: readonly PartId[]
   readonly route: Route
+  /** The client account of the caller; undefined if its route needs none. */
+  readonly account?: ClientAccount
+  /** That of the account, otherwise that of the route. 0 is the most urgent. */
+  readonly priority: number
   readonly service: ServiceName
   /** Monotonic time at which the head of the request arrived. */
   readonly arrivedAt: Millis
@@ -92,8 +97,8 @@
 }
 
 /** Returns the rank under which the metrics of a call are recorded. */
-export function getRank({ route }: Call): Rank {
-  return RANKS[Math.min(RANKS.length - 1, Math.max(0, Math.floor(route.priority)))] ?? "bulk"
+export function getRank({ priority }: Call): Rank {
+  return RANKS[Math.min(RANKS.length - 1, Math.max(0, Math.floor(priority)))] ?? "bulk"
 }
 
 /** Returns the log fields that identify a call. */
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -189,7 +189,8 @@
     if (waitMs < MIN_LOAD_TIMEOUT_MS) return { kind: "none", reason: "no time to load" }
     const wasMissing = this.enginesWithoutAdapter.delete(endpoint.id)
     const canRedirect = this.refusingEngines.size < MAX_REDIRECT_COUNT
-    const { objectiveMs, priority } = call.route
+    const { objectiveMs } = call.route
+    const { priority } = call
     const objectiveInMs = Math.max(0, call.arrivedAt + objectiveMs - startedAt)
     const options = { waitMs, wasMissing, canRedirect, priority, objectiveInMs }
     const outcome = await context.links.load(endpoint.id, adapter, version, options)
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -107,6 +107,7 @@
       facts,
       parts: this.listParts(facts),
       route,
+      priority: route.priority,
       service,
       arrivedAt,
       deadline: arrivedAt + timeoutMs,
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -325,6 +325,7 @@
     body: Buffer.alloc(0),
     facts,
     parts: [],
+    priority: 0,
     route,
     service: "s",
     arrivedAt: 0,
--- a/packages/entry/test/call-admission.test.ts
+++ b/packages/entry/test/call-admission.test.ts
@@ -102,7 +102,8 @@
   }
   const call = {
     facts: { adapter: "m/a", promptTokens: 100 },
-    route: { objectiveMs: OBJECTIVE_MS, priority: 0 },
+    route: { objectiveMs: OBJECTIVE_MS },
+    priority: 0,
     service: "s",
     arrivedAt: 0,
     deadline: 6000,
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -102,6 +102,7 @@
     ...call,
     facts,
     parts: [],
+    priority: 0,
     route,
     arrivedAt: 0,
     deadline: 60_000,
--- a/packages/entry/test/late-answers.test.ts
+++ b/packages/entry/test/late-answers.test.ts
@@ -118,6 +118,7 @@
     body: Buffer.alloc(0),
     facts,
     parts: [],
+    priority: 0,
     route,
     service: "s",
     arrivedAt: 0,
