--- a/packages/core/src/address.ts
+++ b/packages/core/src/address.ts
@@ -30,6 +30,12 @@
   return text.length <= MAX_ENDPOINT_ID_LENGTH && VISIBLE_ASCII.test(text)
 }
 
+/** Parses `host:port`. The last colon separates the port. */
+export function parseAddress(address: string): { host: string; port: number } {
+  const at = address.lastIndexOf(":")
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
+}
+
 function findHost(address: string): string | undefined {
   const { host, port } = ADDRESS.exec(address)?.groups ?? {}
   return host !== undefined && Number(port) <= MAX_PORT ? host : undefined
--- /dev/null
+++ b/packages/entry/src/operators/index.ts
@@ -0,0 +1,1 @@
+export * from "./quarantine-routes.js"
--- a/packages/entry/src/probe-server.ts
+++ b/packages/entry/src/probe-server.ts
@@ -1,8 +1,8 @@
 import { createServer, type Server } from "node:http"
 import { App } from "@tinyhttp/app"
+import { parseAddress } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
-import { type QuarantineSource, registerQuarantineRoutes } from "./quarantine/index.js"
-import { parseAddress } from "./server.js"
+import { type QuarantineSource, registerQuarantineRoutes } from "./operators/index.js"
 import type { EntrySettings } from "./settings.js"
 
 /** Provides the state that the load balancer, the metrics collector and operators request. */
--- a/packages/entry/src/quarantine/end-check.ts
+++ b/packages/entry/src/quarantine/end-check.ts
@@ -1,6 +1,5 @@
 import { connect } from "node:net"
-import type { EndpointId, Registration } from "@galenaway/core"
-import { parseAddress } from "../server.js"
+import { type EndpointId, parseAddress, type Registration } from "@galenaway/core"
 
 /** An endpoint on a machine that is down or cut off doesn't answer; that isn't the end of its process. */
 const TIMEOUT_MS = 300
--- a/packages/entry/src/server.ts
+++ b/packages/entry/src/server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http"
 import { Server as NetServer, type Socket } from "node:net"
 import { setImmediate as waitForTurn } from "node:timers/promises"
-import type { CallerLimits } from "@galenaway/core"
+import { type CallerLimits, parseAddress } from "@galenaway/core"
 import type { ForwardHandler } from "./forward/index.js"
 
 /** These timeouts apply until a configuration is in force. */
@@ -102,9 +102,3 @@
     this.server.closeAllConnections()
   }
 }
-
-/** Parses `host:port`. The last colon separates the port. */
-export function parseAddress(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(":")
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) }
-}
