--- a/packages/core/src/account.ts
+++ b/packages/core/src/account.ts
@@ -24,3 +24,10 @@
   /** Undefined if the account's use isn't limited. */
   readonly quota?: AccountQuota
 }
+
+/** The credentials of a request. A `key` may belong to no account. */
+export type CallerCredentials =
+  | { readonly kind: "none" }
+  /** The reason contains nothing of the credentials. */
+  | { readonly kind: "invalid"; readonly reason: string }
+  | { readonly kind: "key"; readonly key: string }
--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -1,4 +1,4 @@
-import type { ClientAccount } from "./account.js"
+import type { AccountName, CallerCredentials, ClientAccount } from "./account.js"
 import type { AdapterVersion } from "./store.js"
 import type { DataCentre, EndpointId, InstanceId } from "./model.js"
 
@@ -180,6 +180,8 @@
   readonly sharedParts: readonly PromptPart[]
   /** The id of the last event that the caller has received, if it resumes a stream. */
   readonly lastEventId: string | undefined
+  /** Undefined if the codec doesn't decode credentials. */
+  readonly credentials?: CallerCredentials
 }
 
 /** A part of a prompt that other requests may share. */
@@ -201,6 +203,10 @@
   readonly version?: AdapterVersion
   /** The id of the event after which a stream continues. */
   readonly lastEventId?: string
+  /** Whether the configuration in force has client accounts. The caller's own credentials are then removed. */
+  readonly hasAccounts?: boolean
+  /** The client account of the caller; undefined if its route needs none. */
+  readonly account?: AccountName
 }
 
 /** The load that an endpoint reports in the headers of an answer. */
