--- /dev/null
+++ b/packages/entry/src/accounts/index.ts
@@ -0,0 +1,2 @@
+export * from "./account-table.js"
+export * from "./authorizer.js"
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -11,6 +11,7 @@
 import { createLog, createMetrics } from "@galenaway/observe"
 import { EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
 import { type DestinationStream, pino } from "pino"
+import { Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -119,6 +120,7 @@
     VersionTable,
     () => new VersionTable(VERSION_GRACE_SHARE * settings.versionLimitMs),
   )
+  registerCached(container, Authorizer, () => new Authorizer())
   registerCached(container, EndpointHealth, () => new EndpointHealth())
   registerCached(container, PaceTable, () => new PaceTable())
   registerCached(container, Residency, () => new Residency())
--- a/packages/entry/src/forward/answer.ts
+++ b/packages/entry/src/forward/answer.ts
@@ -12,6 +12,8 @@
   | "paused"
   /** The endpoint left while the request waited for a connection. */
   | "left"
+  /** The key of the caller was revoked while the request waited for a connection. */
+  | "revoked"
   /** No connection could be opened. */
   | "unreachable"
 
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -15,7 +15,7 @@
   NotRunCause,
 } from "./answer.js"
 import { findNotRunCause, isFromEndpoint, isMatchingAnswer } from "./answer-check.js"
-import { type Call, isStream } from "./call.js"
+import { type Call, isRevoked, isStream } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import { HttpExchange } from "./exchange.js"
 import type { ConnectionUse } from "./pools.js"
@@ -184,6 +184,8 @@
       remainingMs,
       priority: call.priority,
       isLate: destination.isLate,
+      hasAccounts: context.authorizer.hasAccounts,
+      ...(call.account && { account: call.account.name }),
       ...(version !== undefined && { version }),
       ...(lastEventId !== undefined && { lastEventId }),
     })
@@ -253,7 +255,7 @@
       context.onPause(destination.endpoint.id, facts.retryAfterMs)
   }
 
-  /** Aborts a request that waited for a connection until its endpoint had left or asked for a pause. */
+  /** Aborts a request that waited for a connection until its endpoint had left or asked for a pause, or its key was revoked. */
   private canSend(): boolean {
     const cause = this.findHindrance()
     if (cause === undefined) return true
@@ -263,6 +265,7 @@
 
   private findHindrance(): NotRunCause | undefined {
     const { health, clock, directory } = this.context
+    if (isRevoked(this.call, this.context.authorizer)) return "revoked"
     const { id } = this.destination.endpoint
     if (directory.find(id)?.phase !== "live") return "left"
     return health.getPause(id, clock.now()) > 0 ? "paused" : undefined
--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -10,6 +10,7 @@
 } from "@galenaway/core"
 import type { PaceEstimator } from "@galenaway/policy"
 import type { PartId } from "@galenaway/routing"
+import type { Authorizer } from "../accounts/index.js"
 
 /** A caller's request with its complete body and its route. */
 export interface Call {
@@ -96,6 +97,15 @@
   return !hasStarted && startsAt > arrivedAt + route.objectiveMs
 }
 
+/** Returns whether the key of the caller was revoked after its request had been accepted. */
+export function isRevoked({ account, facts }: Call, authorizer: Authorizer): boolean {
+  return (
+    account !== undefined &&
+    facts.credentials !== undefined &&
+    authorizer.isRevoked(account, facts.credentials)
+  )
+}
+
 /** Returns the rank under which the metrics of a call are recorded. */
 export function getRank({ priority }: Call): Rank {
   return RANKS[Math.min(RANKS.length - 1, Math.max(0, Math.floor(priority)))] ?? "bulk"
--- a/packages/entry/src/forward/errors.ts
+++ b/packages/entry/src/forward/errors.ts
@@ -2,7 +2,7 @@
 
 /** An error answer that this instance sends when no endpoint's answer can be sent. */
 export interface ErrorAnswer {
-  readonly status: 400 | 404 | 408 | 413 | 502 | 503 | 504
+  readonly status: 400 | 401 | 404 | 408 | 413 | 502 | 503 | 504
   readonly code: ErrorCode
   readonly step: ErrorStep
   readonly outcome: ErrorOutcome
@@ -52,6 +52,11 @@
   message: "the body is larger than allowed",
 }
 
+/** Builds the answer to a request without a valid key. */
+export function buildUnauthorized(message: string): ErrorAnswer {
+  return { status: 401, code: "unauthorized", step: "admit", outcome: "not-run", message }
+}
+
 /** Builds the answer to a request that no endpoint has run or will run. `retryAfterMs` is in ms. */
 export function buildRefusal(
   message: string,
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -1,11 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http"
-import type { RequestMetadata, Route } from "@galenaway/core"
+import type { CallerLimits, ClientAccount, Millis, RequestMetadata, Route } from "@galenaway/core"
 import { chooseService, type PartId } from "@galenaway/routing"
 import { readBody } from "./body.js"
 import { type Call, isStopLimit, StopLimitError } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import {
   buildRefusal,
+  buildUnauthorized,
   buildUnknownOutcome,
   type ErrorAnswer,
   NO_CONFIGURATION,
@@ -17,7 +18,20 @@
 import { ForwardJob } from "./job.js"
 import { CallerReply } from "./reply.js"
 
-/** Handles callers' requests: finds the route, reads the body and forwards the call. */
+/** A request that may be served. */
+interface AcceptedRequest {
+  readonly request: IncomingMessage
+  readonly reply: CallerReply
+  readonly route: Route
+  readonly facts: RequestMetadata
+  readonly limits: CallerLimits
+  /** Monotonic time at which the head of the request arrived. */
+  readonly arrivedAt: Millis
+  /** Undefined if the route needs none. */
+  readonly account: ClientAccount | undefined
+}
+
+/** Handles callers' requests: finds the route and the account, reads the body and forwards the call. */
 export class ForwardHandler {
   private inFlightCount = 0
   private readonly disconnects = new Set<AbortController>()
@@ -75,39 +89,55 @@
       this.sendRefusal(request, reply, NO_ROUTE)
       return
     }
+    const facts = this.context.headerCodec.readRequest(request.rawHeaders)
+    const authorization = this.context.authorizer.authorize(route, facts.credentials)
+    if (authorization.kind === "refused") {
+      this.sendRefusal(request, reply, buildUnauthorized(authorization.reason))
+      return
+    }
+    const { account } = authorization
+    const { limits } = routes.configuration
+    await this.serveAuthorized(
+      { request, reply, route, facts, limits, arrivedAt, account },
+      response,
+    )
+  }
+
+  /** Serves a request whose account is known and whose body has not been read. */
+  private async serveAuthorized(
+    accepted: AcceptedRequest,
+    response: ServerResponse,
+  ): Promise<void> {
+    const { request, reply } = accepted
     const disconnectSignal = this.createDisconnectSignal(response)
-    const body = await readBody(request, routes.configuration.limits.maxBodyBytes, disconnectSignal)
+    const { maxBodyBytes } = accepted.limits
+    const body = await readBody(request, maxBodyBytes, disconnectSignal)
     if (body === "too-large") this.sendRefusal(request, reply, TOO_LARGE)
     else if (isStopLimit(disconnectSignal)) this.sendRefusal(request, reply, STOPPING)
-    else if (body !== "gone")
-      await this.forward(route, request, body, arrivedAt, disconnectSignal, reply)
+    else if (body !== "gone") await this.forward(accepted, body, disconnectSignal)
   }
 
   private async forward(
-    route: Route,
-    request: IncomingMessage,
+    { request, reply, route, facts, arrivedAt, account }: AcceptedRequest,
     body: Buffer,
-    arrivedAt: number,
     disconnectSignal: AbortSignal,
-    reply: CallerReply,
   ): Promise<void> {
     const service = chooseService(route, Math.random())
     if (service === undefined) {
       this.sendRefusal(request, reply, buildRefusal("the route names no service"))
       return
     }
-    const headers = request.rawHeaders
-    const facts = this.context.headerCodec.readRequest(headers)
     const timeoutMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
     const call: Call = {
       method: request.method ?? "GET",
       path: request.url ?? "/",
-      headers,
+      headers: request.rawHeaders,
       body,
       facts,
       parts: this.listParts(facts),
       route,
-      priority: route.priority,
+      ...(account && { account }),
+      priority: account?.priority ?? route.priority,
       service,
       arrivedAt,
       deadline: arrivedAt + timeoutMs,
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -12,6 +12,7 @@
   describeCall,
   estimateRunMs,
   getRank,
+  isRevoked,
   isRetryable,
   isStopLimit,
   isStream,
@@ -22,6 +23,7 @@
 import {
   buildRefusal,
   buildTimeout,
+  buildUnauthorized,
   buildUnknownOutcome,
   type ErrorAnswer,
   STOPPING,
@@ -108,6 +110,7 @@
     if (this.call.disconnectSignal.aborted) return this.endCall()
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
     if (!this.canEndInTime()) return this.reject(STOPPING.message, undefined, STOPPING.code)
+    if (isRevoked(this.call, this.context.authorizer)) return this.rejectRevoked()
     const replacement = this.failover.takeDestination()
     const held = this.checkParts()
     if (held) return held
@@ -120,6 +123,7 @@
     if (this.getRemainingMs() < MIN_REMAINING_MS) return this.rejectOnTimeout()
     if (!this.canEndInTime()) return this.reject(STOPPING.message, undefined, STOPPING.code)
     // The wait for admission or a load may have been long.
+    if (isRevoked(this.call, this.context.authorizer)) return this.rejectRevoked()
     const heldMeanwhile = this.checkParts()
     if (heldMeanwhile) return heldMeanwhile
     if (this.sendCount > 0 && !this.acquireRetry()) return this.handleRetryLimit()
@@ -337,6 +341,13 @@
     return this.reject(`engines end on ${part}`, retryAfterMs, "quarantined")
   }
 
+  /** Rejects a call whose key was revoked while it waited. */
+  private rejectRevoked(): NextAction {
+    const reason = "the key was revoked"
+    if (this.runCount > 0) return this.reject(reason)
+    return { kind: "error", answer: buildUnauthorized(reason) }
+  }
+
   private rejectOnTimeout(): NextAction {
     if (this.fallbackAnswer) return this.reject("out of time")
     return { kind: "error", answer: buildTimeout(this.runCount > 0) }
--- a/packages/entry/src/forward/reply.ts
+++ b/packages/entry/src/forward/reply.ts
@@ -3,6 +3,7 @@
 import type { ErrorAnswer } from "./errors.js"
 
 const MS_PER_S = 1000
+const UNAUTHORIZED_STATUS = 401
 
 /**
  * Writes the answer to one caller: a head at most once, then bytes, then an end.
@@ -87,6 +88,7 @@
     const headers = ["Content-Type", "application/json", "Content-Length", String(body.length)]
     if (answer.retryAfterMs !== undefined)
       headers.push("Retry-After", String(answer.retryAfterMs / MS_PER_S))
+    if (answer.status === UNAUTHORIZED_STATUS) headers.push("WWW-Authenticate", "Bearer")
     if (this.shouldClose()) headers.push("Connection", "close")
     this.response.writeHead(answer.status, headers)
     this.response.end(body)
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./accounts/index.js"
 export * from "./catalogue/index.js"
 export * from "./container.js"
 export * from "./fleet/index.js"
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -3,6 +3,7 @@
 import { type Clock, type StoreItem, systemClock, waitFor } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { EndpointHealth, Residency } from "@galenaway/routing"
+import { Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -73,8 +74,9 @@
   const health = container.resolve(EndpointHealth)
   const residency = container.resolve(Residency)
   const clock = container.resolve(ENTRY_TOKENS.clock)
-  container.resolve(OperatorCatalogue).on("configuration", ({ limits }) => {
-    container.resolve(CallerServer).setLimits(limits)
+  container.resolve(OperatorCatalogue).on("configuration", (configuration) => {
+    container.resolve(Authorizer).applyConfiguration(configuration)
+    container.resolve(CallerServer).setLimits(configuration.limits)
   })
   scheduleFirstClaims(container)
   directory.on("started", ({ id }) => {
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -16,6 +16,7 @@
   RetryLimiter,
   VersionTable,
 } from "@galenaway/routing"
+import { Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -262,6 +263,7 @@
     catalogue,
     directory,
     headerCodec,
+    authorizer: c.resolve(Authorizer),
     pools: c.resolve(EndpointPools),
     health,
     paces: c.resolve(PaceTable),
--- a/packages/entry/test/attempt.test.ts
+++ b/packages/entry/test/attempt.test.ts
@@ -5,6 +5,7 @@
   Attempt,
   type AttemptOptions,
   type AnswerSink,
+  Authorizer,
   type Call,
   EndpointPools,
   type ForwardContext,
@@ -150,6 +151,25 @@
     expect(sent).to.equal(0)
   })
 
+it("a request isn't sent whose key was revoked while it waited for a connection", async () => {
+  let sent = 0
+  const authorizer = new Authorizer()
+  authorizer.applyConfiguration({ accounts: [{ name: "a", keys: ["k1"] }] })
+  const context = {
+    ...buildContext(new EndpointHealth()),
+    authorizer,
+    pools: { get: () => buildAnsweringDispatcher(() => sent++) },
+  }
+  const call = buildCall()
+  const facts = { ...call.facts, credentials: { kind: "key", key: "k2" } } as const
+  const revokedCall = { ...call, facts, account: { name: "a", keys: ["k2"] } }
+  const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
+  const forwardContext = context as unknown as ForwardContext
+  const attempt = new Attempt(forwardContext, revokedCall, destination, IGNORING_SINK, OPTIONS)
+  expect(await attempt.run()).to.deep.equal({ kind: "not-run", cause: "revoked" })
+  expect(sent).to.equal(0)
+})
+
 // VERSION: an engine may send the head of an answer before the request starts to run.
 it("a stream without an event ends when its adapter version becomes too old", async () => {
   const clock = createManualClock()
@@ -289,6 +309,7 @@
     versions: new VersionTable(1000),
     paces: new PaceTable(),
     guard: OPEN_GUARD,
+    authorizer: new Authorizer(),
     uses: { add: () => undefined, remove: () => undefined },
     pools: { get: () => dispatcher },
     computeConnectionLimit: () => 1,
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -5,6 +5,7 @@
   type AnswerSink,
   Attempt,
   type AttemptResult,
+  Authorizer,
   BufferingSink,
   type CallerReply,
   type EndpointPools,
@@ -36,6 +37,7 @@
     versions: new VersionTable(1000),
     paces: new PaceTable(),
     guard: OPEN_GUARD,
+    authorizer: new Authorizer(),
     pools,
     computeConnectionLimit: () => 1,
   }
--- a/packages/entry/test/late-answers.test.ts
+++ b/packages/entry/test/late-answers.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai"
 import type { Registration, RequestKind } from "@galenaway/core"
 import {
+  Authorizer,
   type Call,
   type CallerReply,
   EndpointPools,
@@ -89,6 +90,7 @@
     paces: new PaceTable(),
     versions: new VersionTable(1000),
     guard: OPEN_GUARD,
+    authorizer: new Authorizer(),
     clock: createManualClock(),
     metrics: noopMetrics,
     log: { write: () => undefined },
