--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,5 +1,6 @@
 import { Command, CommanderError } from "commander"
 import { describeError } from "@galenaway/core"
+import { runAccounts } from "./commands/accounts.js"
 import { type ChangeOptions, runConfigApply } from "./commands/apply.js"
 import { runConfigDiff, runConfigGet, runConfigHistory } from "./commands/config.js"
 import { runDrain } from "./commands/drain.js"
@@ -55,6 +56,12 @@
     .command("status")
     .description("instances, owners, endpoints, adapters by heat, and what is degraded and why")
     .action(createAction(shell, (context) => runStatus(context)))
+  program
+    .command("accounts")
+    .description(
+      "client accounts and their requests; --urls has metrics addresses of entry instances",
+    )
+    .action(createAction(shell, (context) => runAccounts(context)))
   program
     .command("explain")
     .description("where requests for a model go, and which default or exception decides")
--- a/packages/entry/src/accounts/authorizer.ts
+++ b/packages/entry/src/accounts/authorizer.ts
@@ -1,12 +1,15 @@
 import type { CallerCredentials, ClientAccount, Route, ServingConfiguration } from "@galenaway/core"
 import { AccountTable } from "./account-table.js"
 
+/** Why a request has no valid key. An `unknown` key belongs to no account. */
+export type KeyRefusalCause = "missing" | "invalid" | "unknown"
+
 /** Whether a request may be served. */
 export type Authorization =
   /** `account` is undefined if the route needs none. */
   | { readonly kind: "granted"; readonly account?: ClientAccount }
   /** The reason contains nothing of the credentials. */
-  | { readonly kind: "refused"; readonly reason: string }
+  | { readonly kind: "refused"; readonly cause: KeyRefusalCause; readonly reason: string }
 
 const NO_CREDENTIALS: CallerCredentials = { kind: "none" }
 
@@ -34,14 +37,14 @@
     if (!this.table || route.isPublic) return { kind: "granted" }
     switch (credentials.kind) {
       case "none":
-        return { kind: "refused", reason: "the request has no key" }
+        return { kind: "refused", cause: "missing", reason: "the request has no key" }
       case "invalid":
-        return { kind: "refused", reason: credentials.reason }
+        return { kind: "refused", cause: "invalid", reason: credentials.reason }
       case "key": {
         const account = this.table.find(credentials.key)
         return account
           ? { kind: "granted", account }
-          : { kind: "refused", reason: "the key belongs to no account" }
+          : { kind: "refused", cause: "unknown", reason: "the key belongs to no account" }
       }
     }
   }
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -11,7 +11,7 @@
 import { createLog, createMetrics } from "@galenaway/observe"
 import { EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
 import { type DestinationStream, pino } from "pino"
-import { Authorizer } from "./accounts/index.js"
+import { AccountUsage, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -121,6 +121,7 @@
     () => new VersionTable(VERSION_GRACE_SHARE * settings.versionLimitMs),
   )
   registerCached(container, Authorizer, () => new Authorizer())
+  registerCached(container, AccountUsage, () => new AccountUsage())
   registerCached(container, EndpointHealth, () => new EndpointHealth())
   registerCached(container, PaceTable, () => new PaceTable())
   registerCached(container, Residency, () => new Residency())
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -17,7 +17,7 @@
   RetryLimiter,
   VersionTable,
 } from "@galenaway/routing"
-import type { Authorizer } from "../accounts/index.js"
+import type { AccountUsage, Authorizer } from "../accounts/index.js"
 import type { EndpointDirectory } from "../catalogue/directory.js"
 import type { OperatorCatalogue } from "../catalogue/operator-catalogue.js"
 import type { PeerLinks, AdapterUseTable } from "../links/index.js"
@@ -34,6 +34,7 @@
   readonly directory: EndpointDirectory
   readonly headerCodec: HeaderCodec
   readonly authorizer: Authorizer
+  readonly accountUsage: AccountUsage
   readonly pools: EndpointPools
   readonly health: EndpointHealth
   readonly paces: PaceTable
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -92,10 +92,13 @@
     const facts = this.context.headerCodec.readRequest(request.rawHeaders)
     const authorization = this.context.authorizer.authorize(route, facts.credentials)
     if (authorization.kind === "refused") {
+      this.context.accountUsage.onKeyRefused(authorization.cause)
       this.sendRefusal(request, reply, buildUnauthorized(authorization.reason))
       return
     }
     const { account } = authorization
+    if (account)
+      this.context.accountUsage.onRequest(account.name, facts.promptTokens + facts.outputTokens)
     const { limits } = routes.configuration
     await this.serveAuthorized(
       { request, reply, route, facts, limits, arrivedAt, account },
@@ -108,23 +111,23 @@
     accepted: AcceptedRequest,
     response: ServerResponse,
   ): Promise<void> {
-    const { request, reply } = accepted
     const disconnectSignal = this.createDisconnectSignal(response)
     const { maxBodyBytes } = accepted.limits
-    const body = await readBody(request, maxBodyBytes, disconnectSignal)
-    if (body === "too-large") this.sendRefusal(request, reply, TOO_LARGE)
-    else if (isStopLimit(disconnectSignal)) this.sendRefusal(request, reply, STOPPING)
+    const body = await readBody(accepted.request, maxBodyBytes, disconnectSignal)
+    if (body === "too-large") this.refuse(accepted, TOO_LARGE)
+    else if (isStopLimit(disconnectSignal)) this.refuse(accepted, STOPPING)
     else if (body !== "gone") await this.forward(accepted, body, disconnectSignal)
   }
 
   private async forward(
-    { request, reply, route, facts, arrivedAt, account }: AcceptedRequest,
+    accepted: AcceptedRequest,
     body: Buffer,
     disconnectSignal: AbortSignal,
   ): Promise<void> {
+    const { request, reply, route, facts, arrivedAt, account } = accepted
     const service = chooseService(route, Math.random())
     if (service === undefined) {
-      this.sendRefusal(request, reply, buildRefusal("the route names no service"))
+      this.refuse(accepted, buildRefusal("the route names no service"))
       return
     }
     const timeoutMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
@@ -162,6 +165,11 @@
     return listRequestParts(facts, adapter === undefined ? undefined : versions.getNewest(adapter))
   }
 
+  private refuse({ request, reply, account }: AcceptedRequest, answer: ErrorAnswer): void {
+    if (account) this.context.accountUsage.onRefused(account.name, answer.code)
+    this.sendRefusal(request, reply, answer)
+  }
+
   private sendRefusal(request: IncomingMessage, reply: CallerReply, answer: ErrorAnswer): void {
     const { attempt } = this.context.headerCodec.readRequest(request.rawHeaders)
     this.context.log.write(
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -359,6 +359,8 @@
     const isCut = reply.hasHead && !reply.isEnded
     const counter = answer.outcome === "not-run" ? "refusals" : "failures"
     context.metrics.countRank(counter, getRank(call))
+    if (call.account && answer.outcome === "not-run")
+      context.accountUsage.onRefused(call.account.name, answer.code)
     if (isCut) context.metrics.count("cut-answers")
     context.log.write(
       { ...describeCall(call), status: answer.status, reason: answer.message },
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -3,7 +3,7 @@
 import { type Clock, type StoreItem, systemClock, waitFor } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { EndpointHealth, Residency } from "@galenaway/routing"
-import { Authorizer } from "./accounts/index.js"
+import { type AccountsSource, AccountUsage, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -51,10 +51,13 @@
   log.info({ store: settings.store, listen: settings.listen }, "starting")
   registerListeners(container)
   const probes = await startProbeServers(settings, {
+    accounts: createAccountsSource(container),
     quarantine: container.resolve(PartGuard),
     log,
     isReady: () => isReady(container),
-    formatMetrics: () => container.resolve(ENTRY_TOKENS.metrics).formatMetrics(),
+    formatMetrics: () =>
+      container.resolve(ENTRY_TOKENS.metrics).formatMetrics() +
+      container.resolve(AccountUsage).formatMetrics(),
   })
   await container.resolve(CallerServer).start(settings.listen)
   await container.resolve(LinkServer).start(settings.peerListen)
@@ -69,6 +72,19 @@
   }
 }
 
+function createAccountsSource(container: DependencyContainer): AccountsSource {
+  const authorizer = container.resolve(Authorizer)
+  const usage = container.resolve(AccountUsage)
+  return {
+    get hasAccounts() {
+      return authorizer.hasAccounts
+    },
+    listAccounts: () => authorizer.listAccounts(),
+    getCounts: (name) => usage.getCounts(name),
+    getKeyRefusals: () => usage.getKeyRefusals(),
+  }
+}
+
 function registerListeners(container: DependencyContainer): void {
   const directory = container.resolve(EndpointDirectory)
   const health = container.resolve(EndpointHealth)
@@ -76,6 +92,7 @@
   const clock = container.resolve(ENTRY_TOKENS.clock)
   container.resolve(OperatorCatalogue).on("configuration", (configuration) => {
     container.resolve(Authorizer).applyConfiguration(configuration)
+    container.resolve(AccountUsage).removeUnlisted(configuration.accounts ?? [])
     container.resolve(CallerServer).setLimits(configuration.limits)
   })
   scheduleFirstClaims(container)
--- a/packages/entry/src/probe-server.ts
+++ b/packages/entry/src/probe-server.ts
@@ -1,12 +1,14 @@
 import { createServer, type Server } from "node:http"
 import { App } from "@tinyhttp/app"
 import type { Log } from "@galenaway/observe"
+import { type AccountsSource, registerAccountRoutes } from "./accounts/index.js"
 import { type QuarantineSource, registerQuarantineRoutes } from "./quarantine/index.js"
 import { parseAddress } from "./server.js"
 import type { EntrySettings } from "./settings.js"
 
 /** Provides the state that the load balancer, the metrics collector and operators request. */
 export interface ProbeSource {
+  readonly accounts: AccountsSource
   readonly quarantine: QuarantineSource
   readonly log: Log
   isReady(): boolean
@@ -34,7 +36,10 @@
   isForOperators: boolean,
 ): Promise<Server> {
   const app = new App()
-  if (isForOperators) registerQuarantineRoutes(app, source.quarantine, source.log)
+  if (isForOperators) {
+    registerAccountRoutes(app, source.accounts)
+    registerQuarantineRoutes(app, source.quarantine, source.log)
+  }
   app.get("/-/ready", (_request, response) => {
     response.status(source.isReady() ? 200 : 503).end()
   })
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -16,7 +16,7 @@
   RetryLimiter,
   VersionTable,
 } from "@galenaway/routing"
-import { Authorizer } from "./accounts/index.js"
+import { AccountUsage, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -264,6 +264,7 @@
     directory,
     headerCodec,
     authorizer: c.resolve(Authorizer),
+    accountUsage: c.resolve(AccountUsage),
     pools: c.resolve(EndpointPools),
     health,
     paces: c.resolve(PaceTable),
--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -5,6 +5,7 @@
 import { waitFor } from "@galenaway/core"
 import {
   AccountTable,
+  AccountUsage,
   Authorizer,
   type Call,
   type CallerReply,
@@ -139,6 +140,7 @@
   const configuration = { version: 1, routes: routes ?? [], services: new Map(), limits }
   const context = {
     authorizer,
+    accountUsage: new AccountUsage(),
     catalogue: { routes: routes && new RouteTable(configuration) },
     directory: { listLive: () => [] },
     health: { findShortestPause: () => undefined },
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./event.js"
+export * from "./exposition.js"
 export * from "./hybrid-clock.js"
 export * from "./log.js"
 export * from "./logfmt.js"
