--- a/packages/entry/src/accounts/index.ts
+++ b/packages/entry/src/accounts/index.ts
@@ -1,2 +1,3 @@
 export * from "./account-table.js"
+export * from "./account-usage.js"
 export * from "./authorizer.js"
--- a/packages/entry/src/operators/index.ts
+++ b/packages/entry/src/operators/index.ts
@@ -1,1 +1,2 @@
+export * from "./account-routes.js"
 export * from "./quarantine-routes.js"
--- a/packages/entry/src/probe-server.ts
+++ b/packages/entry/src/probe-server.ts
@@ -2,11 +2,17 @@
 import { App } from "@tinyhttp/app"
 import { parseAddress } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
-import { type QuarantineSource, registerQuarantineRoutes } from "./operators/index.js"
+import {
+  type AccountsSource,
+  type QuarantineSource,
+  registerAccountRoutes,
+  registerQuarantineRoutes,
+} from "./operators/index.js"
 import type { EntrySettings } from "./settings.js"
 
 /** Provides the state that the load balancer, the metrics collector and operators request. */
 export interface ProbeSource {
+  readonly accounts: AccountsSource
   readonly quarantine: QuarantineSource
   readonly log: Log
   isReady(): boolean
@@ -34,7 +40,10 @@
   isForOperators: boolean,
 ): Promise<Server> {
   const app = new App()
-  if (isForOperators) registerQuarantineRoutes(app, source.quarantine, source.log)
+  if (isForOperators) {
+    registerAccountRoutes(app, source.accounts)
+    registerQuarantineRoutes(app, source.quarantine, source.log)
+  }
   app.get("/-/ready", (_request, response) => {
     response.status(source.isReady() ? 200 : 503).end()
   })
