--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -208,6 +208,8 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** How long work takes there at present, in percent of the usual time; undefined if the endpoint doesn't report it. */
+  readonly pacePercent?: number
 }
 
 /** The decoded status and headers of an endpoint's answer. */
