--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -9,7 +9,7 @@
 import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
 import { systemClock } from "@galenaway/core"
 import { createLog, createMetrics } from "@galenaway/observe"
-import { EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
+import { CostEstimator, EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
 import { type DestinationStream, pino } from "pino"
 import {
   ConfigurationWatcher,
@@ -121,6 +121,7 @@
   )
   registerCached(container, EndpointHealth, () => new EndpointHealth())
   registerCached(container, PaceTable, () => new PaceTable())
+  registerCached(container, CostEstimator, () => new CostEstimator())
   registerCached(container, Residency, () => new Residency())
   registerCached(container, Popularity, () => new Popularity(POPULARITY_HALF_LIFE_MS))
   registerCached(container, AdapterUseTable, () => new AdapterUseTable())
--- a/packages/entry/src/forward/answer.ts
+++ b/packages/entry/src/forward/answer.ts
@@ -56,6 +56,8 @@
   readonly waitMs: Millis
   /** Prompt tokens that the engine has to read until the first token, including those of other requests; undefined if unknown. */
   readonly unreadTokens?: number
+  /** Expected time until the answer to a plain call, in ms. Defined where the endpoint was chosen by it. */
+  readonly expectedMs?: Millis
 }
 
 /**
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -9,6 +9,7 @@
 } from "@galenaway/core"
 import type { Metrics } from "@galenaway/observe"
 import type {
+  CostEstimator,
   EndpointHealth,
   PaceTable,
   PlacementView,
@@ -35,6 +36,7 @@
   readonly pools: EndpointPools
   readonly health: EndpointHealth
   readonly paces: PaceTable
+  readonly costs: CostEstimator
   readonly residency: Residency
   readonly versions: VersionTable
   readonly popularity: Popularity
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -1,7 +1,6 @@
 import type { EndpointId, Millis, Registration } from "@galenaway/core"
 import {
   canStillServe,
-  chooseEndpoint,
   choosePlacement,
   chooseReplica,
   LOAD_COST_MS,
@@ -12,6 +11,7 @@
 import { type Call, isLateAt } from "./call.js"
 import { CallAdmission, type Candidate } from "./call-admission.js"
 import type { ForwardContext } from "./context.js"
+import { choosePlainDestination } from "./plain-call.js"
 
 /** The next destination of a call, or the reason why none is available at present. */
 export type DestinationResult =
@@ -149,13 +149,13 @@
   }
 
   private findServiceEndpoint(now: Millis): DestinationResult {
-    const { directory, health, localDataCentre } = this.context
+    const { directory, health } = this.context
     const endpoints = directory.listLive(this.call.service)
     const pauseMs = health.findShortestPause(endpoints, now)
     if (pauseMs !== undefined) return { kind: "paused", waitMs: pauseMs }
-    const endpoint = chooseEndpoint(endpoints, health, localDataCentre, this.excluded, now)
-    return endpoint
-      ? { kind: "found", destination: { endpoint, isLate: false, waitMs: 0 } }
+    const destination = choosePlainDestination(this.context, this.call, endpoints, this.excluded)
+    return destination
+      ? { kind: "found", destination }
       : { kind: "none", reason: `no usable endpoint of ${endpoints.length}` }
   }
 
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -30,6 +30,7 @@
 import type { CallerReply } from "./reply.js"
 import { chooseRetryAfterMs } from "./retry-after.js"
 import { BufferingSink, type FlowControl, StreamSink } from "./sinks.js"
+import { recordPlainResult } from "./plain-call.js"
 import { chooseTimeouts, NO_TIMEOUTS } from "./timeouts.js"
 
 /** A call without an endpoint is refused after this share of its latency objective. */
@@ -180,6 +181,8 @@
     const result = await this.attempt.run()
     const ms = Math.round(context.clock.now() - sentAt)
     this.recordMetrics(sentAt)
+    if (call.facts.model === undefined)
+      recordPlainResult(context, call, destination, result, this.attempt.headMs)
     this.logAttempt(destination, result, Math.round(sentAt - call.arrivedAt), ms)
     return this.handleResult(destination, result)
   }
@@ -361,7 +364,7 @@
   }
 
   private logAttempt(
-    { endpoint, version, isLate }: Destination,
+    { endpoint, version, isLate, expectedMs }: Destination,
     result: AttemptResult,
     waitedMs: Millis,
     ms: Millis,
@@ -385,6 +388,7 @@
         headMs: this.attempt?.headMs,
         maxPauseMs: this.attempt?.maxPauseMs,
         isLate,
+        expectedMs: expectedMs === undefined ? undefined : Math.round(expectedMs),
         ms,
         ...(result.kind === "failed" && {
           parts: this.call.parts.join(),
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -9,6 +9,7 @@
   StoreItem,
 } from "@galenaway/core"
 import {
+  CostEstimator,
   EndpointHealth,
   PaceTable,
   Popularity,
@@ -265,6 +266,7 @@
     pools: c.resolve(EndpointPools),
     health,
     paces: c.resolve(PaceTable),
+    costs: c.resolve(CostEstimator),
     residency,
     versions,
     popularity: c.resolve(Popularity),
--- a/packages/entry/test/late-answers.test.ts
+++ b/packages/entry/test/late-answers.test.ts
@@ -10,7 +10,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { EndpointHealth, PaceTable, VersionTable } from "@galenaway/routing"
+import { CostEstimator, EndpointHealth, PaceTable, VersionTable } from "@galenaway/routing"
 import { ATTEMPT_ID, HEADER_CODEC, startRawEngine } from "./engine-attempt.js"
 import { ENGINE, OPEN_GUARD } from "./support.js"
 
@@ -87,6 +87,7 @@
     pools,
     health: new EndpointHealth(),
     paces: new PaceTable(),
+    costs: new CostEstimator(),
     versions: new VersionTable(1000),
     guard: OPEN_GUARD,
     clock: createManualClock(),
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -3,7 +3,8 @@
 /** Metrics of durations by rank. */
 export type RankDurationMetric = "wait" | "first-token" | "between-tokens"
 /** Metrics of durations over all ranks. */
-export type DurationMetric = "load" | "stall" | "platform-call" | "tick"
+export type DurationMetric =
+  "load" | "stall" | "platform-call" | "tick" | "expected-completion" | "actual-completion"
 /** Metrics that count events by rank. */
 export type RankCounterMetric = "requests" | "refusals" | "failures" | "cancellations"
 /** Metrics that count events over all ranks. */
@@ -22,6 +23,8 @@
   | "engine-ends"
   | "cut-answers"
   | "quarantine-refusals"
+  | "choices-by-load"
+  | "choices-by-completion"
 /** Metrics with a current value. */
 export type GaugeMetric =
   "batch-fill" | "queued" | "running" | "suspected-parts" | "quarantined-parts"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -29,6 +29,10 @@
   stall: "Time that a request waited for an adapter to load.",
   "platform-call": "Time of one call to the platform's service.",
   tick: "Time of one tick of the scheduler.",
+  "expected-completion":
+    "Expected time until the answers to plain calls whose endpoint was chosen by it.",
+  "actual-completion":
+    "Actual time until the answers to plain calls whose endpoint was chosen by the expected one.",
 }
 
 const RANK_COUNTER_HELP: Readonly<Record<RankCounterMetric, string>> = {
@@ -53,6 +57,8 @@
   "engine-ends": "Engines that ended while they answered requests of this instance.",
   "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
+  "choices-by-load": "Plain calls whose endpoint was chosen by its number of requests.",
+  "choices-by-completion": "Plain calls whose endpoint was chosen by the expected completion.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
--- /dev/null
+++ b/packages/routing/src/endpoint-times.ts
@@ -0,0 +1,157 @@
+import type { EndpointId, Millis, Registration, ReportedLoad } from "@galenaway/core"
+
+interface TimesRow {
+  /** Moving average of the actual time of calls divided by their cost, at the usual pace. */
+  factor: number
+  sampleCount: number
+  /** Moving average of the reported pace, as a multiple of the usual time; undefined without reports. */
+  meanPace: number | undefined
+  /** Moving average of the reported number of running and waiting calls. */
+  meanLoad: number
+  report: ReportedLoad | undefined
+  reportedAt: Millis
+  /** Time of the last refusal because the endpoint was full. */
+  refusedAt: Millis
+}
+
+/** Age at which a report has lost all but 1/e of its weight against the average of earlier ones. */
+const REPORT_AGE_MS = 300
+/** Weight of the latest report in the moving averages of load and pace. */
+const LOAD_SMOOTHING_SHARE = 0.15
+const PACE_SMOOTHING_SHARE = 0.1
+/** Weight of the latest call in the moving average of times. The first calls have more. */
+const FACTOR_SMOOTHING_SHARE = 0.08
+/** The number of calls that the first estimate stands for. */
+const PRIOR_CALL_COUNT = 3
+/** One call changes the average by at most this multiple of the expected time. */
+const MAX_FACTOR = 10
+/** Endpoints differ clearly when their learned times do by this factor, after this number of calls to each. */
+const CLEAR_RATIO = 1.4
+const MIN_CALL_COUNT = 4
+/** Time for which a refusal by a full endpoint shows that the counts of requests mislead. */
+const REFUSAL_MEMORY_MS = 10_000
+
+/**
+ * Learns from the answers to one instance how long each plain endpoint takes for
+ * calls, how many calls it has and how its pace changes.
+ *
+ * Load pattern: dozens of instances send a few calls a second each to a few
+ * endpoints whose speeds differ and change several times a second, so the last
+ * report that an instance has is often older than the state it describes. A report
+ * therefore counts less the older it is, and the average of earlier ones instead.
+ */
+export class EndpointTimes {
+  private readonly rows = new Map<EndpointId, TimesRow>()
+
+  /** Records the load that an endpoint reported. */
+  onReport(endpoint: EndpointId, report: ReportedLoad, now: Millis): void {
+    const row = this.getRow(endpoint)
+    const load = report.running + report.waiting
+    row.meanLoad += LOAD_SMOOTHING_SHARE * (load - row.meanLoad)
+    if (report.pacePercent !== undefined) {
+      const pace = report.pacePercent / 100
+      row.meanPace ??= pace
+      row.meanPace += PACE_SMOOTHING_SHARE * (pace - row.meanPace)
+    }
+    row.report = report
+    row.reportedAt = now
+  }
+
+  /** Returns whether calls were waiting at an endpoint by its last report, so that the time of a call contains a wait. */
+  hasWaiting(endpoint: EndpointId): boolean {
+    return (this.rows.get(endpoint)?.report?.waiting ?? 0) > 0
+  }
+
+  /** Records the time of a complete call that didn't wait at its endpoint, and what it was expected to cost. */
+  onCall(endpoint: EndpointId, ms: Millis, costMs: Millis): void {
+    const row = this.getRow(endpoint)
+    const ratio = Math.min(MAX_FACTOR, ms / Math.max(1, costMs) / getPace(row.report))
+    row.sampleCount++
+    const weight = Math.max(FACTOR_SMOOTHING_SHARE, 1 / (row.sampleCount + PRIOR_CALL_COUNT))
+    row.factor += weight * (ratio - row.factor)
+  }
+
+  /** Estimates the time that an endpoint takes for a call, as a multiple of the call's cost. */
+  estimateFactor(endpoint: EndpointId, now: Millis): number {
+    const row = this.rows.get(endpoint)
+    if (!row) return 1
+    const { factor, meanPace, report, reportedAt } = row
+    if (meanPace === undefined) return factor
+    return factor * (meanPace + computeFreshness(reportedAt, now) * (getPace(report) - meanPace))
+  }
+
+  /** Returns the learned time of an endpoint as a multiple of the cost of calls, without its pace at present. */
+  getUsualFactor(endpoint: EndpointId): number {
+    const row = this.rows.get(endpoint)
+    return row ? row.factor * (row.meanPace ?? 1) : 1
+  }
+
+  /** Estimates the number of calls at an endpoint from its reports. */
+  estimateLoad(endpoint: EndpointId, now: Millis): number {
+    const row = this.rows.get(endpoint)
+    if (!row?.report) return 0
+    const load = row.report.running + row.report.waiting
+    return row.meanLoad + computeFreshness(row.reportedAt, now) * (load - row.meanLoad)
+  }
+
+  /** Records that an endpoint refused a call because it was full. */
+  onFull(endpoint: EndpointId, now: Millis): void {
+    this.getRow(endpoint).refusedAt = now
+  }
+
+  /**
+   * Returns whether counts of requests are too little to choose one of the endpoints:
+   * one reports its pace, has more calls than places on average, or has refused a call
+   * recently, or the learned times differ clearly.
+   */
+  hasDifferences(endpoints: readonly Registration[], now: Millis): boolean {
+    let lowest = Infinity
+    let highest = 0
+    for (const { id } of endpoints) {
+      const row = this.rows.get(id)
+      if (!row) continue
+      const isFull = row.report !== undefined && row.meanLoad > row.report.slots
+      const hasRefused = now - row.refusedAt < REFUSAL_MEMORY_MS
+      if (row.meanPace !== undefined || isFull || hasRefused) return true
+      if (row.sampleCount < MIN_CALL_COUNT) continue
+      lowest = Math.min(lowest, row.factor)
+      highest = Math.max(highest, row.factor)
+    }
+    return highest > CLEAR_RATIO * lowest
+  }
+
+  /** Removes what was learned of an endpoint. */
+  remove(endpoint: EndpointId): void {
+    this.rows.delete(endpoint)
+  }
+
+  /** Removes endpoints that aren't listed. */
+  removeUnlisted(listed: ReadonlySet<EndpointId>): void {
+    for (const id of this.rows.keys()) if (!listed.has(id)) this.rows.delete(id)
+  }
+
+  private getRow(endpoint: EndpointId): TimesRow {
+    let row = this.rows.get(endpoint)
+    if (!row) {
+      row = {
+        factor: 1,
+        sampleCount: 0,
+        meanPace: undefined,
+        meanLoad: 0,
+        report: undefined,
+        reportedAt: 0,
+        refusedAt: -Infinity,
+      }
+      this.rows.set(endpoint, row)
+    }
+    return row
+  }
+}
+
+function getPace(report: ReportedLoad | undefined): number {
+  return (report?.pacePercent ?? 100) / 100
+}
+
+function computeFreshness(reportedAt: Millis, now: Millis): number {
+  return Math.exp((reportedAt - now) / REPORT_AGE_MS)
+}
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -1,4 +1,5 @@
 import type { EndpointId, Millis, Registration, ReportedLoad } from "@galenaway/core"
+import { EndpointTimes } from "./endpoint-times.js"
 
 /** The outcome of a request that is evidence of the endpoint's health. */
 export type EndpointOutcome =
@@ -64,6 +65,8 @@
  */
 export class EndpointHealth {
   private readonly rows = new Map<EndpointId, EndpointRecord>()
+  /** What the reports and answers of the endpoints show of their speed. */
+  readonly times = new EndpointTimes()
 
   /** Records a request that is sent. `workMs` estimates the endpoint's time until the first token. */
   onSend(endpoint: EndpointId, workMs: Millis, now: Millis): void {
@@ -78,6 +81,7 @@
   onEnd(endpoint: EndpointId, outcome: EndpointOutcome | undefined, now: Millis): void {
     const row = this.getRow(endpoint)
     row.inFlight = Math.max(0, row.inFlight - 1)
+    if (outcome === "full") this.times.onFull(endpoint, now)
     if (outcome === undefined) row.isProbing = false
     else recordOutcome(row, outcome, now)
   }
@@ -90,6 +94,7 @@
   /** Records the load that an endpoint reported. */
   onLoad(endpoint: EndpointId, load: ReportedLoad, now: Millis): void {
     this.getRow(endpoint).reportedLoad = { ...load, at: now }
+    this.times.onReport(endpoint, load, now)
   }
 
   /** Records how long a request waits for admission to an engine, as its owner decided. */
@@ -213,12 +218,14 @@
 
   /** Removes endpoints that aren't listed, except those with requests in flight. */
   removeUnlisted(listed: ReadonlySet<EndpointId>): void {
+    this.times.removeUnlisted(listed)
     for (const [id, row] of this.rows)
       if (!listed.has(id) && row.inFlight === 0) this.rows.delete(id)
   }
 
-  /** Clears the failures, the load and the pause of an endpoint that was restarted. Requests in flight still count. */
+  /** Clears the failures, the load, the speed and the pause of an endpoint that was restarted. Requests in flight still count. */
   reset(endpoint: EndpointId): void {
+    this.times.remove(endpoint)
     const { inFlight, pendingOnTime, pendingLate } = this.getRow(endpoint)
     this.rows.set(endpoint, { ...createRow(), inFlight, pendingOnTime, pendingLate })
   }
