--- a/packages/entry/src/forward/timeouts.ts
+++ b/packages/entry/src/forward/timeouts.ts
@@ -5,6 +5,8 @@
 /** Timeout of the first byte as a share of the latency objective, for calls that aren't streams. */
 const FIRST_BYTE_TIMEOUT_SHARE = 0.5
 const MIN_FIRST_BYTE_TIMEOUT_MS = 100
+/** An endpoint that is known to be slow gets this multiple of the expected time. A call that is ended earlier is often long itself and takes no less elsewhere. */
+const EXPECTED_TIME_FACTOR = 4
 /** Timeout of a stream's first event, to which the times for the queue and the prompt are added. Long prompts delay the event, and another engine would often have to load the adapter first. */
 const FIRST_EVENT_TIMEOUT_MS = 1000
 /** Allowed time for the prompt, as a multiple of the estimate. */
@@ -22,7 +24,7 @@
 export function chooseTimeouts(
   { paces }: ForwardContext,
   call: Call,
-  { isLate, waitMs }: Destination,
+  { isLate, waitMs, expectedMs = 0 }: Destination,
 ): AttemptTimeouts {
   const { route, service, facts } = call
   if (isStream(call)) {
@@ -34,7 +36,11 @@
   }
   const objectiveShareMs = FIRST_BYTE_TIMEOUT_SHARE * route.objectiveMs
   return {
-    firstByteMs: Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, objectiveShareMs),
+    firstByteMs: Math.max(
+      MIN_FIRST_BYTE_TIMEOUT_MS,
+      objectiveShareMs,
+      EXPECTED_TIME_FACTOR * expectedMs,
+    ),
     betweenBytesMs: BETWEEN_BYTES_TIMEOUT_MS,
   }
 }
--- a/packages/entry/test/plain-call.test.ts
+++ b/packages/entry/test/plain-call.test.ts
@@ -4,12 +4,13 @@
   type AttemptResult,
   type Call,
   choosePlainDestination,
+  chooseTimeouts,
   type ForwardContext,
   recordPlainResult,
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { CostEstimator, EndpointHealth } from "@galenaway/routing"
+import { CostEstimator, EndpointHealth, PaceTable } from "@galenaway/routing"
 import { ENGINE } from "./support.js"
 
 const ENDPOINTS: readonly Registration[] = ["slow", "fast"].map((id) => ({ ...ENGINE, id }))
@@ -21,6 +22,14 @@
   route: { name: "r", kind: "idempotent", objectiveMs: 150 },
 } as unknown as Call
 
+it("an idempotent call isn't ended early at an endpoint that is known to be slow", () => {
+  const context = buildContext()
+  const destination = { endpoint: ENGINE, isLate: false, waitMs: 0 }
+  expect(chooseTimeouts(context, CALL, destination).firstByteMs).to.equal(100)
+  const slow = { ...destination, expectedMs: 90 }
+  expect(chooseTimeouts(context, CALL, slow).firstByteMs).to.equal(360)
+})
+
 it("a slow endpoint gets few calls after some answers, and error answers don't count", () => {
   const context = buildContext()
   for (let count = 0; count < 10; count++) {
@@ -58,6 +67,7 @@
   const context = {
     health: new EndpointHealth(),
     costs: new CostEstimator(),
+    paces: new PaceTable(),
     localDataCentre: ENGINE.dataCentre,
     clock: createManualClock(),
     metrics: noopMetrics,
