--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -3,7 +3,7 @@
 import { type Clock, type StoreItem, systemClock, waitFor } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { EndpointHealth, Residency } from "@galenaway/routing"
-import { type AccountsSource, AccountUsage, Authorizer } from "./accounts/index.js"
+import { AccountUsage, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -14,6 +14,7 @@
 import { Membership, Ownership, parseParts } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer } from "./links/index.js"
+import type { AccountsSource } from "./operators/index.js"
 import { Owner } from "./owner/index.js"
 import { PartGuard } from "./quarantine/index.js"
 import { startProbeServers } from "./probe-server.js"
