--- a/packages/entry/src/accounts/authorizer.ts
+++ b/packages/entry/src/accounts/authorizer.ts
@@ -34,7 +34,8 @@
 
   /** Decides about the request of a caller. */
   authorize(route: Route, credentials: CallerCredentials = NO_CREDENTIALS): Authorization {
-    if (!this.table || route.isPublic) return { kind: "granted" }
+    if (!this.table) return { kind: "granted" }
+    if (route.isPublic) return this.authorizePublic(credentials)
     switch (credentials.kind) {
       case "none":
         return { kind: "refused", cause: "missing", reason: "the request has no key" }
@@ -49,6 +50,12 @@
     }
   }
 
+  /** A public route needs no key, but the endpoint receives the account of a valid one. */
+  private authorizePublic(credentials: CallerCredentials): Authorization {
+    const account = credentials.kind === "key" ? this.table?.find(credentials.key) : undefined
+    return { kind: "granted", ...(account && { account }) }
+  }
+
   /** Returns whether the key with which a request was granted no longer belongs to its account. */
   isRevoked(account: ClientAccount, credentials: CallerCredentials): boolean {
     if (!this.table || credentials.kind !== "key") return false
--- a/packages/entry/src/forward/call.ts
+++ b/packages/entry/src/forward/call.ts
@@ -98,8 +98,9 @@
 }
 
 /** Returns whether the key of the caller was revoked after its request had been accepted. */
-export function isRevoked({ account, facts }: Call, authorizer: Authorizer): boolean {
+export function isRevoked({ account, facts, route }: Call, authorizer: Authorizer): boolean {
   return (
+    !route.isPublic &&
     account !== undefined &&
     facts.credentials !== undefined &&
     authorizer.isRevoked(account, facts.credentials)
--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -74,6 +74,16 @@
     expect(authorizer.authorize(ROUTE, credentials).kind, credentials.kind).to.equal("refused")
 })
 
+it("on a public route a valid key gives its account, others are ignored", () => {
+  const authorizer = new Authorizer()
+  authorizer.applyConfiguration({ accounts: [ACCOUNT] })
+  const granted = { kind: "granted" }
+  expect(authorizer.authorize(PUBLIC_ROUTE, KEY)).to.deep.equal({ ...granted, account: ACCOUNT })
+  const invalid: CallerCredentials = { kind: "invalid", reason: "the scheme is wrong" }
+  expect(authorizer.authorize(PUBLIC_ROUTE, invalid)).to.deep.equal(granted)
+  expect(authorizer.authorize(PUBLIC_ROUTE, { kind: "key", key: "key-b" })).to.deep.equal(granted)
+})
+
 it("a key is revoked when it is removed or given to another account", () => {
   const authorizer = new Authorizer()
   const isRevokedBy = (accounts: readonly ClientAccount[]) => {
