--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -17,7 +17,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { PaceTable, RouteTable } from "@galenaway/routing"
+import { CostEstimator, PaceTable, RouteTable } from "@galenaway/routing"
 import { OPEN_GUARD } from "./support.js"
 
 const ROUTE: Route = {
@@ -158,6 +158,7 @@
     guard: OPEN_GUARD,
     versions: { getNewest: () => undefined },
     paces: new PaceTable(),
+    costs: new CostEstimator(),
     metrics: noopMetrics,
     clock: createManualClock(),
     log: { write: () => undefined },
@@ -184,6 +185,7 @@
   const call = {
     facts,
     parts: [],
+    path: "/",
     route: ROUTE,
     account: ACCOUNT,
     priority: 1,
