--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -17,7 +17,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { CostEstimator, PaceTable, RouteTable } from "@galenaway/routing"
+import { CostEstimator, EndpointHealth, PaceTable, RouteTable } from "@galenaway/routing"
 import { OPEN_GUARD } from "./support.js"
 
 const ROUTE: Route = {
@@ -153,7 +153,7 @@
     accountUsage: new AccountUsage(),
     catalogue: { routes: routes && new RouteTable(configuration) },
     directory: { listLive: () => [] },
-    health: { findShortestPause: () => undefined },
+    health: new EndpointHealth(),
     headerCodec: { readRequest, buildAnswer: () => [] },
     guard: OPEN_GUARD,
     versions: { getNewest: () => undefined },
