--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -3,6 +3,7 @@
   describeError,
   type Millis,
   type RawHeaders,
+  ReadTimeout,
   type ReportedLoad,
 } from "@galenaway/core"
 import type { PaceEstimator } from "@galenaway/policy"
@@ -47,7 +48,7 @@
   private notRunCause: NotRunCause | undefined
   private skippedBytes = 0
   private status = 0
-  private silenceTimer: NodeJS.Timeout | undefined
+  private readonly silenceTimeout = new ReadTimeout()
   private deadlineTimer: NodeJS.Timeout | undefined
   private versionTimer: NodeJS.Timeout | undefined
   private readonly pace: PaceEstimator
@@ -150,7 +151,7 @@
       this.resolveOnce = (result) => {
         if (this.isResolved) return
         this.isResolved = true
-        clearTimeout(this.silenceTimer)
+        this.silenceTimeout.cancel()
         clearTimeout(this.deadlineTimer)
         clearInterval(this.versionTimer)
         this.call.disconnectSignal.removeEventListener("abort", onCallerGone)
@@ -357,22 +358,22 @@
   }
 
   private startNotRunTimeout(cause: NotRunCause): void {
-    clearTimeout(this.silenceTimer)
+    this.silenceTimeout.cancel()
     this.isTimedOut = false
-    this.silenceTimer = setTimeout(() => {
+    this.silenceTimeout.start(NOT_RUN_BODY_MS, () => {
       this.exchange.abort()
       this.resolveNotRun(cause)
-    }, NOT_RUN_BODY_MS)
+    })
   }
 
   /** Starts the timeout anew, since the endpoint has sent something. */
   private startTimeout(ms: Millis): void {
-    clearTimeout(this.silenceTimer)
+    this.silenceTimeout.cancel()
     this.isTimedOut = false
     if (ms === Infinity) return
-    this.silenceTimer = setTimeout(() => {
+    this.silenceTimeout.start(ms, () => {
       this.handleSilence()
-    }, ms)
+    })
   }
 
   private handleSilence(): void {
--- a/packages/entry/src/links/admit-stream.ts
+++ b/packages/entry/src/links/admit-stream.ts
@@ -1,5 +1,5 @@
 import type { ClientDuplexStream } from "@grpc/grpc-js"
-import type { Millis } from "@galenaway/core"
+import { type Millis, ReadTimeout } from "@galenaway/core"
 import type { AdmitReply, AdmitRequest } from "../generated/fleet.js"
 
 type Stream = ClientDuplexStream<AdmitRequest, AdmitReply>
@@ -39,11 +39,12 @@
       const onAbort = () => {
         cancel(new Error("the caller has left"))
       }
-      const timer = setTimeout(() => {
+      const timeout = new ReadTimeout()
+      timeout.start(timeoutMs, () => {
         cancel(new AdmitTimeoutError("no reply in time"))
-      }, timeoutMs)
+      })
       const settle = () => {
-        clearTimeout(timer)
+        timeout.cancel()
         signal.removeEventListener("abort", onAbort)
         this.pending.delete(id)
       }
