--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -9,7 +9,14 @@
 import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
 import { systemClock } from "@galenaway/core"
 import { createLog, createMetrics } from "@galenaway/observe"
-import { CostEstimator, EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
+import {
+  CostEstimator,
+  EndpointHealth,
+  PaceTable,
+  Popularity,
+  Residency,
+  VersionTable,
+} from "@galenaway/routing"
 import { type DestinationStream, pino } from "pino"
 import {
   ConfigurationWatcher,
--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -28,6 +28,7 @@
 const NOT_RUN_BODY_BYTES = 64 * 1024
 const VERSION_CHECK_INTERVAL_MS = 500
 const SERVER_ERROR_STATUS = 500
+const PERCENT = 100
 
 /** How one attempt is sent and watched. */
 export interface AttemptOptions {
@@ -277,7 +278,7 @@
     // Where requests wait for a place of the batch, the time doesn't show how fast prompts are read.
     const hasWaiting = load !== undefined && (load.waiting > 0 || load.running >= load.slots)
     if (destination.unreadTokens !== undefined && !hasWaiting)
-      pace.recordPrompt(destination.unreadTokens, ms)
+      pace.recordPrompt(destination.unreadTokens, ms, getPace(load))
     this.lastEventAt = now
   }
 
@@ -392,3 +393,8 @@
     this.resolveOnce(result)
   }
 }
+
+/** Returns the pace that an endpoint reported, as a multiple of the usual time. */
+function getPace(load: ReportedLoad | undefined): number | undefined {
+  return load?.pacePercent === undefined ? undefined : load.pacePercent / PERCENT
+}
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -32,6 +32,8 @@
   readonly uses: AdapterUseTable
   /** Counts the requests that this instance has on an endpoint. */
   countRunning(endpoint: EndpointId): number
+  /** Returns the last pace that an endpoint reported to an instance, in percent of the usual time; undefined if it reports none. */
+  getLastPace(endpoint: EndpointId): { readonly percent: number; readonly at: Millis } | undefined
   readonly handlers: PeerLinkHandlers
   readonly clock: Clock
   readonly log: Log
@@ -301,10 +303,19 @@
         continue
       }
       const link = this.findLink(endpoint)
-      if (link) byLink.set(link, [...(byLink.get(link) ?? []), { endpoint, adapters, running }])
+      if (!link) continue
+      const use = { endpoint, adapters, running, ...this.buildPace(endpoint) }
+      byLink.set(link, [...(byLink.get(link) ?? []), use])
     }
     for (const [link, changes] of byLink) link.sendUses(changes)
   }
+
+  private buildPace(endpoint: EndpointId): Pick<EndpointUse, "pacePercent" | "paceAgeMs"> {
+    const pace = this.deps.getLastPace(endpoint)
+    if (!pace) return { pacePercent: 0, paceAgeMs: 0 }
+    const ageMs = Math.max(0, this.deps.clock.now() - pace.at)
+    return { pacePercent: Math.round(pace.percent), paceAgeMs: Math.round(ageMs) }
+  }
 }
 
 function canShareLoad(
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -10,7 +10,6 @@
   InstanceId,
   Millis,
   Registration,
-  ServiceName,
 } from "@galenaway/core"
 import type { Log, Metrics } from "@galenaway/observe"
 import type { VersionTable } from "@galenaway/routing"
@@ -47,7 +46,7 @@
   readonly metrics: Metrics
   readonly orderTimeoutMs: Millis
   /** Returns the pace of the engines of a service. */
-  readonly getPace: (service: ServiceName) => GatePace
+  readonly getPace: (engine: Registration) => GatePace
   /** Monotonic time of the start of this process. */
   readonly startedAt: Millis
   /** Returns the time for which an engine wants nothing from this instance, in ms. */
@@ -176,7 +175,7 @@
     })
     this.controllers.set(endpoint, controller)
     const { clock, getPace } = this.deps
-    this.gates.set(endpoint, new AdmissionGate(clock, engine.slots, () => getPace(engine.service)))
+    this.gates.set(endpoint, new AdmissionGate(clock, engine.slots, () => getPace(engine)))
     log.info({ endpoint, model, startedAt: engine.startedAt }, "engine controller started")
     if (engine.phase === "live") controller.start()
     else controller.stop(LEAVING_REASON)
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -60,7 +60,7 @@
     clock,
     log: c.resolve(ENTRY_TOKENS.log),
     metrics: c.resolve(ENTRY_TOKENS.metrics),
-    getPace: (service) => buildPace(c, service),
+    getPace: (engine) => buildPace(c, engine),
     orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
     getPause: (endpoint) => c.resolve(EndpointHealth).getPause(endpoint, clock.now()),
     onPause: (endpoint, ms) => {
@@ -86,15 +86,19 @@
     c.resolve(ENTRY_TOKENS.log).info({ endpoint, ms }, "endpoint asks for a pause")
 }
 
-function buildPace(c: DependencyContainer, service: ServiceName): GatePace {
+/** Builds the pace of an engine from that of its service and from what the engine reports. */
+function buildPace(c: DependencyContainer, { id, service }: Registration): GatePace {
   const pace = c.resolve(PaceTable).get(service)
   const pauseMs = c.resolve(OperatorCatalogue).routes?.getPauseMs(service) ?? DEFAULT_PAUSE_MS
+  const { times } = c.resolve(EndpointHealth)
+  const now = c.resolve(ENTRY_TOKENS.clock).now()
+  const slowdown = pace.computeSlowdown(times.estimatePace(id, now))
   return {
-    tokensPerMs: pace.tokensPerMs,
-    eventMs: pace.eventMs,
-    firstTokenMs: pace.firstTokenMs,
+    tokensPerMs: pace.tokensPerMs / slowdown,
+    eventMs: pace.eventMs * slowdown,
+    firstTokenMs: pace.firstTokenMs * slowdown,
     batchMs: pace.computeBatchMs(pauseMs),
-    runMs: pace.runMs,
+    runMs: pace.runMs * slowdown,
     reportIntervalMs: c.resolve(PeerLinks).reportIntervalMs,
   }
 }
@@ -114,7 +118,8 @@
         c.resolve(PartGuard).onReport({ ends, soundParts, states: partStates })
         c.resolve(LeavingReports).onReport(instance, update.leaving)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, instance)
-        for (const { endpoint, adapters, running } of uses) {
+        for (const { endpoint, adapters, running, pacePercent, paceAgeMs } of uses) {
+          if (pacePercent > 0) onPeerPace(c, endpoint, pacePercent, paceAgeMs)
           owner.onRunning(endpoint, instance, running)
           for (const { adapter, inFlight } of adapters)
             owner.onUse(endpoint, adapter, instance, inFlight)
@@ -137,6 +142,17 @@
   )
 }
 
+/** Records the pace that an engine reported to another instance. */
+function onPeerPace(
+  c: DependencyContainer,
+  endpoint: EndpointId,
+  pacePercent: number,
+  ageMs: Millis,
+): void {
+  const at = c.resolve(ENTRY_TOKENS.clock).now() - ageMs
+  c.resolve(EndpointHealth).times.onPace(endpoint, pacePercent, at)
+}
+
 /** Lists the items of the store that an instance needs to start while the store can't be reached. */
 function listItems(c: DependencyContainer): readonly StoreItem[] {
   return [
@@ -192,6 +208,7 @@
     owner: c.resolve(Owner),
     uses: c.resolve(AdapterUseTable),
     countRunning: (endpoint) => c.resolve(EndpointHealth).countInFlight(endpoint),
+    getLastPace: (endpoint) => c.resolve(EndpointHealth).times.getLastPace(endpoint),
     clock,
     log: c.resolve(ENTRY_TOKENS.log),
     handlers: {
--- a/packages/policy/src/pace.ts
+++ b/packages/policy/src/pace.ts
@@ -42,6 +42,8 @@
   private eventEstimateMs: Millis = FIRST_EVENT_MS
   private batchShare = FIRST_BATCH_SHARE
   private meanRunMs: Millis = FIRST_RUN_MS
+  /** Moving average of the pace that the engines of the answers reported, as a multiple of the usual time; undefined without reports. */
+  private meanPace: number | undefined
 
   /** Prompt tokens that an engine reads in a millisecond. */
   get tokensPerMs(): number {
@@ -80,11 +82,16 @@
     return promptTokens / this.tokensPerMs
   }
 
-  /** Records the prompt tokens that an engine had to read for a request, including those of others, and the time until the first token. */
-  recordPrompt(unreadTokens: number, firstTokenMs: Millis): void {
+  /**
+   * Records the prompt tokens that an engine had to read for a request, including those
+   * of others, and the time until the first token. `pace` is what the engine reported
+   * with it, as a multiple of the usual time.
+   */
+  recordPrompt(unreadTokens: number, firstTokenMs: Millis, pace?: number): void {
     if (unreadTokens <= 0 || firstTokenMs <= 0) return
+    if (pace !== undefined) this.recordPace(pace)
     const tokens = unreadTokens - this.meanTokens
-    const ms = firstTokenMs - this.meanMs
+    const ms = firstTokenMs / this.computeSlowdown(pace) - this.meanMs
     const weight = PROMPT_WEIGHT_SHARE
     this.meanTokens += weight * tokens
     this.meanMs += weight * ms
@@ -92,6 +99,11 @@
     this.covariance = (1 - weight) * (this.covariance + weight * tokens * ms)
   }
 
+  /** Returns how much longer than the estimates work takes on an engine with a pace, 1 without reports. The estimates contain the average pace of the engines. */
+  computeSlowdown(pace: number | undefined): number {
+    return pace === undefined || this.meanPace === undefined ? 1 : pace / this.meanPace
+  }
+
   /** Records the time between two events of a stream, and the longest pause with which the stream meets its objective, if it has one. */
   recordEvent(ms: Millis, pauseMs: Millis = Infinity): void {
     if (ms <= pauseMs) this.setBatchShare(this.batchShare + BATCH_INCREASE_SHARE)
@@ -102,6 +114,11 @@
     this.eventEstimateMs = Math.max(MIN_EVENT_MS, this.eventEstimateMs * factor)
   }
 
+  private recordPace(pace: number): void {
+    this.meanPace ??= pace
+    this.meanPace += PROMPT_WEIGHT_SHARE * (pace - this.meanPace)
+  }
+
   private setBatchShare(share: number): void {
     this.batchShare = Math.min(MAX_BATCH_SHARE, Math.max(MIN_BATCH_SHARE, share))
   }
--- a/packages/policy/test/admission-queue.test.ts
+++ b/packages/policy/test/admission-queue.test.ts
@@ -21,6 +21,10 @@
 const MIN_SERVED_SHARE = 0.75
 /** At most this share is sent and then late, the time in which the speed is learned included. */
 const MAX_LATE_SHARE = 0.1
+/** Average pace of an engine that other work slows down, the age of its reports and their weight at that age. */
+const MEAN_PACE = 1.225
+const REPORT_AGE_MS = 300
+const REPORT_WEIGHT = Math.exp(-1)
 const OBJECTIVE = { firstTokenMs: 800, pauseMs: 300 }
 
 it("prompts are granted in batches that fit the allowed pause, with one event between them", () => {
@@ -138,9 +142,31 @@
   }
 })
 
+it("an engine that other work slows down serves more requests on time when its pace is reported, though late", () => {
+  let unknown = 0
+  let reported = 0
+  for (const engine of ENGINES)
+    for (let seed = 1; seed <= 8; seed++) {
+      const getPace = buildPace(seed)
+      const load = buildPeak(engine, 0.75, 2, seed)
+      const replay = (estimatePace: (at: number) => number) =>
+        replayLoad(load, { ...engine, getPace, estimatePace }, OBJECTIVE, true).onTime
+      unknown += replay(() => MEAN_PACE)
+      reported += replay(
+        (at) => MEAN_PACE + REPORT_WEIGHT * (getPace(at - REPORT_AGE_MS) - MEAN_PACE),
+      )
+    }
+  expect(reported).to.be.greaterThan(unknown)
+})
+
 /** Builds 20 s of requests whose prompts take `share` of the engine's time, with peaks of `factor` times as many in every second half second. */
-function buildPeak(engine: ReplayEngine, share: number, factor: number): readonly ReplayRequest[] {
-  const random = createRandom(7)
+function buildPeak(
+  engine: ReplayEngine,
+  share: number,
+  factor: number,
+  seed = 7,
+): readonly ReplayRequest[] {
+  const random = createRandom(seed)
   const meanTokens = 1200
   const requests: ReplayRequest[] = []
   const meanGapMs = meanTokens / engine.tokensPerMs / share
@@ -153,6 +179,18 @@
   return requests
 }
 
+/** Builds the pace of an engine that is 2.5 times slower in 15% of the time, for 400 ms on average. */
+function buildPace(seed: number): (at: number) => number {
+  const random = createRandom(seed + 100)
+  const flips: number[] = []
+  for (let at = 0; at < 60_000;) {
+    const meanMs = flips.length % 2 === 0 ? 2267 : 400
+    at += -Math.log(1 - random()) * meanMs
+    flips.push(at)
+  }
+  return (at) => (flips.filter((flip) => flip <= at).length % 2 === 0 ? 1 : 2.5)
+}
+
 function createRandom(seed: number): () => number {
   let state = seed
   return () => {
--- a/packages/policy/test/engine-replay.ts
+++ b/packages/policy/test/engine-replay.ts
@@ -17,6 +17,10 @@
   readonly tokensPerEvent: number
   /** Prompt tokens that one step reads at most. */
   readonly chunkTokens: number
+  /** How long work takes at a time, as a multiple of the usual time; always 1 if undefined. */
+  readonly getPace?: (at: Millis) => number
+  /** The pace that the admission uses at a time, from reports; undefined if it has none. */
+  readonly estimatePace?: (at: Millis) => number
 }
 
 /** The limits within which a request is on time. */
@@ -72,12 +76,15 @@
     private readonly objective: ReplayObjective,
     private readonly isAdmitted: boolean,
   ) {
-    this.queue = new AdmissionQueue(() => ({
-      tokensPerMs: this.pace.tokensPerMs,
-      eventMs: this.pace.eventMs,
-      firstTokenMs: this.pace.firstTokenMs,
-      batchMs: this.pace.computeBatchMs(objective.pauseMs),
-    }))
+    this.queue = new AdmissionQueue(() => {
+      const slowdown = this.pace.computeSlowdown(engine.estimatePace?.(this.now))
+      return {
+        tokensPerMs: this.pace.tokensPerMs / slowdown,
+        eventMs: this.pace.eventMs * slowdown,
+        firstTokenMs: this.pace.firstTokenMs * slowdown,
+        batchMs: this.pace.computeBatchMs(objective.pauseMs),
+      }
+    })
   }
 
   run(): ReplayResult {
@@ -138,14 +145,16 @@
       unread[0].unreadTokens -= read
       if (unread[0].unreadTokens <= 0) started.push(...unread.splice(0, 1))
     }
-    this.now += engine.stepMs + (engine.chunkTokens - chunk) / engine.tokensPerMs
+    const stepMs = engine.stepMs + (engine.chunkTokens - chunk) / engine.tokensPerMs
+    this.now += stepMs * (engine.getPace?.(this.now) ?? 1)
     for (const stream of this.running) this.addToken(stream)
     for (const stream of started) this.start(stream)
   }
 
   private start(stream: Stream): void {
+    const pace = this.engine.estimatePace && this.engine.getPace?.(this.now)
     if (stream.unreadAtSend !== undefined)
-      this.pace.recordPrompt(stream.unreadAtSend, this.now - stream.sentAt)
+      this.pace.recordPrompt(stream.unreadAtSend, this.now - stream.sentAt, pace)
     stream.lastEventAt = this.now
     stream.isOnTime = this.now - stream.request.at <= this.objective.firstTokenMs
     this.running.add(stream)
--- a/packages/policy/test/pace.test.ts
+++ b/packages/policy/test/pace.test.ts
@@ -23,3 +23,16 @@
     expect(pace.eventMs).to.be.within(0.85 * eventMs, 1.15 * eventMs)
   }
 })
+
+it("an estimate is for the average pace, and an engine's pace is relative to it", () => {
+  const pace = new PaceEstimator()
+  expect(pace.computeSlowdown(2)).to.equal(1)
+  for (let count = 0; count < 500; count++) {
+    const isSlow = count % 2 === 0
+    pace.recordPrompt(1000, isSlow ? 150 : 50, isSlow ? 1.5 : 0.5)
+  }
+  expect(pace.computeSlowdown(1)).to.be.closeTo(1, 0.1)
+  expect(pace.computeSlowdown(1.5)).to.be.closeTo(1.5, 0.1)
+  expect(pace.computeSlowdown(undefined)).to.equal(1)
+  expect(pace.firstTokenMs + pace.estimatePromptMs(1000)).to.be.closeTo(100, 10)
+})
--- a/packages/routing/src/endpoint-times.ts
+++ b/packages/routing/src/endpoint-times.ts
@@ -6,6 +6,9 @@
   sampleCount: number
   /** Moving average of the reported pace, as a multiple of the usual time; undefined without reports. */
   meanPace: number | undefined
+  /** The last pace that the endpoint reported to any instance. */
+  pace: number
+  pacedAt: Millis
   /** Moving average of the reported number of running and waiting calls. */
   meanLoad: number
   report: ReportedLoad | undefined
@@ -14,6 +17,7 @@
   refusedAt: Millis
 }
 
+const PERCENT = 100
 /** Age at which a report has lost all but 1/e of its weight against the average of earlier ones. */
 const REPORT_AGE_MS = 300
 /** Weight of the latest report in the moving averages of load and pace. */
@@ -48,13 +52,33 @@
     const row = this.getRow(endpoint)
     const load = report.running + report.waiting
     row.meanLoad += LOAD_SMOOTHING_SHARE * (load - row.meanLoad)
-    if (report.pacePercent !== undefined) {
-      const pace = report.pacePercent / 100
-      row.meanPace ??= pace
-      row.meanPace += PACE_SMOOTHING_SHARE * (pace - row.meanPace)
-    }
     row.report = report
     row.reportedAt = now
+    if (report.pacePercent !== undefined) this.onPace(endpoint, report.pacePercent, now)
+  }
+
+  /** Records the pace that an endpoint reported to this instance or to another one. Older ones than the last are ignored. */
+  onPace(endpoint: EndpointId, pacePercent: number, at: Millis): void {
+    const row = this.getRow(endpoint)
+    if (row.meanPace !== undefined && at <= row.pacedAt) return
+    row.pace = pacePercent / PERCENT
+    row.pacedAt = at
+    row.meanPace ??= row.pace
+    row.meanPace += PACE_SMOOTHING_SHARE * (row.pace - row.meanPace)
+  }
+
+  /** Returns the last pace that an endpoint reported, for other instances; undefined if it reports none. */
+  getLastPace(endpoint: EndpointId): { readonly percent: number; readonly at: Millis } | undefined {
+    const row = this.rows.get(endpoint)
+    if (row?.meanPace === undefined) return undefined
+    return { percent: row.pace * PERCENT, at: row.pacedAt }
+  }
+
+  /** Estimates the pace of an endpoint as a multiple of the usual time; undefined if it reports none. */
+  estimatePace(endpoint: EndpointId, now: Millis): number | undefined {
+    const row = this.rows.get(endpoint)
+    if (row?.meanPace === undefined) return undefined
+    return row.meanPace + computeFreshness(row.pacedAt, now) * (row.pace - row.meanPace)
   }
 
   /** Returns whether calls were waiting at an endpoint by its last report, so that the time of a call contains a wait. */
@@ -65,7 +89,8 @@
   /** Records the time of a complete call that didn't wait at its endpoint, and what it was expected to cost. */
   onCall(endpoint: EndpointId, ms: Millis, costMs: Millis): void {
     const row = this.getRow(endpoint)
-    const ratio = Math.min(MAX_FACTOR, ms / Math.max(1, costMs) / getPace(row.report))
+    const pace = row.meanPace === undefined ? 1 : row.pace
+    const ratio = Math.min(MAX_FACTOR, ms / Math.max(1, costMs) / pace)
     row.sampleCount++
     const weight = Math.max(FACTOR_SMOOTHING_SHARE, 1 / (row.sampleCount + PRIOR_CALL_COUNT))
     row.factor += weight * (ratio - row.factor)
@@ -74,10 +99,7 @@
   /** Estimates the time that an endpoint takes for a call, as a multiple of the call's cost. */
   estimateFactor(endpoint: EndpointId, now: Millis): number {
     const row = this.rows.get(endpoint)
-    if (!row) return 1
-    const { factor, meanPace, report, reportedAt } = row
-    if (meanPace === undefined) return factor
-    return factor * (meanPace + computeFreshness(reportedAt, now) * (getPace(report) - meanPace))
+    return row ? row.factor * (this.estimatePace(endpoint, now) ?? 1) : 1
   }
 
   /** Returns the learned time of an endpoint as a multiple of the cost of calls, without its pace at present. */
@@ -137,6 +159,8 @@
         factor: 1,
         sampleCount: 0,
         meanPace: undefined,
+        pace: 1,
+        pacedAt: 0,
         meanLoad: 0,
         report: undefined,
         reportedAt: 0,
@@ -148,10 +172,6 @@
   }
 }
 
-function getPace(report: ReportedLoad | undefined): number {
-  return (report?.pacePercent ?? 100) / 100
-}
-
 function computeFreshness(reportedAt: Millis, now: Millis): number {
   return Math.exp((reportedAt - now) / REPORT_AGE_MS)
 }
--- a/packages/routing/test/health.test.ts
+++ b/packages/routing/test/health.test.ts
@@ -99,3 +99,16 @@
   health.onBytes("e", 10)
   expect(health.getSilence("e", 250)).to.equal(240)
 })
+
+it("an engine's pace is the newest that any instance has seen, and counts less the older it is", () => {
+  const { times } = new EndpointHealth()
+  expect(times.estimatePace("e", 0)).to.equal(undefined)
+  expect(times.getLastPace("e")).to.equal(undefined)
+  for (let at = 1; at <= 100; at++) times.onPace("e", 100, at)
+  times.onReport("e", { running: 1, waiting: 0, slots: 8, pacePercent: 250 }, 200)
+  times.onPace("e", 50, 150)
+  expect(times.getLastPace("e")).to.deep.equal({ percent: 250, at: 200 })
+  expect(times.estimatePace("e", 200)).to.be.closeTo(2.5, 0.01)
+  expect(times.estimatePace("e", 500)).to.be.within(1.5, 2)
+  expect(times.estimatePace("e", 10_000)).to.be.within(1, 1.2)
+})
