--- /dev/null
+++ b/packages/policy/src/quota/index.ts
@@ -0,0 +1,7 @@
+export type { AccountShare, UnitPermit } from "./account-share.js"
+export * from "./limits.js"
+export * from "./messages.js"
+export * from "./quota-queue.js"
+export * from "./share-allocator.js"
+export * from "./share-holder.js"
+export { type TakenUnits, TokenBucket } from "./token-bucket.js"
