--- a/packages/coordination/src/leased/authority.ts
+++ b/packages/coordination/src/leased/authority.ts
@@ -185,6 +185,11 @@
     return now >= (this.owned.get(endpoint)?.activeFrom ?? Infinity)
   }
 
+  /** Returns the time from which this process may send orders to an endpoint that it owns, Infinity if it doesn't own it. */
+  getActiveFrom(endpoint: EndpointId): Millis {
+    return this.owned.get(endpoint)?.activeFrom ?? Infinity
+  }
+
   /** Returns the record by which this process owns an endpoint, undefined if it doesn't. */
   getRecord(endpoint: EndpointId): OwnerRecord | undefined {
     return this.owned.get(endpoint)?.record
--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -31,6 +31,7 @@
   | "not-found"
   | "too-large"
   | "overloaded"
+  | "quota-exceeded"
   | "deadline"
   | "load-failed"
   | "no-endpoint"
--- a/packages/daemon/src/caller/errors.ts
+++ b/packages/daemon/src/caller/errors.ts
@@ -7,6 +7,7 @@
   "not-found": 404,
   "too-large": 413,
   overloaded: 429,
+  "quota-exceeded": 429,
   deadline: 503,
   "load-failed": 503,
   "no-endpoint": 503,
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -30,6 +30,8 @@
 } from "./links/index.js"
 import { Owner } from "./owner/index.js"
 import { PartGuard, PartStore } from "./quarantine/index.js"
+import { QuotaAllocators, QuotaGate } from "./quota/index.js"
+import { createQuotaAllocators, createQuotaGate } from "./quota/wiring.js"
 import { RequestLog } from "./request-log.js"
 import { CallerServer } from "./server.js"
 import type { EntrySettings } from "./settings.js"
@@ -221,7 +223,10 @@
         suspension: new SuspensionDetector(c.resolve(ENTRY_TOKENS.clock), MAX_CLOCK_GAP_MS),
         clock: c.resolve(ENTRY_TOKENS.clock),
         log: c.resolve(ENTRY_TOKENS.log),
-        listEngines: () => c.resolve(Owner).listEngines(),
+        listEngines: () => [
+          ...c.resolve(Owner).listEngines(),
+          ...c.resolve(QuotaAllocators).listShards(),
+        ],
         isAlive: (id) => c.resolve(PeerLinks).isAlive(id),
         getReadConsistency: () => c.resolve(ReadFreshness).consistency,
         onStated: (state) => {
@@ -238,6 +243,8 @@
       }),
   )
   registerCached(container, Owner, (c) => createOwner(c, engineClient))
+  registerCached(container, QuotaAllocators, createQuotaAllocators)
+  registerCached(container, QuotaGate, createQuotaGate)
   registerCached(container, LinkServer, createLinkServer)
   registerCached(container, PeerLinks, createLinks)
   registerCached(container, LeavingReports, createLeavingReports)
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -22,6 +22,7 @@
 import type { OperatorCatalogue } from "../catalogue/operator-catalogue.js"
 import type { PeerLinks, AdapterUseTable } from "../links/index.js"
 import type { PartGuard } from "../quarantine/index.js"
+import type { QuotaGate } from "../quota/index.js"
 import type { RequestLog } from "../request-log.js"
 import type { StopSchedule } from "../stop-schedule.js"
 import type { EndpointPools } from "./pools.js"
@@ -59,6 +60,8 @@
   countInstances(): number
   /** Builds the view from which placements of a service are chosen. */
   buildPlacementView(service: ServiceName): PlacementView
+  /** Decides which requests are within their accounts' quotas. */
+  readonly quotas: QuotaGate
   /** Decides which requests are taken and sent while the instance stops. */
   readonly stop: StopSchedule
   /** Returns how many connections this instance may open to an endpoint. */
--- a/packages/entry/src/forward/errors.ts
+++ b/packages/entry/src/forward/errors.ts
@@ -1,8 +1,8 @@
-import type { ErrorCode, ErrorOutcome, ErrorStep } from "@galenaway/core"
+import type { ErrorCode, ErrorOutcome, ErrorStep, Millis } from "@galenaway/core"
 
 /** An error answer that this instance sends when no endpoint's answer can be sent. */
 export interface ErrorAnswer {
-  readonly status: 400 | 401 | 404 | 408 | 413 | 502 | 503 | 504
+  readonly status: 400 | 401 | 404 | 408 | 413 | 429 | 502 | 503 | 504
   readonly code: ErrorCode
   readonly step: ErrorStep
   readonly outcome: ErrorOutcome
@@ -73,6 +73,18 @@
   }
 }
 
+/** Builds the answer to a request beyond its account's quota. `retryAfterMs` is the time until the quota has its cost again. */
+export function buildOverQuota(retryAfterMs: Millis): ErrorAnswer {
+  return {
+    status: 429,
+    code: "quota-exceeded",
+    step: "route",
+    outcome: "not-run",
+    message: "the account's quota is used up",
+    retryAfterMs,
+  }
+}
+
 /** Builds the answer to a request that an endpoint may have run, with an unknown outcome. */
 export function buildUnknownOutcome(message: string): ErrorAnswer {
   return { status: 502, code: "endpoint-failed", step: "send", outcome: "unknown", message }
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -5,6 +5,7 @@
 import { type Call, isStopLimit, StopLimitError } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import {
+  buildOverQuota,
   buildRefusal,
   buildUnauthorized,
   buildUnknownOutcome,
@@ -14,6 +15,7 @@
   STOPPING,
   TOO_LARGE,
 } from "./errors.js"
+import { computeCost } from "../quota/index.js"
 import { listRequestParts } from "../quarantine/index.js"
 import { ForwardJob } from "./job.js"
 import { CallerReply } from "./reply.js"
@@ -112,23 +114,47 @@
     response: ServerResponse,
   ): Promise<void> {
     const disconnectSignal = this.createDisconnectSignal(response)
+    const { account, facts } = accepted
+    if (!account?.quota) {
+      await this.serveWithinQuota(accepted, disconnectSignal)
+      return
+    }
+    const { quotas } = this.context
+    const decision = await quotas.take(account, computeCost(account.quota, facts))
+    if (decision.kind === "refused") {
+      this.refuse(accepted, buildOverQuota(decision.retryAfterMs))
+      return
+    }
+    const mayHaveRun = await this.serveWithinQuota(accepted, disconnectSignal)
+    if (!mayHaveRun) quotas.release(decision.permit)
+  }
+
+  /** Reads the body of a request and forwards it. Returns whether an endpoint may have run it. */
+  private async serveWithinQuota(
+    accepted: AcceptedRequest,
+    disconnectSignal: AbortSignal,
+  ): Promise<boolean> {
     const { maxBodyBytes } = accepted.limits
-    const body = await readBody(accepted.request, maxBodyBytes, disconnectSignal)
+    // The connection may have closed while the quota was awaited.
+    const body = disconnectSignal.aborted
+      ? "gone"
+      : await readBody(accepted.request, maxBodyBytes, disconnectSignal)
     if (body === "too-large") this.refuse(accepted, TOO_LARGE)
     else if (isStopLimit(disconnectSignal)) this.refuse(accepted, STOPPING)
-    else if (body !== "gone") await this.forward(accepted, body, disconnectSignal)
+    else if (body !== "gone") return this.forward(accepted, body, disconnectSignal)
+    return false
   }
 
   private async forward(
     accepted: AcceptedRequest,
     body: Buffer,
     disconnectSignal: AbortSignal,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { request, reply, route, facts, arrivedAt, account } = accepted
     const service = chooseService(route, Math.random())
     if (service === undefined) {
       this.refuse(accepted, buildRefusal("the route names no service"))
-      return
+      return false
     }
     const timeoutMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
     const call: Call = {
@@ -146,7 +172,9 @@
       deadline: arrivedAt + timeoutMs,
       disconnectSignal,
     }
-    await new ForwardJob(this.context, call, reply).run()
+    const job = new ForwardJob(this.context, call, reply)
+    await job.run()
+    return job.mayHaveRun
   }
 
   private createDisconnectSignal(response: ServerResponse): AbortSignal {
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -62,6 +62,8 @@
   private sendCount = 0
   /** Number of sends that an endpoint may have run. */
   private runCount = 0
+  /** Whether an endpoint has answered the call. */
+  private isAnswered = false
   /** The last endpoint whose attempt was ended because it was silent. */
   private silentEndpoint: EndpointId | undefined
   /** Whether the call tests a quarantined part of it. */
@@ -88,6 +90,11 @@
     })
   }
 
+  /** Whether an endpoint may have run the call. */
+  get mayHaveRun(): boolean {
+    return this.runCount > 0 || this.isAnswered
+  }
+
   /** Serves the call and sends its answer. A caller that closes its connection ends it early. */
   async run(): Promise<void> {
     const { context, call } = this
@@ -213,8 +220,10 @@
   private handleResult({ endpoint }: Destination, result: AttemptResult): NextAction {
     switch (result.kind) {
       case "streamed":
+        this.isAnswered = true
         return DONE
       case "answered":
+        this.isAnswered = true
         return this.handleAnswer(endpoint.id, result.answer)
       case "not-run":
         if (result.cause === "missing") this.search.onAdapterMissing(endpoint.id)
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -15,6 +15,7 @@
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer } from "./links/index.js"
 import { Owner } from "./owner/index.js"
+import { QuotaGate } from "./quota/index.js"
 import { PartGuard } from "./quarantine/index.js"
 import { startProbeServers } from "./probe-server.js"
 import { reloadSettings } from "./reload.js"
@@ -237,6 +238,7 @@
   container.resolve(DirectoryPoller).stop()
   container.resolve(Ownership).stop()
   container.resolve(PeerLinks).stop()
+  container.resolve(QuotaGate).stop()
   container.resolve(LinkServer).stop()
   await container.resolve(Membership).stop()
   await container.resolve(EndpointPools).stop()
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -24,6 +24,8 @@
   type OwnersReply,
   type OwnersRequest,
   type OwnerUpdate,
+  type QuotaReply,
+  type QuotaReport,
 } from "../generated/fleet.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { AdmissionOutcome, EngineSnapshot, LoadOutcome } from "../owner/index.js"
@@ -36,6 +38,8 @@
   load(request: LoadRequest): Promise<LoadOutcome>
   /** Waits until an owned engine may read a prompt. */
   admit(request: AdmitRequest, signal: AbortSignal): Promise<AdmissionOutcome>
+  /** Handles a report about quotas that this instance may allocate. */
+  allocate(report: QuotaReport): QuotaReply
   /** Called for each update that a follower sends. */
   onUpdate(update: FollowerUpdate): void
   /** Lists the states of all known prompt parts, which a new follower receives first. */
@@ -65,6 +69,7 @@
 export const NO_STORE_NEWS: StoreNews = { store: undefined, catalogue: undefined }
 
 type Follower = ServerDuplexStream<FollowerUpdate, OwnerUpdate>
+type AllocateCall = ServerDuplexStream<QuotaReport, QuotaReply>
 type AdmitCall = ServerDuplexStream<AdmitRequest, AdmitReply>
 
 /** At this interval an update is sent unless another one was sent since the last check, so two updates are at most twice this time apart. */
@@ -214,6 +219,9 @@
       admit: (call: AdmitCall) => {
         this.serveAdmissions(call)
       },
+      allocate: (call: AllocateCall) => {
+        this.serveReports(call)
+      },
       tellOwners: (
         _call: ServerUnaryCall<OwnersRequest, OwnersReply>,
         done: sendUnaryData<OwnersReply>,
@@ -260,6 +268,18 @@
     if (!abort.signal.aborted) call.write(formatAdmission(id, outcome))
   }
 
+  /** Answers the reports about quotas of one peer until its stream ends. */
+  private serveReports(call: AllocateCall): void {
+    call.on("data", (report: QuotaReport) => {
+      if (call.writableLength < MAX_UNREAD_BYTES) call.write(this.handlers.allocate(report))
+    })
+    // The peer sends its reports on another stream, and what it holds expires.
+    call.on("error", () => undefined)
+    call.on("end", () => {
+      call.end()
+    })
+  }
+
   private addFollower(call: Follower): void {
     call.on("data", (update: FollowerUpdate) => {
       this.followers.set(call, update.instance)
--- a/packages/entry/src/links/peer-link.ts
+++ b/packages/entry/src/links/peer-link.ts
@@ -20,14 +20,19 @@
   type LoadRequest,
   type OwnersReply,
   type OwnerUpdate,
+  type QuotaReply,
+  type QuotaReport,
 } from "../generated/fleet.js"
 import type { PartReport } from "../quarantine/index.js"
 import { AdmitStream } from "./admit-stream.js"
+import { QuotaStream } from "./quota-stream.js"
 
 /** Handlers that connect the links to the other modules of the instance. */
 export interface PeerLinkHandlers {
   /** Called for each update that a peer sends about its engines. */
   onUpdate(peer: InstanceId, update: OwnerUpdate): void
+  /** Called for each reply of a peer to a report about quotas. */
+  onQuotaReply(reply: QuotaReply): void
   /** Returns the version of this instance's configuration, which is sent to peers. */
   getConfigurationVersion(): number
   /** Lists the states of all known prompt parts, which a peer receives when the connection opens. */
@@ -51,6 +56,12 @@
   private openedAt: Millis = -Infinity
   private isClosed = false
   private readonly admissions = new AdmitStream(() => this.client.admit())
+  private readonly quotas = new QuotaStream(
+    () => this.client.allocate(),
+    (reply) => {
+      this.handlers.onQuotaReply(reply)
+    },
+  )
 
   constructor(
     private readonly self: InstanceId,
@@ -130,6 +141,11 @@
     return this.admissions.send(request, timeoutMs, signal)
   }
 
+  /** Sends the peer a report about the quotas that it allocates. */
+  sendQuotaReport(report: QuotaReport): void {
+    this.quotas.send(report)
+  }
+
   /** Fetches the owner records that the peer has read. Throws a GalenawayError on failure. */
   fetchOwners(): Promise<OwnersReply> {
     const options = { deadline: Date.now() + OWNERS_TIMEOUT_MS }
@@ -145,6 +161,7 @@
   close(): void {
     this.isClosed = true
     this.admissions.close()
+    this.quotas.close()
     this.stream?.cancel()
     this.stream = undefined
     this.client.close()
@@ -153,6 +170,7 @@
   private reconnect(): void {
     this.log.info({ peer: this.peer }, "no update from peer, reconnecting")
     this.admissions.close()
+    this.quotas.close()
     this.stream?.cancel()
     this.stream = undefined
     this.client.close()
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -9,7 +9,7 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { hashText } from "@galenaway/policy"
-import type { AdmitRequest, EndpointUse, LeavingEndpoint } from "../generated/fleet.js"
+import type { AdmitRequest, EndpointUse, LeavingEndpoint, QuotaReport } from "../generated/fleet.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { Ownership } from "../fleet/ownership.js"
 import type {
@@ -113,6 +113,11 @@
     for (const id of this.listCollectors()) this.linksByPeer.get(id)?.sendLeaving(leaving)
   }
 
+  /** Sends a report about quotas to the instance that allocates them. Does nothing without a connection. */
+  sendQuotaReport(allocator: InstanceId, report: QuotaReport): void {
+    this.linksByPeer.get(allocator)?.sendQuotaReport(report)
+  }
+
   /** Returns whether this instance is one of those that collect reports. */
   isCollector(): boolean {
     return this.listCollectors().includes(this.deps.self)
--- /dev/null
+++ b/packages/entry/src/quota/index.ts
@@ -0,0 +1,5 @@
+export * from "./cost.js"
+export * from "./messages.js"
+export * from "./quota-allocators.js"
+export * from "./quota-gate.js"
+export * from "./shards.js"
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -27,6 +27,9 @@
   retryShare: SHARE_SCHEMA,
   retryWindowS: SECONDS_SCHEMA,
   retryFixed: z.coerce.number().min(0),
+  quotaWindowS: SECONDS_SCHEMA,
+  quotaExcess: SHARE_SCHEMA,
+  quotaSlack: z.coerce.number().min(0),
   logLevel: z.enum(["debug", "info", "warn", "error"]),
 })
 
@@ -61,6 +64,12 @@
   readonly retryWindowS: number
   /** Retries of the fleet in a window in addition to the share. */
   readonly retryFixed: number
+  /** Window in which the use of a quota is limited, in seconds. */
+  readonly quotaWindowS: number
+  /** By which share of a quota its use in a window may exceed it. */
+  readonly quotaExcess: number
+  /** By how many tokens the use of a quota in a window may exceed it in addition. */
+  readonly quotaSlack: number
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -132,6 +141,21 @@
     description: "retries in a window in addition to the share",
     defaultValue: "20",
   },
+  quotaWindowS: {
+    flag: "--quota-window-s <s>",
+    description: "window in which the use of an account's quota is limited",
+    defaultValue: "8",
+  },
+  quotaExcess: {
+    flag: "--quota-excess <share>",
+    description: "by how much the use of a quota in a window may exceed it",
+    defaultValue: "0.1",
+  },
+  quotaSlack: {
+    flag: "--quota-slack <tokens>",
+    description: "tokens by which the use of a quota in a window may exceed it in addition",
+    defaultValue: "0",
+  },
   logLevel: {
     flag: "--log-level <level>",
     description: "debug, info, warn or error",
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -35,6 +35,13 @@
 } from "./links/index.js"
 import { type GatePace, Owner } from "./owner/index.js"
 import { hasEnded, PartGuard, PartStore } from "./quarantine/index.js"
+import {
+  formatQuotaReply,
+  parseQuotaReply,
+  parseQuotaReport,
+  QuotaAllocators,
+  QuotaGate,
+} from "./quota/index.js"
 import { RequestLog } from "./request-log.js"
 import type { EntrySettings } from "./settings.js"
 import { StopSchedule } from "./stop-schedule.js"
@@ -120,6 +127,8 @@
             owner.onUse(endpoint, adapter, instance, inFlight)
         }
       },
+      allocate: (report) =>
+        formatQuotaReply(c.resolve(QuotaAllocators).handle(parseQuotaReport(report))),
       listSnapshots: () => owner.listSnapshots(),
       listPartStates: () => c.resolve(PartGuard).listStates(),
       listLeaving: () => c.resolve(LeavingReports).listRecent(),
@@ -195,6 +204,9 @@
     clock,
     log: c.resolve(ENTRY_TOKENS.log),
     handlers: {
+      onQuotaReply: (reply) => {
+        c.resolve(QuotaGate).onReply(parseQuotaReply(reply))
+      },
       getConfigurationVersion: () => c.resolve(OperatorCatalogue).version,
       listPartStates: () => c.resolve(PartGuard).listStates(),
       onUpdate: (peer, update) => {
@@ -299,6 +311,7 @@
       localDataCentre: settings.dataCentre,
       canLoad: (endpoint) => links.canLoad(endpoint),
     }),
+    quotas: c.resolve(QuotaGate),
     stop: c.resolve(StopSchedule),
     computeConnectionLimit: ({ service }: Registration) => {
       const limit = catalogue.routes?.configuration.services.get(service)?.maxConnections ?? 0
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -22,6 +22,8 @@
   | "engine-ends"
   | "cut-answers"
   | "quarantine-refusals"
+  | "quota-refusals"
+  | "quota-reports"
 /** Metrics with a current value. */
 export type GaugeMetric =
   "batch-fill" | "queued" | "running" | "suspected-parts" | "quarantined-parts"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -53,6 +53,8 @@
   "engine-ends": "Engines that ended while they answered requests of this instance.",
   "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
+  "quota-refusals": "Requests refused because their account's quota was used up.",
+  "quota-reports": "Reports sent to the allocators of accounts' quotas.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
--- a/packages/policy/src/quota/account-allocation.ts
+++ b/packages/policy/src/quota/account-allocation.ts
@@ -7,10 +7,16 @@
 interface SentShare {
   readonly number: number
   readonly share: ShareParts
+  /** The share that was in force at the holder when it sent the report. */
+  readonly before: ShareParts
   readonly until: Millis
 }
 
 interface HolderRecord {
+  /** Number of the last report. */
+  readonly number: number
+  /** Whether the holder has applied a share of this allocator. */
+  readonly isConfirmed: boolean
   /** The share in force as the holder has reported it last. */
   reported: ShareParts
   reportedUntil: Millis
@@ -50,7 +56,7 @@
 export class AccountAllocation {
   private readonly holders = new Map<string, HolderRecord>()
   private readonly bucket: TokenBucket
-  /** Shares of the earlier allocator that were reported. Before all of these have expired, only they can be allocated. */
+  /** Shares of the earlier allocator whose holders now rely on this one. Before all others have expired, only these can be allocated. */
   private inherited = NO_SHARE
 
   constructor(
@@ -64,20 +70,25 @@
     this.bucket.trim()
   }
 
-  /** Handles a holder's report and grants it a share and units. */
+  /** Handles a holder's report and grants it a share and units. Returns undefined for a report that was overtaken by a later one. */
   handle(
     holder: string,
     number: number,
     report: AccountReport,
     limits: QuotaLimits,
     now: Millis,
-  ): AccountGrant {
-    const record = this.updateHolder(holder, report, now)
+  ): AccountGrant | undefined {
+    this.removeExpired(now)
+    const known = this.holders.get(holder)
+    if (known && known.number >= number) return undefined
+    const record = this.updateHolder(holder, known, number, report, now)
+    const freed = known ? getCommitted(known, now).burst - getCommitted(record, now).burst : 0
     this.updateBucket(limits, now)
-    this.applyReturned(report, now)
+    this.applyReturned(report, freed * limits.burst, now)
     const share = this.chooseShare(record, report, limits, now)
     const stock = this.allocateStock(share.burst - getCommitted(record, now).burst, now)
-    record.sent = [...record.sent, { number, share, until: now + this.terms.validMs }]
+    const until = now + this.terms.validMs
+    record.sent = [...record.sent, { number, share, before: report.share, until }]
     this.updateBucket(limits, now)
     const missing = report.firstRequested - stock
     const available = this.bucket.count(now)
@@ -118,15 +129,25 @@
     return this.bucket.count(now)
   }
 
-  private updateHolder(holder: string, report: AccountReport, now: Millis): HolderRecord {
-    this.removeExpired(now)
-    const known = this.holders.get(holder)
-    if (!known && now < this.terms.settledAt)
-      this.inherited = addParts(this.inherited, report.share)
+  private updateHolder(
+    holder: string,
+    known: HolderRecord | undefined,
+    number: number,
+    report: AccountReport,
+    now: Millis,
+  ): HolderRecord {
+    const sent = known?.sent ?? []
+    const applied = sent.find((each) => each.number === report.appliedNumber)
+    const isConfirming = applied !== undefined && report.token === this.terms.token
+    // An unconfirmed report may have been sent long ago, to an earlier allocator of the same process.
+    if (isConfirming && !known?.isConfirmed)
+      this.inherited = addParts(this.inherited, applied.before)
     const record: HolderRecord = {
+      number,
+      isConfirmed: isConfirming || (known?.isConfirmed ?? false),
       reported: report.share,
       reportedUntil: now + this.terms.validMs,
-      sent: (known?.sent ?? []).filter(({ number }) => number > report.appliedNumber),
+      sent: sent.filter((each) => each.number > report.appliedNumber),
       demandPerMs: report.demandPerMs,
       demandUntil: now + DEMAND_VALID_MS,
     }
@@ -141,8 +162,9 @@
     }
   }
 
-  private applyReturned({ returned, refunds }: AccountReport, now: Millis): void {
-    this.bucket.add(returned, now)
+  /** Puts units back: stock at most up to the burst that the report has freed, as other stock has expired. */
+  private applyReturned({ returned, refunds }: AccountReport, freed: number, now: Millis): void {
+    this.bucket.add(Math.max(0, Math.min(returned, freed)), now)
     this.bucket.trim()
     for (const refund of refunds)
       if (refund.token === this.terms.token) this.bucket.putBack(refund, now)
--- a/packages/policy/src/quota/account-share.ts
+++ b/packages/policy/src/quota/account-share.ts
@@ -42,6 +42,7 @@
   private parts = NO_SHARE
   private validUntil: Millis = -Infinity
   private appliedNumber = 0
+  private token = 0
   private returned = 0
   private refunds: UnitRefund[] = []
   private currentGrant: GrantedUnits | undefined
@@ -103,6 +104,7 @@
     if (number <= this.appliedNumber || now >= validUntil) return
     this.checkExpiry(now)
     this.appliedNumber = number
+    this.token = token
     this.isChanged ||= isReduced(this.parts, grant.share)
     this.parts = grant.share
     this.validUntil = validUntil
@@ -148,6 +150,17 @@
     return this.emptyUntil
   }
 
+  /** Returns the parts of the quota that are in force. */
+  getParts(now: Millis): ShareParts {
+    this.checkExpiry(now)
+    return this.parts
+  }
+
+  /** Returns the estimated demand in units per ms. */
+  getDemand(now: Millis): number {
+    return this.demand.getRate(now)
+  }
+
   /** Computes the time until the stock has a number of units, Infinity if the share doesn't suffice. */
   computeWaitMs(cost: number, now: Millis): Millis {
     this.checkExpiry(now)
@@ -163,6 +176,7 @@
     const report: AccountReport = {
       account: this.account,
       share: this.parts,
+      token: this.token,
       appliedNumber: this.appliedNumber,
       demandPerMs: this.isIdle(now) ? 0 : this.demand.getRate(now),
       meanCost: this.demand.getMeanCost(),
--- a/packages/policy/src/quota/messages.ts
+++ b/packages/policy/src/quota/messages.ts
@@ -21,6 +21,8 @@
   readonly account: AccountName
   /** The share in force at the holder. */
   readonly share: ShareParts
+  /** Token of the allocator that granted it, 0 if there is none. */
+  readonly token: number
   /** Number of the report whose reply the holder has applied last, 0 if none. */
   readonly appliedNumber: number
   readonly demandPerMs: number
--- a/packages/policy/src/quota/quota-queue.ts
+++ b/packages/policy/src/quota/quota-queue.ts
@@ -5,8 +5,8 @@
 import { getQuotaShard, type QuotaShard, type ShareHolder } from "./share-holder.js"
 
 /** Whether a request is within its account's quota. */
-export type QuotaDecision =
-  | { readonly kind: "granted"; readonly permit: UnitPermit }
+export type QuotaDecision<Permit = UnitPermit> =
+  | { readonly kind: "granted"; readonly permit: Permit }
   | { readonly kind: "refused"; readonly retryAfterMs: Millis }
 
 /** A report and the shard whose allocator must receive it. */
