--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -25,6 +25,8 @@
   | "quarantine-refusals"
   | "choices-by-load"
   | "choices-by-completion"
+  | "quota-refusals"
+  | "quota-reports"
 /** Metrics with a current value. */
 export type GaugeMetric =
   "batch-fill" | "queued" | "running" | "suspected-parts" | "quarantined-parts"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -59,6 +59,8 @@
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
   "choices-by-load": "Plain calls whose endpoint was chosen by its number of requests.",
   "choices-by-completion": "Plain calls whose endpoint was chosen by the expected completion.",
+  "quota-refusals": "Requests refused because their account's quota was used up.",
+  "quota-reports": "Reports sent to the allocators of accounts' quotas.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
