--- a/packages/policy/src/admission-queue.ts
+++ b/packages/policy/src/admission-queue.ts
@@ -1,9 +1,14 @@
-import type { Millis } from "@galenaway/core"
+import type { AccountName, Millis } from "@galenaway/core"
+import { FairShares, FairTurns, type GetWeight, type TurnRequest } from "./fair-turns.js"
 
 /** A request that waits until its engine may read its prompt. */
 export interface AdmissionRequest {
   readonly id: number
   readonly promptTokens: number
+  /** Maximum number of tokens of the answer; 0 if it isn't known. */
+  readonly outputTokens?: number
+  /** The client account of the caller; undefined if its route needs none. */
+  readonly account?: AccountName
   /** 0 is the most urgent. */
   readonly priority: number
   /** Time by which the first token is due. */
@@ -50,13 +55,28 @@
 
 /** Requests of the next lower priority are ordered as if they were due later, by this share of the time until they are due. */
 const PRIORITY_DELAY_SHARE = 0.25
+/**
+ * An account's requests go last when it is ahead of its share by more than this number
+ * of mean requests. Requests arrive irregularly, so accounts that send what they usually
+ * send are often ahead by a few.
+ */
+const MAX_LEAD_IN_TIME_COUNT = 8
+/** The same limit while not all waiting requests can start in time. */
+const MAX_LEAD_OVERLOADED_COUNT = 1
 
-interface Entry {
+/** `cost` is the sum of the prompt and output tokens. */
+interface Entry extends TurnRequest {
   readonly request: AdmissionRequest
-  /** Entries are granted in ascending order of this time. */
+  /** Entries of accounts that aren't beyond their shares are granted in ascending order of this time. */
   readonly orderedAt: Millis
 }
 
+/** A request that can't start in time, with the time after which it could start. */
+interface TooLateRequest {
+  readonly id: number
+  readonly waitMs: Millis
+}
+
 /** The prompts that an engine was given to read without a break. */
 interface Batch {
   readonly startsAt: Millis
@@ -74,6 +94,9 @@
  *
  * Requests are ordered by the time at which they are due, the less urgent ones
  * later, so that urgent requests go first and none waits behind all others for good.
+ * The requests of client accounts that are beyond their shares of the tokens follow,
+ * so that no account's backlog delays the others. Decisions to refuse have the same
+ * order, with less tolerance, so that the account with the backlog is refused first.
  *
  * A request that can't start in time is refused as soon as this is known. Late
  * requests are granted only while the engine reads nothing and no other request
@@ -84,19 +107,31 @@
   private readonly onTime: Entry[] = []
   private readonly late: Entry[] = []
   private batch: Batch = { startsAt: -Infinity, endsAt: -Infinity, ms: 0 }
+  private readonly shares: FairShares
+  private allowedLeadCount = MAX_LEAD_IN_TIME_COUNT
 
   /** `getPace` returns the current estimates of the engine's speed, `getSlots` its free places. */
   constructor(
     private readonly getPace: () => EnginePace,
     private readonly getSlots: () => EngineSlots = () => UNLIMITED_SLOTS,
-  ) {}
+    getWeight?: GetWeight,
+  ) {
+    this.shares = new FairShares(getWeight)
+  }
 
   /** Adds a request. */
   add(request: AdmissionRequest, now: Millis): void {
-    const { priority, objectiveAt, isLate } = request
+    const { priority, objectiveAt, isLate, promptTokens, outputTokens = 0, account } = request
     const delayMs = PRIORITY_DELAY_SHARE * priority * Math.max(0, objectiveAt - now)
-    const entry = { request, orderedAt: objectiveAt + delayMs }
+    const cost = promptTokens + outputTokens
+    const entry = {
+      request,
+      orderedAt: objectiveAt + delayMs,
+      cost,
+      ...(account !== undefined && { account }),
+    }
     insertEntry(isLate ? this.late : this.onTime, entry)
+    this.shares.recordRequest(account, now)
   }
 
   /** Removes a request whose caller has left. Has no effect when it was decided before. */
@@ -143,46 +178,71 @@
   /** Takes the next request that the engine may read now. */
   private takeGrant(now: Millis): number | undefined {
     const entries = this.onTime.length > 0 ? this.onTime : this.late
-    const [entry] = entries
+    const turns = new FairTurns(entries, this.shares, this.allowedLeadCount)
+    const entry = turns.peek()
     if (!entry) return undefined
     const { id, isLate } = entry.request
     if (isLate && now < this.computeBreakEnd(this.batch)) return undefined
     const { startsAt, batch } = this.extendBatch(this.batch, entry.request, now)
     if (startsAt > now) return undefined
     this.batch = batch
-    entries.shift()
+    turns.serve(entry, now)
+    this.remove(id)
     return id
   }
 
   private takeExpired(now: Millis): readonly AdmissionDecision[] {
     return [...this.onTime, ...this.late]
       .filter(({ request }) => now >= request.expiresAt)
-      .map(({ request }) => this.refuse(request, this.computeBreakEnd(this.batch) - now))
+      .map(({ request: { id } }) =>
+        this.refuse({ id, waitMs: this.computeBreakEnd(this.batch) - now }),
+      )
   }
 
   /** Takes the requests that would start too late behind the ones before them. */
   private takeTooLate(now: Millis): readonly AdmissionDecision[] {
-    const refused: AdmissionDecision[] = []
+    this.allowedLeadCount = MAX_LEAD_IN_TIME_COUNT
+    const tooLate = this.listTooLate(now)
+    if (tooLate.length === 0 || !this.shares.isDivided)
+      return tooLate.map((request) => this.refuse(request))
+    this.allowedLeadCount = MAX_LEAD_OVERLOADED_COUNT
+    const refused = this.listTooLate(now).map((request) => this.refuse(request))
+    this.allowedLeadCount = MAX_LEAD_IN_TIME_COUNT
+    if (this.listTooLate(now).length > 0) this.allowedLeadCount = MAX_LEAD_OVERLOADED_COUNT
+    return refused
+  }
+
+  private listTooLate(now: Millis): readonly TooLateRequest[] {
+    const tooLate: TooLateRequest[] = []
     const { firstTokenMs, eventMs } = this.getPace()
     const { free, turnoverMs } = this.getSlots()
+    const shares = this.shares.copy()
     let batch = this.batch
     let slotAt = now
     let ahead = 0
-    for (const { request } of [...this.onTime, ...this.late]) {
-      if (ahead >= free) slotAt += turnoverMs
-      const { startsAt, batch: next } = this.extendBatch(batch, request, slotAt)
-      // An event more than expected, since the engine may just have begun a step.
-      const firstTokenAt = next.endsAt + firstTokenMs + eventMs
-      const isInTime = request.isLate || firstTokenAt <= request.objectiveAt
-      if (isInTime && startsAt <= request.expiresAt) {
-        batch = next
-        ahead++
-      } else refused.push(this.refuse(request, startsAt - now))
+    for (const entries of [this.onTime, this.late]) {
+      const turns = new FairTurns(entries, shares, this.allowedLeadCount)
+      for (let entry = turns.peek(); entry; entry = turns.peek()) {
+        const { request } = entry
+        if (ahead >= free) slotAt += turnoverMs
+        const { startsAt, batch: next } = this.extendBatch(batch, request, slotAt)
+        // An event more than expected, since the engine may just have begun a step.
+        const firstTokenAt = next.endsAt + firstTokenMs + eventMs
+        const isInTime = request.isLate || firstTokenAt <= request.objectiveAt
+        if (isInTime && startsAt <= request.expiresAt) {
+          turns.serve(entry, now)
+          batch = next
+          ahead++
+        } else {
+          turns.remove(entry)
+          tooLate.push({ id: request.id, waitMs: startsAt - now })
+        }
+      }
     }
-    return refused
+    return tooLate
   }
 
-  private refuse({ id }: AdmissionRequest, waitMs: Millis): AdmissionDecision {
+  private refuse({ id, waitMs }: TooLateRequest): AdmissionDecision {
     this.remove(id)
     return { kind: "refused", id, waitMs: Math.max(0, waitMs) }
   }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -20,4 +20,5 @@
 export * from "./view.js"
 export * from "./adapter-slots.js"
 export * from "./admission-queue.js"
+export * from "./fair-turns.js"
 export * from "./pace.js"
--- a/packages/policy/test/admission-queue.test.ts
+++ b/packages/policy/test/admission-queue.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai"
 import { type AdmissionDecision, AdmissionQueue, type AdmissionRequest } from "@galenaway/policy"
 import { type ReplayEngine, replayLoad, type ReplayRequest } from "./engine-replay.js"
+import { createRandom } from "./random.js"
 
 /** A batch holds four prompts. */
 const PACE = { tokensPerMs: 20, eventMs: 30, batchMs: 240, firstTokenMs: 0 }
@@ -153,14 +154,6 @@
   return requests
 }
 
-function createRandom(seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (state * 48_271) % 2_147_483_647
-    return state / 2_147_483_647
-  }
-}
-
 function createQueue(count: number): AdmissionQueue {
   const queue = new AdmissionQueue(() => PACE)
   for (let id = 1; id <= count; id++) queue.add({ ...REQUEST, id }, 0)
--- a/packages/policy/test/engine-replay.ts
+++ b/packages/policy/test/engine-replay.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "@galenaway/core"
-import { AdmissionQueue, PaceEstimator } from "@galenaway/policy"
+import { AdmissionQueue, type EngineSlots, type GetWeight, PaceEstimator } from "@galenaway/policy"
 
 /** A request of a replayed load. */
 export interface ReplayRequest {
@@ -7,6 +7,7 @@
   readonly promptTokens: number
   readonly eventCount: number
   readonly priority: number
+  readonly account?: string
 }
 
 /** An engine that reads prompts in pieces between the tokens of its streams. */
@@ -17,6 +18,8 @@
   readonly tokensPerEvent: number
   /** Prompt tokens that one step reads at most. */
   readonly chunkTokens: number
+  /** Number of requests that it runs at the same time; unlimited if undefined. */
+  readonly slots?: number
 }
 
 /** The limits within which a request is on time. */
@@ -28,6 +31,8 @@
 /** What became of the requests of a replay. */
 export interface ReplayResult {
   readonly onTime: number
+  /** Indexes of the requests that were on time. */
+  readonly onTimeIndexes: readonly number[]
   readonly late: number
   readonly refused: number
   /** Time between arrival and refusal of each refused request. */
@@ -51,8 +56,9 @@
   engine: ReplayEngine,
   objective: ReplayObjective,
   isAdmitted: boolean,
+  getWeight?: GetWeight,
 ): ReplayResult {
-  return new Replay(requests, engine, objective, isAdmitted).run()
+  return new Replay(requests, engine, objective, isAdmitted, getWeight).run()
 }
 
 class Replay {
@@ -61,7 +67,7 @@
   private readonly unread: Stream[] = []
   private readonly running = new Set<Stream>()
   private readonly refusedAfterMs: Millis[] = []
-  private onTime = 0
+  private readonly onTimeIndexes: number[] = []
   private late = 0
   private nextIndex = 0
   private now: Millis = 0
@@ -71,13 +77,15 @@
     private readonly engine: ReplayEngine,
     private readonly objective: ReplayObjective,
     private readonly isAdmitted: boolean,
+    getWeight?: GetWeight,
   ) {
-    this.queue = new AdmissionQueue(() => ({
+    const getPace = () => ({
       tokensPerMs: this.pace.tokensPerMs,
       eventMs: this.pace.eventMs,
       firstTokenMs: this.pace.firstTokenMs,
       batchMs: this.pace.computeBatchMs(objective.pauseMs),
-    }))
+    })
+    this.queue = new AdmissionQueue(getPace, () => this.getSlots(), getWeight)
   }
 
   run(): ReplayResult {
@@ -87,8 +95,15 @@
       if (this.unread.length > 0 || this.running.size > 0) this.runStep()
       else if (!this.skipIdleTime()) break
     }
-    const { onTime, late, refusedAfterMs } = this
-    return { onTime, late, refused: refusedAfterMs.length, refusedAfterMs }
+    const { onTimeIndexes, late, refusedAfterMs } = this
+    const onTime = onTimeIndexes.length
+    return { onTime, onTimeIndexes, late, refused: refusedAfterMs.length, refusedAfterMs }
+  }
+
+  private getSlots(): EngineSlots {
+    const { slots = Infinity } = this.engine
+    const free = slots - this.unread.length - this.running.size
+    return { free, turnoverMs: this.pace.runMs / slots }
   }
 
   private addArrivals(): void {
@@ -101,10 +116,13 @@
     }
   }
 
-  private enqueue({ at, promptTokens, priority }: ReplayRequest, id: number): void {
+  private enqueue(request: ReplayRequest, id: number): void {
+    const { at, promptTokens, priority, account } = request
+    const outputTokens = request.eventCount * this.engine.tokensPerEvent
     const objectiveAt = at + this.objective.firstTokenMs
     const expiresAt = objectiveAt - this.pace.estimatePromptMs(promptTokens)
-    this.queue.add({ id, promptTokens, priority, objectiveAt, expiresAt, isLate: false }, at)
+    const shared = { id, promptTokens, outputTokens, priority, objectiveAt, expiresAt }
+    this.queue.add({ ...shared, isLate: false, ...(account !== undefined && { account }) }, at)
   }
 
   private decide(): void {
@@ -159,7 +177,8 @@
     stream.lastEventAt = this.now
     if (stream.tokenCount < stream.request.eventCount * this.engine.tokensPerEvent) return
     this.running.delete(stream)
-    if (stream.isOnTime) this.onTime++
+    this.pace.recordRun(this.now - stream.sentAt)
+    if (stream.isOnTime) this.onTimeIndexes.push(this.requests.indexOf(stream.request))
     else this.late++
   }
 
