--- a/packages/entry/src/fleet/ownership-confirmer.ts
+++ b/packages/entry/src/fleet/ownership-confirmer.ts
@@ -6,7 +6,6 @@
   type InstanceId,
   type Millis,
   type StorePort,
-  waitFor,
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import type { DependencyState } from "../catalogue/dependency.js"
@@ -45,6 +44,8 @@
 }
 
 const TICK_MS = 50
+/** Interval while no engine is owned, so that nothing has to be confirmed. It is short enough that it doesn't count as a pause. */
+const FOLLOWER_TICK_MS = 200
 /** Interval between confirmations, as a share of the time for which a confirmation is valid. */
 const CONFIRM_INTERVAL_SHARE = 0.5
 /** If a read of the store takes longer, the peers are queried instead. */
@@ -55,7 +56,7 @@
  * regular intervals: by reads of the store or, if these fail, by its peers.
  */
 export class OwnershipConfirmer {
-  private readonly abort = new AbortController()
+  private timer: NodeJS.Timeout | undefined
   private sentAt: Millis = -Infinity
   private isInProgress = false
   private readAt: Millis | undefined
@@ -67,12 +68,26 @@
 
   /** Starts confirming. It continues until `stop` is called. */
   start(): void {
-    void this.run()
+    this.checkSuspension()
+    this.confirmIfDue()
+    const isOwner = this.deps.authority.listEndpoints().length > 0
+    const tickMs = isOwner ? TICK_MS : FOLLOWER_TICK_MS
+    this.timer = setTimeout(() => {
+      this.start()
+    }, tickMs)
   }
 
   /** Stops confirming. */
   stop(): void {
-    this.abort.abort()
+    clearTimeout(this.timer)
+  }
+
+  /** Confirms the authority unless it was confirmed recently or no engine is owned. */
+  confirmIfDue(): void {
+    const { authority, clock } = this.deps
+    if (authority.listEndpoints().length === 0) return
+    const intervalMs = authority.times.confirmationValidMs * CONFIRM_INTERVAL_SHARE
+    if (clock.now() - this.sentAt >= intervalMs) void this.confirm()
   }
 
   /** If the process may have been suspended, suspends the authority until it is confirmed again. */
@@ -106,17 +121,6 @@
     }
   }
 
-  private async run(): Promise<void> {
-    const { authority, clock } = this.deps
-    const interval = authority.times.confirmationValidMs * CONFIRM_INTERVAL_SHARE
-    while (!this.abort.signal.aborted) {
-      this.checkSuspension()
-      const isDue = clock.now() - this.sentAt >= interval
-      if (isDue && authority.listEndpoints().length > 0) void this.confirm()
-      await waitFor(TICK_MS, this.abort.signal)
-    }
-  }
-
   private async confirmByStore(sentAt: Millis): Promise<void> {
     const { store, authority, dependency } = this.deps
     const range = await store.readRange(OWNER_PREFIX, "latest", READ_TIMEOUT_MS)
--- a/packages/entry/src/fleet/ownership.ts
+++ b/packages/entry/src/fleet/ownership.ts
@@ -318,6 +318,7 @@
       log.info({ endpoint, token: record.revision }, "engine taken over from a stopping instance")
       this.emit("gained", endpoint)
     }
+    this.confirmer.confirmIfDue()
   }
 
   private async claim(): Promise<void> {
