--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process"
-import { readFileSync } from "node:fs"
+import { readdirSync, readFileSync } from "node:fs"
 import { Agent } from "node:http"
 import { fileURLToPath } from "node:url"
 import { Command } from "commander"
@@ -31,10 +31,9 @@
 const HEARTBEAT_INTERVAL_MS = 1000
 /** Time in which a started fleet elects its owners and opens its links. */
 const SETTLE_MS = 6000
-const IDLE_MS = 10_000
+const IDLE_MS = 20_000
 const REQUEST_GAP_MS = 20
-/** Clock ticks in `/proc/PID/stat` have this length. */
-const TICK_MS = 10
+const NS_PER_MS = 1_000_000
 const READY_POLL_MS = 10
 const SEED_COUNT = 3
 
@@ -172,6 +171,7 @@
     stdio: ["ignore", "ignore", "inherit"],
     env: { ...process.env, ...(Object.fromEntries(variables) as Record<string, string>) },
   })
+  process.once("exit", () => child.kill("SIGKILL"))
   const agent = new Agent({ keepAlive: true })
   return { variant, entry: settings.listen, process: child, agent, idleShare: 0 }
 }
@@ -240,12 +240,12 @@
   return engines.flatMap(({ arrivals }) => arrivals).filter(({ kind }) => kind === "order").length
 }
 
-/** Reads the processor time of an instance in user and system mode, of all its threads. */
+/** Reads the processor time of an instance, of all its threads. */
 function readProcessorMs({ process: { pid } }: MeasuredInstance): number {
-  const stat = readFileSync(`/proc/${pid ?? 0}/stat`, "utf8")
-  // The name of the program, in parentheses, may contain spaces.
-  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ")
-  return (Number(fields[11]) + Number(fields[12])) * TICK_MS
+  const tasks = `/proc/${pid ?? 0}/task`
+  const readTaskNs = (task: string) =>
+    Number(readFileSync(`${tasks}/${task}/schedstat`, "utf8").split(" ")[0])
+  return readdirSync(tasks).reduce((sum, task) => sum + readTaskNs(task), 0) / NS_PER_MS
 }
 
 function printFigure(name: string, { variant }: MeasuredInstance, ms: number): void {
