--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -10,7 +10,6 @@
 import { systemClock } from "@galenaway/core"
 import { createLog, createMetrics } from "@galenaway/observe"
 import { EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
-import { type DestinationStream, pino } from "pino"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -27,6 +26,7 @@
   LinkServer,
   PeerLinks,
 } from "./links/index.js"
+import { openLogOutput } from "./log-output.js"
 import { Owner } from "./owner/index.js"
 import { PartGuard, PartStore } from "./quarantine/index.js"
 import { RequestLog } from "./request-log.js"
@@ -43,11 +43,7 @@
   createPartGuard,
 } from "./wiring.js"
 
-const STDOUT_FD = 1
 const MS_PER_S = 1000
-const LOG_BLOCK_BYTES = 2048
-/** Log lines are written at this interval; a killed process loses no more than the lines of one interval. */
-const LOG_FLUSH_INTERVAL_MS = 250
 const MAX_REQUEST_LINES_PER_SECOND = 400
 /** A longer gap between two clock readings is classified as a suspension of the process. */
 const MAX_CLOCK_GAP_MS = 250
@@ -78,7 +74,7 @@
     peerAddress: peerListen,
     isStopping: false,
   })
-  const output = openOutput()
+  const output = openLogOutput()
   const log = createLog(settings.logLevel, { instance: id, dataCentre }, output)
   container.registerInstance(ENTRY_TOKENS.log, log)
   registerTables(container, settings)
@@ -88,20 +84,6 @@
   return container
 }
 
-/** Opens standard output for log lines. Lines are written in blocks, since each write costs a thread switch. */
-function openOutput(): DestinationStream {
-  const output = pino.destination({
-    dest: STDOUT_FD,
-    sync: false,
-    minLength: LOG_BLOCK_BYTES,
-    periodicFlush: LOG_FLUSH_INTERVAL_MS,
-  })
-  process.once("exit", () => {
-    output.flushSync()
-  })
-  return output
-}
-
 function registerCached<T>(
   container: DependencyContainer,
   token: InjectionToken<T>,
