--- a/packages/entry/src/fleet/records.ts
+++ b/packages/entry/src/fleet/records.ts
@@ -63,6 +63,17 @@
   era: z.number().default(0),
 })
 
+/** One decoded item. */
+type FleetRecord =
+  | { readonly kind: "instance"; readonly instance: RegisteredInstance }
+  | { readonly kind: "owner"; readonly owner: OwnerRecord; readonly isReadable: boolean }
+  | { readonly kind: "part"; readonly part: PartState }
+  | { readonly kind: "unreadable" }
+
+const UNREADABLE: FleetRecord = { kind: "unreadable" }
+/** The records of items that were decoded before. The store's client returns the same object for an unchanged item. */
+const decodedRecords = new WeakMap<StoreItem, FleetRecord>()
+
 /**
  * Parses items under {@link FLEET_PREFIX}. Never throws; items that can't be parsed
  * are listed as unreadable. An owner record among them has no owner, and its
@@ -73,12 +84,20 @@
   const owners = new Map<EndpointId, OwnerRecord>()
   const unreadable: string[] = []
   for (const item of items) {
-    const isRead = item.key.startsWith(PART_PREFIX)
-      ? parsePart(item) !== undefined
-      : item.key.startsWith(OWNER_PREFIX)
-        ? addOwner(owners, item)
-        : addInstance(instances, item)
-    if (!isRead) unreadable.push(item.key)
+    const record = parseRecord(item)
+    switch (record.kind) {
+      case "instance":
+        instances.set(record.instance.id, record.instance)
+        break
+      case "owner":
+        owners.set(record.owner.endpoint, record.owner)
+        if (!record.isReadable) unreadable.push(item.key)
+        break
+      case "part":
+        break
+      case "unreadable":
+        unreadable.push(item.key)
+    }
   }
   const parts = parseParts(items)
   return { instances, owners, parts, unreadable }
@@ -89,7 +108,23 @@
   return items
     .filter(({ key }) => key.startsWith(PART_PREFIX))
     .sort((a, b) => a.revision - b.revision)
-    .flatMap((item) => parsePart(item) ?? [])
+    .flatMap((item) => {
+      const record = parseRecord(item)
+      return record.kind === "part" ? [record.part] : []
+    })
+}
+
+function parseRecord(item: StoreItem): FleetRecord {
+  const known = decodedRecords.get(item)
+  if (known) return known
+  const record = decodeRecord(item)
+  decodedRecords.set(item, record)
+  return record
+}
+
+function decodeRecord(item: StoreItem): FleetRecord {
+  if (item.key.startsWith(PART_PREFIX)) return decodePart(item)
+  return item.key.startsWith(OWNER_PREFIX) ? decodeOwner(item) : decodeInstance(item)
 }
 
 /** Formats the key of a prompt part's state. */
@@ -129,37 +164,25 @@
   return Buffer.from(JSON.stringify({ owner: id, incarnation, isHandedOver, era }))
 }
 
-function parsePart({ key, value }: StoreItem): PartState | undefined {
-  const state = parseJson(PART_SCHEMA, value)
-  return state && formatPartKey(state.part) === key ? state : undefined
-}
-
-function addOwner(owners: Map<EndpointId, OwnerRecord>, item: StoreItem): boolean {
-  const parsed = parseJson(OWNER_SCHEMA, item.value)
-  const endpoint = item.key.slice(OWNER_PREFIX.length)
-  owners.set(endpoint, {
-    endpoint,
-    ...(parsed ? decodeOwner(parsed, item.revision) : NO_OWNER),
-    revision: item.revision,
-  })
-  return parsed !== undefined
+function decodePart({ key, value }: StoreItem): FleetRecord {
+  const part = parseJson(PART_SCHEMA, value)
+  return part && formatPartKey(part.part) === key ? { kind: "part", part } : UNREADABLE
 }
 
-function decodeOwner(
-  { owner, incarnation, isHandedOver, era }: z.infer<typeof OWNER_SCHEMA>,
-  revision: number,
-) {
-  return { owner, incarnation, isHandedOver, isRestored: era < getEra(revision) }
+function decodeOwner({ key, value, revision }: StoreItem): FleetRecord {
+  const parsed = parseJson(OWNER_SCHEMA, value)
+  const base = { endpoint: key.slice(OWNER_PREFIX.length), revision }
+  if (!parsed) return { kind: "owner", owner: { ...base, ...NO_OWNER }, isReadable: false }
+  const { era, ...record } = parsed
+  const isRestored = era < getEra(revision)
+  return { kind: "owner", owner: { ...base, ...record, isRestored }, isReadable: true }
 }
 
-function addInstance(instances: Map<InstanceId, RegisteredInstance>, item: StoreItem): boolean {
-  if (!item.key.startsWith(INSTANCE_PREFIX)) return false
-  const parsed = parseJson(INSTANCE_SCHEMA, item.value)
-  if (!parsed) return false
-  const id = item.key.slice(INSTANCE_PREFIX.length)
-  if (id === "") return false
-  instances.set(id, { id, ...parsed })
-  return true
+function decodeInstance({ key, value }: StoreItem): FleetRecord {
+  const id = key.slice(INSTANCE_PREFIX.length)
+  if (!key.startsWith(INSTANCE_PREFIX) || id === "") return UNREADABLE
+  const parsed = parseJson(INSTANCE_SCHEMA, value)
+  return parsed ? { kind: "instance", instance: { id, ...parsed } } : UNREADABLE
 }
 
 function parseJson<T>(schema: z.ZodType<T>, value: Buffer): T | undefined {
