--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -155,6 +155,9 @@
     retryShare: 0.2,
     retryWindowS: 10,
     retryFixed: 20,
+    quotaWindowS: 8,
+    quotaExcess: 0.1,
+    quotaSlack: 0,
     logLevel: index === 0 ? "info" : "error",
   }))
 }
