--- a/packages/policy/test/fleet-replay.ts
+++ b/packages/policy/test/fleet-replay.ts
@@ -1,5 +1,5 @@
 import { BreakSchedule, canMoveCallers, InstanceLoad } from "@galenaway/policy"
-import { createRandom } from "@galenaway/fakes"
+import { createRandom } from "./random.js"
 
 /** A replay of the load of one data centre: callers that keep connections, a load balancer that deals new ones evenly, and instances with processors of different speeds. */
 export interface FleetReplayOptions {
