--- a/packages/entry/src/forward/attempt.ts
+++ b/packages/entry/src/forward/attempt.ts
@@ -290,10 +290,18 @@
     if (this.lastEventAt === undefined || now === this.lastEventAt) return
     const ms = now - this.lastEventAt
     this.pace.recordEvent(ms, this.call.route.pauseMs)
+    this.recordSpeed(ms)
     this.maxPauseMs = Math.max(this.maxPauseMs, Math.round(ms))
     this.lastEventAt = now
   }
 
+  /** Records the speed of an engine that reports its pace; others are taken as equal. */
+  private recordSpeed(ms: Millis): void {
+    const { health } = this.context
+    const { id } = this.destination.endpoint
+    if (health.times.getLastPace(id)) health.speeds.onEvent(id, this.call.service, ms)
+  }
+
   private onData(chunk: Buffer): void {
     const { context, destination } = this
     context.health.onBytes(destination.endpoint.id, context.clock.now())
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -9,6 +9,7 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { hashText } from "@galenaway/policy"
+import type { SpeedSample } from "@galenaway/routing"
 import type { AdmitRequest, EndpointUse, LeavingEndpoint, QuotaReport } from "../generated/fleet.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { Ownership } from "../fleet/ownership.js"
@@ -34,6 +35,10 @@
   countRunning(endpoint: EndpointId): number
   /** Returns the last pace that an endpoint reported to an instance, in percent of the usual time; undefined if it reports none. */
   getLastPace(endpoint: EndpointId): { readonly percent: number; readonly at: Millis } | undefined
+  /** Returns what this instance has seen of an engine's speed since the last call. */
+  takeSpeedSample(endpoint: EndpointId): SpeedSample | undefined
+  /** Called with the samples of this instance's own engines. */
+  onOwnSpeedSample(endpoint: EndpointId, sample: SpeedSample): void
   readonly handlers: PeerLinkHandlers
   readonly clock: Clock
   readonly log: Log
@@ -49,6 +54,7 @@
 /** A request shares the message of another one that waits for at least this share of its own time. */
 const SHARED_WAIT_SHARE = 0.5
 const TICK_MS = 250
+const PERCENT = 100
 /** More than one, so that the evidence outlives an owner. */
 const COLLECTOR_COUNT = 3
 /** Added to the wait for a load, as time for the message and its answer. */
@@ -302,14 +308,17 @@
     const byLink = new Map<PeerLink, EndpointUse[]>()
     for (const { endpoint, adapters } of uses.takeChanges()) {
       const running = this.deps.countRunning(endpoint)
+      const sample = this.deps.takeSpeedSample(endpoint)
       if (owner.hasEngine(endpoint)) {
+        if (sample) this.deps.onOwnSpeedSample(endpoint, sample)
         owner.onRunning(endpoint, self, running)
         for (const { adapter, inFlight } of adapters) owner.onUse(endpoint, adapter, self, inFlight)
         continue
       }
       const link = this.findLink(endpoint)
       if (!link) continue
-      const use = { endpoint, adapters, running, ...this.buildPace(endpoint) }
+      const pace = this.buildPace(endpoint)
+      const use = { endpoint, adapters, running, ...pace, ...formatSample(sample) }
       byLink.set(link, [...(byLink.get(link) ?? []), use])
     }
     for (const [link, changes] of byLink) link.sendUses(changes)
@@ -323,6 +332,13 @@
   }
 }
 
+function formatSample(
+  sample: SpeedSample | undefined,
+): Pick<EndpointUse, "slowdownPercent" | "slowdownCount"> {
+  const { slowdown, count } = sample ?? { slowdown: 0, count: 0 }
+  return { slowdownPercent: Math.round(slowdown * PERCENT), slowdownCount: count }
+}
+
 function canShareLoad(
   { priority, expiresAt }: PendingLoad,
   options: LoadOptions,
--- a/packages/entry/src/links/published-engines.ts
+++ b/packages/entry/src/links/published-engines.ts
@@ -15,6 +15,7 @@
 
 /** An engine is sent with all its adapters at least this often, which corrects followers that went astray. */
 const COMPLETE_INTERVAL_MS = 5000
+const PERCENT = 100
 
 /**
  * The engines as the followers last received them. An update contains only the
@@ -45,11 +46,17 @@
 }
 
 /** Builds a message with all adapters of an engine. */
-export function formatComplete({ endpoint, models, adapters }: EngineSnapshot): EngineNews {
+export function formatComplete({
+  endpoint,
+  models,
+  adapters,
+  slowdown,
+}: EngineSnapshot): EngineNews {
   return {
     endpoint,
     models: [...models],
     adapters: adapters.map(({ adapter, version }) => ({ adapter, version })),
+    slowdownPercent: Math.round(slowdown * PERCENT),
   }
 }
 
@@ -73,7 +80,8 @@
   next: EngineSnapshot,
   now: Millis,
 ): boolean {
-  return now - completeAt >= COMPLETE_INTERVAL_MS || snapshot.models.join() !== next.models.join()
+  if (now - completeAt >= COMPLETE_INTERVAL_MS || snapshot.slowdown !== next.slowdown) return true
+  return snapshot.models.join() !== next.models.join()
 }
 
 function indexVersions(adapters: readonly HeldAdapter[]): ReadonlyMap<string, number> {
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -31,6 +31,8 @@
   readonly endpoint: EndpointId
   readonly models: readonly string[]
   readonly adapters: readonly HeldAdapter[]
+  /** How much longer work takes on the engine than on the others of its service. */
+  readonly slowdown: number
 }
 
 /** The dependencies of an {@link Owner}. */
@@ -53,7 +55,9 @@
   getPause(endpoint: EndpointId): Millis
   /** Handles a refusal in which an engine asks this instance to send nothing for a time. */
   onPause(endpoint: EndpointId, ms: Millis): void
-  /** Called when the models or adapters of an owned engine have changed. */
+  /** Returns how much longer work takes on an engine than on the others of its service. */
+  getSlowdown(endpoint: EndpointId): number
+  /** Called when the models, the adapters or the speed of an owned engine have changed. */
   onEngineChanged(snapshot: EngineSnapshot): void
   /** Called when an engine is no longer owned by this instance. */
   onEngineLost(endpoint: EndpointId): void
@@ -147,6 +151,12 @@
     )
   }
 
+  /** Publishes an owned engine whose speed has changed. */
+  publish(endpoint: EndpointId): void {
+    const controller = this.controllers.get(endpoint)
+    if (controller) this.deps.onEngineChanged(this.buildSnapshot(endpoint, controller))
+  }
+
   /** Starts the controllers of owned engines that were claimed before they were listed. */
   startMissing(): void {
     for (const endpoint of this.owned)
@@ -196,6 +206,7 @@
       endpoint,
       models: isReady ? controller.listModels() : [],
       adapters: isReady ? controller.listHeld() : [],
+      slowdown: this.deps.getSlowdown(endpoint),
     }
   }
 
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -15,6 +15,7 @@
   Popularity,
   Residency,
   RetryLimiter,
+  type SpeedSample,
   VersionTable,
 } from "@galenaway/routing"
 import { AccountUsage, Authorizer } from "./accounts/index.js"
@@ -51,6 +52,7 @@
 /** Share of an endpoint's connection limit that all instances together may use. */
 const CONNECTION_SHARE = 0.9
 const MS_PER_S = 1000
+const PERCENT = 100
 /** Longest pause between two events of a stream where no route has such an objective. */
 const DEFAULT_PAUSE_MS = 500
 
@@ -70,6 +72,7 @@
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     getPace: (engine) => buildPace(c, engine),
     orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
+    getSlowdown: (endpoint) => c.resolve(EndpointHealth).speeds.getSlowdown(endpoint),
     getPause: (endpoint) => c.resolve(EndpointHealth).getPause(endpoint, clock.now()),
     onPause: (endpoint, ms) => {
       recordPause(c, endpoint, ms)
@@ -98,9 +101,9 @@
 function buildPace(c: DependencyContainer, { id, service }: Registration): GatePace {
   const pace = c.resolve(PaceTable).get(service)
   const pauseMs = c.resolve(OperatorCatalogue).routes?.getPauseMs(service) ?? DEFAULT_PAUSE_MS
-  const { times } = c.resolve(EndpointHealth)
+  const { speeds, times } = c.resolve(EndpointHealth)
   const now = c.resolve(ENTRY_TOKENS.clock).now()
-  const slowdown = pace.computeSlowdown(times.estimatePace(id, now))
+  const slowdown = speeds.getSlowdown(id) * pace.computeSlowdown(times.estimatePace(id, now))
   return {
     tokensPerMs: pace.tokensPerMs / slowdown,
     eventMs: pace.eventMs * slowdown,
@@ -126,8 +129,11 @@
         c.resolve(PartGuard).onReport({ ends, soundParts, states: partStates })
         c.resolve(LeavingReports).onReport(instance, update.leaving)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, instance)
-        for (const { endpoint, adapters, running, pacePercent, paceAgeMs } of uses) {
+        for (const use of uses) {
+          const { endpoint, adapters, running, pacePercent, paceAgeMs } = use
           if (pacePercent > 0) onPeerPace(c, endpoint, pacePercent, paceAgeMs)
+          const { slowdownPercent, slowdownCount: count } = use
+          if (count > 0) onSpeedSample(c, endpoint, { slowdown: slowdownPercent / PERCENT, count })
           owner.onRunning(endpoint, instance, running)
           for (const { adapter, inFlight } of adapters)
             owner.onUse(endpoint, adapter, instance, inFlight)
@@ -152,6 +158,17 @@
   )
 }
 
+/** Merges what an instance has seen of the speed of an owned engine, and publishes a changed result. */
+function onSpeedSample(c: DependencyContainer, endpoint: EndpointId, sample: SpeedSample): void {
+  const { speeds } = c.resolve(EndpointHealth)
+  const owner = c.resolve(Owner)
+  if (!owner.hasEngine(endpoint) || !speeds.onSample(endpoint, sample)) return
+  const slowdown = speeds.getLearned(endpoint)
+  speeds.onPublished(endpoint, slowdown)
+  c.resolve(ENTRY_TOKENS.log).info({ endpoint, slowdown }, "speed of an engine has changed")
+  owner.publish(endpoint)
+}
+
 /** Records the pace that an engine reported to another instance. */
 function onPeerPace(
   c: DependencyContainer,
@@ -218,6 +235,10 @@
     owner: c.resolve(Owner),
     uses: c.resolve(AdapterUseTable),
     countRunning: (endpoint) => c.resolve(EndpointHealth).countInFlight(endpoint),
+    takeSpeedSample: (endpoint) => c.resolve(EndpointHealth).speeds.takeSample(endpoint),
+    onOwnSpeedSample: (endpoint, sample) => {
+      onSpeedSample(c, endpoint, sample)
+    },
     getLastPace: (endpoint) => c.resolve(EndpointHealth).times.getLastPace(endpoint),
     clock,
     log: c.resolve(ENTRY_TOKENS.log),
@@ -237,8 +258,10 @@
         endpointsByPeer.set(peer, endpoints)
         for (const endpoint of dropped) endpoints.delete(endpoint)
         for (const endpoint of endpoints) residency.confirm(endpoint, clock.now())
-        for (const { endpoint, models, adapters } of engines) {
+        for (const { endpoint, models, adapters, slowdownPercent } of engines) {
           endpoints.add(endpoint)
+          if (slowdownPercent > 0)
+            c.resolve(EndpointHealth).speeds.onPublished(endpoint, slowdownPercent / PERCENT)
           residency.update(endpoint, "owner", models, adapters, clock.now())
         }
         for (const { endpoint, loaded, evicted } of changes)
--- a/packages/entry/test/published-engines.test.ts
+++ b/packages/entry/test/published-engines.test.ts
@@ -13,7 +13,7 @@
   const first = engines.publish(buildSnapshot(held))
   expect(first).to.deep.equal({
     kind: "complete",
-    news: { endpoint: "e", models: ["m"], adapters: held },
+    news: { endpoint: "e", models: ["m"], adapters: held, slowdownPercent: 100 },
   })
   const [, ...kept] = held
   const loaded = { adapter: "m/new", version: 3 }
@@ -23,6 +23,15 @@
   })
 })
 
+it("a changed speed is published with all adapters of the engine", () => {
+  const { engines } = createEngines()
+  const adapters = buildAdapters(2)
+  engines.publish(buildSnapshot(adapters))
+  const message = engines.publish({ ...buildSnapshot(adapters), slowdown: 1.5 })
+  const news = { endpoint: "e", models: ["m"], adapters, slowdownPercent: 150 }
+  expect(message).to.deep.equal({ kind: "complete", news })
+})
+
 it("a new version of an adapter is published as a load", () => {
   const { engines } = createEngines()
   engines.publish(buildSnapshot([{ adapter: "m/a", version: 1 }]))
@@ -81,5 +90,5 @@
 }
 
 function buildSnapshot(adapters: readonly HeldAdapter[]): EngineSnapshot {
-  return { endpoint: "e", models: ["m"], adapters }
+  return { endpoint: "e", models: ["m"], adapters, slowdown: 1 }
 }
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, Millis, Registration, ReportedLoad } from "@galenaway/core"
 import { EndpointTimes } from "./endpoint-times.js"
+import { EngineSpeeds } from "./engine-speeds.js"
 
 /** The outcome of a request that is evidence of the endpoint's health. */
 export type EndpointOutcome =
@@ -67,6 +68,8 @@
   private readonly rows = new Map<EndpointId, EndpointRecord>()
   /** What the reports and answers of the endpoints show of their speed. */
   readonly times = new EndpointTimes()
+  /** How the engines differ in speed, as far as they report their pace. */
+  readonly speeds = new EngineSpeeds()
 
   /** Records a request that is sent. `workMs` estimates the endpoint's time until the first token. */
   onSend(endpoint: EndpointId, workMs: Millis, now: Millis): void {
@@ -219,6 +222,7 @@
   /** Removes endpoints that aren't listed, except those with requests in flight. */
   removeUnlisted(listed: ReadonlySet<EndpointId>): void {
     this.times.removeUnlisted(listed)
+    this.speeds.removeUnlisted(listed)
     for (const [id, row] of this.rows)
       if (!listed.has(id) && row.inFlight === 0) this.rows.delete(id)
   }
@@ -226,6 +230,7 @@
   /** Clears the failures, the load, the speed and the pause of an endpoint that was restarted. Requests in flight still count. */
   reset(endpoint: EndpointId): void {
     this.times.remove(endpoint)
+    this.speeds.remove(endpoint)
     const { inFlight, pendingOnTime, pendingLate } = this.getRow(endpoint)
     this.rows.set(endpoint, { ...createRow(), inFlight, pendingOnTime, pendingLate })
   }
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -51,6 +51,8 @@
 const FULL_BATCH_MS = 30
 /** Cost of a load for the request that waits for it. */
 export const LOAD_COST_MS = 260
+/** Events of the request itself that count when engines of different speeds are compared. */
+const OWN_EVENT_COUNT = 10
 /** Cost of an engine at which every request fails. It is multiplied by the failure rate. */
 const FAILURE_MS = 400
 /** Cost from which a popular adapter is loaded on another engine too. */
@@ -303,8 +305,12 @@
   // At a full engine, a place becomes free each time that one of its requests ends.
   const wait = (health.countAhead(id, slots, now) * pace.runMs) / Math.max(1, slots)
   const hop = dataCentre === localDataCentre ? 0 : HOP_MS
-  const slow = Math.max(1, health.getSlowness(id))
+  const slowdown =
+    health.speeds.getSlowdown(id) * pace.computeSlowdown(health.times.estimatePace(id, now))
+  const slow = Math.max(1, health.getSlowness(id)) * slowdown
   const queue = Math.max(wait + health.getBacklog(id, now), health.getQueueWait(id, now))
-  const busy = (load + queue) * slow
+  // The request itself takes longer on a slow engine, also on an idle one.
+  const own = (slowdown - 1) * (pace.firstTokenMs + OWN_EVENT_COUNT * pace.eventMs)
+  const busy = (load + queue) * slow + own
   return busy + hop + FAILURE_MS * health.getFailureRate(id)
 }
