--- a/packages/core/src/serving.ts
+++ b/packages/core/src/serving.ts
@@ -176,6 +176,8 @@
   readonly adapter: AdapterName | undefined
   readonly promptTokens: number
   readonly outputTokens: number
+  /** The caller's estimate of the number of output tokens; undefined if it sent none. */
+  readonly lengthHint?: number
   /** Parts of the prompt that other requests may share, in order. The last part, which is specific to the request, is excluded. */
   readonly sharedParts: readonly PromptPart[]
   /** The id of the last event that the caller has received, if it resumes a stream. */
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -13,6 +13,7 @@
   CostEstimator,
   EndpointHealth,
   PaceTable,
+  PlacementCostTable,
   Popularity,
   Residency,
   VersionTable,
@@ -129,10 +130,16 @@
   registerCached(container, EndpointHealth, () => new EndpointHealth())
   registerCached(container, PaceTable, () => new PaceTable())
   registerCached(container, CostEstimator, () => new CostEstimator())
+  registerCached(container, PlacementCostTable, () => new PlacementCostTable())
   registerCached(container, Residency, () => new Residency())
   registerCached(container, Popularity, () => new Popularity(POPULARITY_HALF_LIFE_MS))
   registerCached(container, AdapterUseTable, () => new AdapterUseTable())
-  registerCached(container, EndpointPools, () => new EndpointPools())
+  registerCached(container, EndpointPools, (c) => {
+    const costs = c.resolve(PlacementCostTable)
+    return new EndpointPools(undefined, ({ dataCentre }, ms) => {
+      costs.recordRoundTrip(ms, dataCentre === settings.dataCentre)
+    })
+  })
   registerCached(
     container,
     RequestLog,
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -13,6 +13,7 @@
   EndpointHealth,
   PaceTable,
   PlacementView,
+  PlacementCostTable,
   Popularity,
   Residency,
   RetryLimiter,
@@ -37,6 +38,7 @@
   readonly health: EndpointHealth
   readonly paces: PaceTable
   readonly costs: CostEstimator
+  readonly placementCosts: PlacementCostTable
   readonly residency: Residency
   readonly versions: VersionTable
   readonly popularity: Popularity
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -3,7 +3,7 @@
   canStillServe,
   choosePlacement,
   chooseReplica,
-  LOAD_COST_MS,
+  DEFAULT_PLACEMENT_COSTS,
   type Placement,
 } from "@galenaway/routing"
 import { BACKGROUND_PRIORITY, type LoadOptions } from "../owner/index.js"
@@ -95,13 +95,18 @@
     return this.resolvePlacement(placement, hasStarted)
   }
 
+  private getLoadCost(): Millis {
+    const { costs = DEFAULT_PLACEMENT_COSTS } = this.context.buildPlacementView(this.call.service)
+    return costs.loadMs
+  }
+
   /** Returns whether a call that busy engines have refused can meet its objective elsewhere. */
   private isInTime(placement: Placement): boolean {
     switch (placement.kind) {
       case "send":
         return this.admission.isInTime(0)
       case "load":
-        return this.admission.isInTime(LOAD_COST_MS)
+        return this.admission.isInTime(this.getLoadCost())
       case "none":
         return false
     }
@@ -197,6 +202,7 @@
     const stalledMs = context.clock.now() - startedAt
     context.metrics.recordDuration("stall", stalledMs)
     if (outcome.kind === "held") {
+      context.placementCosts.recordLoad(stalledMs)
       context.residency.add(endpoint.id, adapter, outcome.version)
       const isNewest = version !== undefined && outcome.version >= version
       return this.admit({ endpoint, waitMs: 0, ...(isNewest && { version }) }, hasStarted)
--- a/packages/entry/src/forward/job.ts
+++ b/packages/entry/src/forward/job.ts
@@ -30,8 +30,8 @@
 import type { CallerReply } from "./reply.js"
 import { chooseRetryAfterMs } from "./retry-after.js"
 import { BufferingSink, type FlowControl, StreamSink } from "./sinks.js"
-import { recordPlainResult } from "./plain-call.js"
 import { chooseTimeouts, NO_TIMEOUTS } from "./timeouts.js"
+import { recordCost, startWork } from "./work.js"
 
 /** A call without an endpoint is refused after this share of its latency objective. */
 const MAX_SEARCH_SHARE = 0.12
@@ -178,11 +178,12 @@
       },
     })
     const sentAt = context.clock.now()
+    const endWork = startWork(context, call, destination)
     const result = await this.attempt.run()
+    endWork()
     const ms = Math.round(context.clock.now() - sentAt)
     this.recordMetrics(sentAt)
-    if (call.facts.model === undefined)
-      recordPlainResult(context, call, destination, result, this.attempt.headMs)
+    recordCost(context, call, destination, result, this.attempt.headMs, ms)
     this.logAttempt(destination, result, Math.round(sentAt - call.arrivedAt), ms)
     return this.handleResult(destination, result)
   }
--- a/packages/entry/src/forward/plain-call.ts
+++ b/packages/entry/src/forward/plain-call.ts
@@ -49,6 +49,7 @@
   context.metrics.recordDuration("actual-completion", headMs)
 }
 
-function toPlainCall({ service, route, path }: Call): PlainCall {
+/** Returns what the cost of a call without a model depends on. */
+export function toPlainCall({ service, route, path }: Call): PlainCall {
   return { service, route: route.name, path }
 }
--- a/packages/entry/src/forward/pools.ts
+++ b/packages/entry/src/forward/pools.ts
@@ -27,18 +27,25 @@
 export class EndpointPools {
   private readonly pools = new Map<string, AddressPools>()
 
-  /** `maxIdleMs` is how long a connection is kept without a request. */
-  constructor(private readonly maxIdleMs: Millis = MAX_IDLE_MS) {}
+  /** `maxIdleMs` is how long a connection is kept without a request; `onConnected` is called with the time that a connection took to open. */
+  constructor(
+    private readonly maxIdleMs: Millis = MAX_IDLE_MS,
+    private readonly onConnected: (endpoint: Registration, ms: Millis) => void = () => undefined,
+  ) {}
 
   /**
    * Returns the pool of an endpoint for one use. It opens at most `limit`
    * connections, or 8 if that is more. The limit of the first call for an
    * address applies as long as its pools are open.
    */
-  get({ address }: Registration, use: ConnectionUse, limit: number): Dispatcher {
+  get(endpoint: Registration, use: ConnectionUse, limit: number): Dispatcher {
+    const { address } = endpoint
     let pools = this.pools.get(address)
     if (!pools) {
-      pools = createAddressPools(address, Math.max(MIN_CONNECTION_COUNT, limit), this.maxIdleMs)
+      const connections = Math.max(MIN_CONNECTION_COUNT, limit)
+      pools = createAddressPools(address, connections, this.maxIdleMs, (ms) => {
+        this.onConnected(endpoint, ms)
+      })
       this.pools.set(address, pools)
     }
     return pools[use]
@@ -65,7 +72,12 @@
   }
 }
 
-function createAddressPools(address: string, connections: number, maxIdleMs: Millis): AddressPools {
+function createAddressPools(
+  address: string,
+  connections: number,
+  maxIdleMs: Millis,
+  onConnected: (ms: Millis) => void,
+): AddressPools {
   const options = {
     connections,
     headersTimeout: 0,
@@ -74,11 +86,14 @@
     keepAliveMaxTimeout: maxIdleMs,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
-    connect: buildResetAwareConnector({
-      timeout: CONNECT_TIMEOUT_MS,
-      keepAlive: true,
-      keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
-    }),
+    connect: buildResetAwareConnector(
+      {
+        timeout: CONNECT_TIMEOUT_MS,
+        keepAlive: true,
+        keepAliveInitialDelay: KEEP_ALIVE_PROBE_DELAY_MS,
+      },
+      onConnected,
+    ),
   }
   return {
     shared: new Pool(`http://${address}`, { ...options, pipelining: 1 }),
--- a/packages/entry/src/forward/resets.ts
+++ b/packages/entry/src/forward/resets.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net"
 import { buildConnector } from "undici"
+import type { Millis } from "@galenaway/core"
 
 let isResetInProgress = false
 
@@ -12,14 +13,17 @@
   return isResetInProgress
 }
 
-/** Builds a connector whose connections record a reset before the HTTP client handles it. See `isHandlingReset`. */
+/** Builds a connector whose connections record a reset before the HTTP client handles it. See `isHandlingReset`. `onConnected` is called with the time that a connection took to open. */
 export function buildResetAwareConnector(
   options: buildConnector.BuildOptions,
+  onConnected: (ms: Millis) => void,
 ): buildConnector.connector {
   const connect = buildConnector(options)
   return (target, callback) => {
+    const startedAt = performance.now()
     connect(target, (...result) => {
       const [, socket] = result
+      if (socket) onConnected(performance.now() - startedAt)
       socket?.on("error", recordReset)
       socket?.on("end", () => {
         if (!hasPeerAddress(socket)) recordReset()
--- a/packages/entry/test/destinations.test.ts
+++ b/packages/entry/test/destinations.test.ts
@@ -13,6 +13,7 @@
 import {
   EndpointHealth,
   PaceTable,
+  PlacementCostTable,
   type PlacementView,
   Popularity,
   Residency,
@@ -170,6 +171,7 @@
     paces,
     residency,
     metrics: noopMetrics,
+    placementCosts: new PlacementCostTable(),
     uses: { add: () => undefined, remove: () => undefined },
     links: {
       admit: async (id: string, options: AdmissionOptions) => {
--- a/packages/entry/test/pools.test.ts
+++ b/packages/entry/test/pools.test.ts
@@ -27,3 +27,24 @@
     engine.stop()
   }
 })
+
+it("the time in which a connection opened is reported with its endpoint, once for each connection", async () => {
+  let connectionCount = 0
+  const engine = await startRawEngine((socket) => {
+    connectionCount++
+    socket.on("data", () => socket.write(ANSWER))
+  })
+  const opened: { readonly dataCentre: string; readonly ms: number }[] = []
+  const pools = new EndpointPools(undefined, ({ dataCentre }, ms) => {
+    opened.push({ dataCentre, ms })
+  })
+  try {
+    for (let run = 0; run < 2; run++) await runAttempt(pools, engine.port, createSink())
+    expect(opened.length).to.equal(connectionCount)
+    expect(opened[0]?.dataCentre).to.equal("dc")
+    expect(opened[0]?.ms).to.be.at.least(0)
+  } finally {
+    await pools.stop()
+    engine.stop()
+  }
+})
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -1,5 +1,6 @@
 import type { EndpointId, Millis, Registration, ReportedLoad } from "@galenaway/core"
 import { EndpointTimes } from "./endpoint-times.js"
+import { WorkLedger } from "./work-ledger.js"
 
 /** The outcome of a request that is evidence of the endpoint's health. */
 export type EndpointOutcome =
@@ -67,6 +68,8 @@
   private readonly rows = new Map<EndpointId, EndpointRecord>()
   /** What the reports and answers of the endpoints show of their speed. */
   readonly times = new EndpointTimes()
+  /** The expected work of this instance's requests. */
+  readonly work = new WorkLedger()
 
   /** Records a request that is sent. `workMs` estimates the endpoint's time until the first token. */
   onSend(endpoint: EndpointId, workMs: Millis, now: Millis): void {
--- /dev/null
+++ b/packages/routing/src/placement-costs.ts
@@ -0,0 +1,117 @@
+import type { Millis } from "@galenaway/core"
+import type { PaceEstimator } from "@galenaway/policy"
+
+/** The times of a deployment that placements of model requests are weighed by. */
+export interface PlacementCosts {
+  /** Cost of a hop to another data centre. */
+  readonly hopMs: Millis
+  /** Cost of a full batch. Each running request costs its share of it. */
+  readonly fullBatchMs: Millis
+  /** Cost of a load for the request that waits for it. */
+  readonly loadMs: Millis
+  /** Cost from which a popular adapter is loaded on another engine too. */
+  readonly replicatePopularMs: Millis
+  /** Cost from which any adapter is loaded on another engine too, since the wait alone would make a request late. */
+  readonly replicateAnyMs: Millis
+}
+
+/** The costs until others are learned. */
+export const DEFAULT_PLACEMENT_COSTS: PlacementCosts = {
+  hopMs: 8,
+  fullBatchMs: 30,
+  loadMs: 260,
+  replicatePopularMs: 50,
+  replicateAnyMs: 220,
+}
+
+/** Time between two events of a stream for which the default cost of a full batch holds. */
+const DEFAULT_EVENT_MS = 40
+/** The answer about an adapter that an engine already holds takes less. */
+const MIN_LOAD_MS = 20
+/** Round trips of a request on a new connection. */
+const ROUND_TRIP_COUNT = 2
+/** A learned figure replaces its default when it differs by this factor, after this number of measurements. */
+const CLEAR_FACTOR = 2
+const MIN_MEASUREMENT_COUNT = 4
+const MEASUREMENT_COUNT = 16
+/** A request that joins a load waits only for the rest of it, so most waits are shorter than the load. */
+const LOAD_QUANTILE = 0.8
+const HOP_QUANTILE = 0.5
+/** Weight of the latest round trip in the moving average of those within the data centre. */
+const SMOOTHING_SHARE = 0.05
+/** A quantile of the latest measurements that stays at its default until it clearly differs from it. */
+class LearnedFigure {
+  private readonly latest: Millis[] = []
+  private learned: Millis | undefined
+
+  constructor(
+    private readonly defaultMs: Millis,
+    private readonly quantile: number,
+  ) {}
+
+  record(ms: Millis): void {
+    this.latest.push(ms)
+    if (this.latest.length > MEASUREMENT_COUNT) this.latest.shift()
+    if (this.latest.length < MIN_MEASUREMENT_COUNT) return
+    const sorted = [...this.latest].sort((a, b) => a - b)
+    this.learned = sorted[Math.floor(this.quantile * sorted.length)]
+  }
+
+  get ms(): Millis {
+    return this.learned === undefined
+      ? this.defaultMs
+      : replaceIfClear(this.learned, this.defaultMs)
+  }
+}
+
+/**
+ * Learns the times of one deployment that placements are weighed by.
+ *
+ * Load pattern: deployments whose loads, events and hops take several times as long,
+ * or as short, as where the defaults were found. Their requests would be sent to
+ * waiting engines where a load is faster, or cause loads that are slower than the wait.
+ */
+export class PlacementCostTable {
+  private readonly load = new LearnedFigure(DEFAULT_PLACEMENT_COSTS.loadMs, LOAD_QUANTILE)
+  private readonly hop = new LearnedFigure(DEFAULT_PLACEMENT_COSTS.hopMs, HOP_QUANTILE)
+  /** Moving average of the round trips within the own data centre; undefined before the first. */
+  private localRoundTripMs: Millis | undefined
+
+  /** Records how long a request waited for an adapter that an owner loaded. A wait that is too short for a load is ignored: the engine held the adapter. */
+  recordLoad(ms: Millis): void {
+    if (ms >= MIN_LOAD_MS) this.load.record(ms)
+  }
+
+  /** Records the time of a round trip within the own data centre or to another one. */
+  recordRoundTrip(ms: Millis, isLocal: boolean): void {
+    if (!isLocal) {
+      if (this.localRoundTripMs === undefined) return
+      this.hop.record(ROUND_TRIP_COUNT * Math.max(0, ms - this.localRoundTripMs))
+      return
+    }
+    this.localRoundTripMs ??= ms
+    this.localRoundTripMs += SMOOTHING_SHARE * (ms - this.localRoundTripMs)
+  }
+
+  /** Returns the costs for the engines of a service with the given pace. */
+  getCosts(pace: PaceEstimator): PlacementCosts {
+    // Loads cost more than their time, since they evict other adapters: a faster one isn't cheaper than the default.
+    const loadMs = Math.max(DEFAULT_PLACEMENT_COSTS.loadMs, this.load.ms)
+    const eventMs = replaceIfClear(pace.eventMs, DEFAULT_EVENT_MS)
+    const defaults = DEFAULT_PLACEMENT_COSTS
+    // A replica is worth a wait that is a certain part of the load which it takes.
+    const loadRatio = loadMs / defaults.loadMs
+    return {
+      hopMs: this.hop.ms,
+      fullBatchMs: (defaults.fullBatchMs * eventMs) / DEFAULT_EVENT_MS,
+      loadMs,
+      replicatePopularMs: defaults.replicatePopularMs * loadRatio,
+      replicateAnyMs: defaults.replicateAnyMs * loadRatio,
+    }
+  }
+}
+
+function replaceIfClear(learned: Millis, defaultMs: Millis): Millis {
+  const isClear = learned >= CLEAR_FACTOR * defaultMs || CLEAR_FACTOR * learned <= defaultMs
+  return isClear ? learned : defaultMs
+}
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -9,6 +9,7 @@
 } from "@galenaway/core"
 import { hashText, mergeHashes, type PaceEstimator } from "@galenaway/policy"
 import type { EndpointHealth } from "./health.js"
+import { DEFAULT_PLACEMENT_COSTS, type PlacementCosts } from "./placement-costs.js"
 import type { Popularity } from "./popularity.js"
 import type { Residency } from "./residency.js"
 import type { VersionTable } from "./versions.js"
@@ -41,22 +42,16 @@
   readonly versions: VersionTable
   readonly popularity: Popularity
   readonly localDataCentre: DataCentre
+  /** The times of the deployment; the defaults if undefined. */
+  readonly costs?: PlacementCosts
+  /** Whether the expected costs of requests are better than their mean. Without it, requests are counted. */
+  readonly usesWork?: boolean
   /** Returns whether an engine's owner can be requested to load adapters. */
   canLoad(endpoint: EndpointId): boolean
 }
 
-/** Cost of a hop to another data centre. */
-const HOP_MS = 8
-/** Cost of a full batch. Each running request costs its share of it. */
-const FULL_BATCH_MS = 30
-/** Cost of a load for the request that waits for it. */
-export const LOAD_COST_MS = 260
 /** Cost of an engine at which every request fails. It is multiplied by the failure rate. */
 const FAILURE_MS = 400
-/** Cost from which a popular adapter is loaded on another engine too. */
-const REPLICATE_POPULAR_MS = 50
-/** Cost from which any adapter is loaded on another engine too, since the wait alone would make a request late. */
-const REPLICATE_ANY_MS = 220
 /** Number of recent requests at this instance from which an adapter is popular. */
 const POPULAR_COUNT = 4
 /** Number of recent requests at this instance from which an adapter is loaded in the instance's own data centre too. */
@@ -89,8 +84,9 @@
   canReplicate = true,
 ): Placement {
   const { adapter, model } = metadata
+  const { loadMs } = getCosts(view)
   const best = chooseHolder(view, listHolders(view, metadata, excluded, now), metadata, now)
-  if (best && (best.cost < LOAD_COST_MS || !canReplicate)) return buildSend(view, best, adapter)
+  if (best && (best.cost < loadMs || !canReplicate)) return buildSend(view, best, adapter)
   if (adapter === undefined) return { kind: "none" }
   const loadable = listUsable(view, excluded, now).filter(({ id }) =>
     canLoadAdapter(view, id, model),
@@ -103,7 +99,7 @@
     adapter,
     now,
   )
-  if (best && (!target || estimateCost(view, target, now) + LOAD_COST_MS >= best.cost))
+  if (best && (!target || estimateCost(view, target, now) + loadMs >= best.cost))
     return buildSend(view, best, adapter)
   return target ? { kind: "load", endpoint: target } : { kind: "none" }
 }
@@ -133,7 +129,8 @@
   if (count >= LOCAL_COUNT && !holders.some(isLocal))
     return choosePreferredEngine(view, listReplicaTargets().filter(isLocal), adapter, now)
   const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, now)))
-  const limit = count >= POPULAR_COUNT ? REPLICATE_POPULAR_MS : REPLICATE_ANY_MS
+  const { replicatePopularMs, replicateAnyMs } = getCosts(view)
+  const limit = count >= POPULAR_COUNT ? replicatePopularMs : replicateAnyMs
   return cheapest >= limit
     ? choosePreferredEngine(view, listReplicaTargets(), adapter, now)
     : undefined
@@ -293,18 +290,38 @@
     : { kind: "send", endpoint, waitMs }
 }
 
-function estimateCost(
-  { health, pace, localDataCentre }: PlacementView,
-  { id, slots, dataCentre }: Registration,
-  now: Millis,
-): Millis {
+/** Returns the times by which the placements of a view are weighed. */
+function getCosts({ costs }: PlacementView): PlacementCosts {
+  return costs ?? DEFAULT_PLACEMENT_COSTS
+}
+
+function estimateCost(view: PlacementView, engine: Registration, now: Millis): Millis {
+  const { health, pace, localDataCentre } = view
+  const { id, slots, dataCentre } = engine
+  const { fullBatchMs, hopMs } = getCosts(view)
+  const slowdown = pace.computeSlowdown(health.times.estimatePace(id, now))
   const running = Math.min(slots, health.countRunning(id, now))
-  const load = (running * FULL_BATCH_MS) / Math.max(1, slots)
+  const load = (running * fullBatchMs) / Math.max(1, slots)
   // At a full engine, a place becomes free each time that one of its requests ends.
-  const wait = (health.countAhead(id, slots, now) * pace.runMs) / Math.max(1, slots)
-  const hop = dataCentre === localDataCentre ? 0 : HOP_MS
-  const slow = Math.max(1, health.getSlowness(id))
+  const runMs = estimateRemainingRun(view, engine, slowdown, now)
+  const wait = (health.countAhead(id, slots, now) * runMs) / Math.max(1, slots)
+  const hop = dataCentre === localDataCentre ? 0 : hopMs
+  const slow = Math.max(1, health.getSlowness(id)) * slowdown
   const queue = Math.max(wait + health.getBacklog(id, now), health.getQueueWait(id, now))
   const busy = (load + queue) * slow
   return busy + hop + FAILURE_MS * health.getFailureRate(id)
 }
+
+/** Estimates how long the requests at an engine still run on average: this instance's own by their costs, the others by the mean. */
+function estimateRemainingRun(
+  { health, pace, usesWork = false }: PlacementView,
+  { id }: Registration,
+  slowdown: number,
+  now: Millis,
+): Millis {
+  if (!usesWork) return pace.runMs
+  const own = health.work.getUnfinished(id, slowdown, now)
+  const others = Math.max(0, health.countRunning(id, now) - own.count)
+  const count = own.count + others
+  return count === 0 ? pace.runMs : (own.costMs + others * pace.runMs) / count
+}
--- /dev/null
+++ b/packages/routing/src/recent-table.ts
@@ -0,0 +1,24 @@
+/** A table with a bounded number of entries. The one that was set least recently is dropped. */
+export class RecentTable<V> {
+  private readonly entries = new Map<string, V>()
+
+  constructor(private readonly maxCount: number) {}
+
+  /** Returns the value of a key. */
+  get(key: string): V | undefined {
+    return this.entries.get(key)
+  }
+
+  /** Sets the value of a key, which is the most recent one from then on. */
+  set(key: string, value: V): void {
+    this.entries.delete(key)
+    this.entries.set(key, value)
+    const [oldest] = this.entries.keys()
+    if (this.entries.size > this.maxCount && oldest !== undefined) this.entries.delete(oldest)
+  }
+
+  /** Number of entries. */
+  get size(): number {
+    return this.entries.size
+  }
+}
--- a/packages/routing/src/service-endpoint.ts
+++ b/packages/routing/src/service-endpoint.ts
@@ -72,11 +72,14 @@
   now: Millis,
 ): Millis {
   const { id, slots } = endpoint
-  const load = health.times.estimateLoad(id, now) + health.countInFlight(id)
+  const factor = health.times.estimateFactor(id, now)
+  const others = health.times.estimateLoad(id, now)
+  const own = health.work.getUnfinished(id, factor, now)
+  const load = others + own.count
   const ahead = Math.max(0, load + 1 - slots) + UNCERTAIN_QUEUE_SHARE * load
-  const queueMs = (ahead * meanCostMs) / Math.max(1, slots)
-  const runMs = health.times.estimateFactor(id, now) * (costMs + queueMs)
-  return runMs + getHopMs(endpoint, localDataCentre)
+  const meanMs = load > 0 ? (others * meanCostMs + own.costMs) / load : meanCostMs
+  const queueMs = (ahead * meanMs) / Math.max(1, slots)
+  return factor * (costMs + queueMs) + getHopMs(endpoint, localDataCentre)
 }
 
 /** The tables that learn from the answers to plain calls. */
--- a/packages/routing/test/service-endpoint.test.ts
+++ b/packages/routing/test/service-endpoint.test.ts
@@ -1,12 +1,8 @@
 import { expect } from "chai"
 import type { EndpointId, Registration } from "@galenaway/core"
 import { chooseEndpoint, EndpointHealth, type ServiceView } from "@galenaway/routing"
-import {
-  createRandom,
-  replayServiceCalls,
-  type ServiceChooser,
-  type ServiceLoad,
-} from "./service-replay.js"
+import { createRandom } from "./replay-events.js"
+import { replayServiceCalls, type ServiceChooser, type ServiceLoad } from "./service-replay.js"
 
 const NO_ENDPOINTS: ReadonlySet<EndpointId> = new Set()
 const COST_MS = 30
--- a/packages/routing/test/service-replay.ts
+++ b/packages/routing/test/service-replay.ts
@@ -5,6 +5,7 @@
   recordPlainCall,
   type ServiceView,
 } from "@galenaway/routing"
+import { createRandom, EventQueue } from "./replay-events.js"
 
 /** The load of a replay: calls of two routes to a few endpoints of different speeds. */
 export interface ServiceLoad {
@@ -52,6 +53,8 @@
   readonly arrivedAt: Millis
   readonly excluded: Set<EndpointId>
   sentAt: Millis
+  /** Removes the call from the work of its endpoint. */
+  endWork: () => void
 }
 
 interface ReplayEndpoint {
@@ -175,7 +178,15 @@
     const spread = (0.7 + 0.6 * this.random()) / (1 + TAIL_SHARE * (TAIL_FACTOR - 1))
     const arrivedAt = this.now
     const work = workMs * spread * tail
-    return { instance, route, workMs: work, arrivedAt, excluded: new Set(), sentAt: 0 }
+    return {
+      instance,
+      route,
+      workMs: work,
+      arrivedAt,
+      excluded: new Set(),
+      sentAt: 0,
+      endWork: doNothing,
+    }
   }
 
   private getInstance(index: number) {
@@ -186,9 +197,10 @@
 
   private send(call: ReplayCall): void {
     const { costs, ...view } = this.getInstance(call.instance)
+    const costMs = costs.estimateCall(toPlainCall(call))
     const id = this.choose({
       view,
-      costMs: costs.estimateCall(toPlainCall(call)),
+      costMs,
       excluded: call.excluded,
       now: this.now,
       random: this.random,
@@ -201,6 +213,7 @@
     const endpoint = this.find(id)
     call.sentAt = this.now
     view.health.onSend(id, 0, this.now)
+    call.endWork = view.health.work.add(id, costMs, this.now)
     this.schedule(this.getDelay(call, endpoint), () => {
       this.receive(call, endpoint)
     })
@@ -235,6 +248,7 @@
       const { id } = endpoint.registration
       health.onLoad(id, report, this.now)
       health.onEnd(id, "full", this.now)
+      call.endWork()
       if (call.arrivedAt > WARM_UP_MS) this.refusalCount++
       call.excluded.add(id)
       if (call.excluded.size < MAX_SEND_COUNT) this.send(call)
@@ -264,6 +278,7 @@
       const ms = this.now - call.sentAt
       recordPlainCall(instance, registration, toPlainCall(call), ms, this.now)
       instance.health.onEnd(registration.id, "answered", this.now)
+      call.endWork()
       this.countCall(call, this.now - call.arrivedAt <= this.load.objectiveMs)
     })
   }
@@ -282,49 +297,6 @@
   }
 }
 
-interface ReplayEvent {
-  readonly at: Millis
-  run(): void
-}
-
-/** A binary heap of events by time. */
-class EventQueue {
-  private readonly heap: ReplayEvent[] = []
-
-  push(event: ReplayEvent): void {
-    let index = this.heap.length
-    while (index > 0) {
-      const parent = (index - 1) >> 1
-      const above = this.heap[parent]
-      if (!above || above.at <= event.at) break
-      this.heap[index] = above
-      index = parent
-    }
-    this.heap[index] = event
-  }
-
-  pop(): ReplayEvent | undefined {
-    const [first] = this.heap
-    const last = this.heap.pop()
-    if (this.heap.length > 0 && last) this.sink(last)
-    return first
-  }
-
-  private sink(event: ReplayEvent): void {
-    let index = 0
-    for (;;) {
-      const left = this.heap[2 * index + 1]
-      const right = this.heap[2 * index + 2]
-      const isRight = left !== undefined && right !== undefined && right.at < left.at
-      const child = isRight ? right : left
-      if (!child || child.at >= event.at) break
-      this.heap[index] = child
-      index = 2 * index + (isRight ? 2 : 1)
-    }
-    this.heap[index] = event
-  }
-}
-
 function buildEndpoint(id: EndpointId, index: number): Registration {
   const dataCentre = formatDataCentre(index)
   return { id, service: "s", address: "127.0.0.1:1", dataCentre, slots: SLOTS, phase: "live" }
@@ -342,11 +314,6 @@
   return { service: "s", route, path: `/${route}` }
 }
 
-/** Returns a generator of numbers from 0 up to, but not including, 1. */
-export function createRandom(seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (state * 48_271) % 2_147_483_647
-    return (state - 1) / 2_147_483_646
-  }
+function doNothing(): void {
+  // A call that wasn't sent is no work.
 }
