--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -4,6 +4,7 @@
 import { runConfigDiff, runConfigGet, runConfigHistory } from "./commands/config.js"
 import { runDrain } from "./commands/drain.js"
 import { runExplain } from "./commands/explain.js"
+import { runExplainRequest } from "./commands/explain-request.js"
 import { runQuarantineList, runQuarantineRelease } from "./commands/quarantine.js"
 import { runStatus } from "./commands/status.js"
 import { runTimeline } from "./commands/timeline.js"
@@ -65,6 +66,23 @@
         runExplain(context, model ?? "", rank ?? ""),
       ),
     )
+  program
+    .command("explain-request")
+    .description(
+      "where a request would go now from an entry instance, and why, without sending it; --urls has its metrics address",
+    )
+    .argument("<path>", "path of the request")
+    .requiredOption("--host <name>", "host of the request")
+    .option("--model <name>", "model, or model/adapter; none for a plain call")
+    .option("--prompt <tokens>", "number of prompt tokens")
+    .option("--output <tokens>", "maximum number of output tokens")
+    .option("--hint <tokens>", "the caller's estimate of the output tokens")
+    .option("--account <name>", "client account")
+    .action(
+      createAction(shell, (context, [path], options) =>
+        runExplainRequest(context, path ?? "", options),
+      ),
+    )
   program
     .command("timeline")
     .description("events of all instances whose URLs are given, in causal order")
--- /dev/null
+++ b/packages/entry/src/explain/index.ts
@@ -0,0 +1,2 @@
+export * from "./explain-request.js"
+export * from "./routes.js"
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./catalogue/index.js"
 export * from "./container.js"
+export * from "./explain/index.js"
 export * from "./fleet/index.js"
 export * from "./forward/index.js"
 export * from "./instance.js"
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -10,6 +10,7 @@
   OperatorCatalogue,
 } from "./catalogue/index.js"
 import { createEntryContainer } from "./container.js"
+import { explainRequest } from "./explain/index.js"
 import { Membership, Ownership, parseParts } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer } from "./links/index.js"
@@ -51,6 +52,7 @@
   registerListeners(container)
   const probes = await startProbeServers(settings, {
     quarantine: container.resolve(PartGuard),
+    explain: (query) => explainRequest(container.resolve(ENTRY_TOKENS.forward), query),
     log,
     isReady: () => isReady(container),
     formatMetrics: () => container.resolve(ENTRY_TOKENS.metrics).formatMetrics(),
--- a/packages/entry/src/probe-server.ts
+++ b/packages/entry/src/probe-server.ts
@@ -1,6 +1,11 @@
 import { createServer, type Server } from "node:http"
 import { App } from "@tinyhttp/app"
 import type { Log } from "@galenaway/observe"
+import {
+  type ExplainRequestQuery,
+  type ExplainRequestReply,
+  registerExplainRoutes,
+} from "./explain/index.js"
 import { type QuarantineSource, registerQuarantineRoutes } from "./quarantine/index.js"
 import { parseAddress } from "./server.js"
 import type { EntrySettings } from "./settings.js"
@@ -8,6 +13,8 @@
 /** Provides the state that the load balancer, the metrics collector and operators request. */
 export interface ProbeSource {
   readonly quarantine: QuarantineSource
+  /** Explains where a request would go now. */
+  explain(query: ExplainRequestQuery): ExplainRequestReply
   readonly log: Log
   isReady(): boolean
   formatMetrics(): string
@@ -34,7 +41,10 @@
   isForOperators: boolean,
 ): Promise<Server> {
   const app = new App()
-  if (isForOperators) registerQuarantineRoutes(app, source.quarantine, source.log)
+  if (isForOperators) {
+    registerQuarantineRoutes(app, source.quarantine, source.log)
+    registerExplainRoutes(app, (query) => source.explain(query))
+  }
   app.get("/-/ready", (_request, response) => {
     response.status(source.isReady() ? 200 : 503).end()
   })
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -99,7 +99,7 @@
     adapter,
     now,
   )
-  if (best && (!target || estimateCost(view, target, now) + loadMs >= best.cost))
+  if (best && (!target || estimateEngineCost(view, target, now) + loadMs >= best.cost))
     return buildSend(view, best, adapter)
   return target ? { kind: "load", endpoint: target } : { kind: "none" }
 }
@@ -128,7 +128,7 @@
   const isLocal = ({ dataCentre }: Registration) => dataCentre === view.localDataCentre
   if (count >= LOCAL_COUNT && !holders.some(isLocal))
     return choosePreferredEngine(view, listReplicaTargets().filter(isLocal), adapter, now)
-  const cheapest = Math.min(...holders.map((endpoint) => estimateCost(view, endpoint, now)))
+  const cheapest = Math.min(...holders.map((endpoint) => estimateEngineCost(view, endpoint, now)))
   const { replicatePopularMs, replicateAnyMs } = getCosts(view)
   const limit = count >= POPULAR_COUNT ? replicatePopularMs : replicateAnyMs
   return cheapest >= limit
@@ -224,7 +224,7 @@
   now: Millis,
 ): Candidate | undefined {
   const candidates = holders
-    .map((endpoint) => ({ endpoint, cost: estimateCost(view, endpoint, now) }))
+    .map((endpoint) => ({ endpoint, cost: estimateEngineCost(view, endpoint, now) }))
     .sort((a, b) => a.cost - b.cost)
   const [cheapest] = candidates
   const shared = metadata.sharedParts.reduce((sum, { tokens }) => sum + tokens, 0)
@@ -244,7 +244,9 @@
   adapter: AdapterName,
   now: Millis,
 ): Registration | undefined {
-  const costs = new Map(engines.map((endpoint) => [endpoint, estimateCost(view, endpoint, now)]))
+  const costs = new Map(
+    engines.map((endpoint) => [endpoint, estimateEngineCost(view, endpoint, now)]),
+  )
   const sum = [...costs.values()].reduce((total, cost) => total + cost, 0)
   const maxCost = sum / Math.max(1, costs.size) + PREFERRED_SLACK_MS
   const order = rankEnginesByHash(engines, adapter)
@@ -295,7 +297,8 @@
   return costs ?? DEFAULT_PLACEMENT_COSTS
 }
 
-function estimateCost(view: PlacementView, engine: Registration, now: Millis): Millis {
+/** Estimates the cost of an engine for a request that is sent there now: the wait, the load, the distance and the failures, in ms. */
+export function estimateEngineCost(view: PlacementView, engine: Registration, now: Millis): Millis {
   const { health, pace, localDataCentre } = view
   const { id, slots, dataCentre } = engine
   const { fullBatchMs, hopMs } = getCosts(view)
--- a/packages/routing/src/service-endpoint.ts
+++ b/packages/routing/src/service-endpoint.ts
@@ -110,6 +110,18 @@
   return dataCentre === localDataCentre ? 0 : HOP_MS
 }
 
+/** Computes the probability with which each usable endpoint is drawn by the expected completion. */
+export function computeShares(
+  view: ServiceView,
+  costMs: Millis,
+  now: Millis,
+): ReadonlyMap<Registration, number> {
+  const usable = view.endpoints.filter(({ id }) => view.health.isUsable(id, now))
+  const weights = usable.map((endpoint) => computeWeight(view, endpoint, costMs, now))
+  const sum = weights.reduce((total, weight) => total + weight, 0)
+  return new Map(usable.map((endpoint, index) => [endpoint, (weights[index] ?? 0) / sum]))
+}
+
 function drawEndpoint(
   view: ServiceView,
   usable: readonly Registration[],
@@ -117,16 +129,23 @@
   now: Millis,
   random: number,
 ): Registration | undefined {
-  const weights = usable.map((endpoint) => {
-    const failureFactor = 1 + FAILURE_COST_FACTOR * view.health.getFailureRate(endpoint.id)
-    const expectedMs = estimateCompletion(view, endpoint, costMs, now)
-    return Math.max(1, expectedMs * failureFactor) ** WEIGHT_EXPONENT
-  })
+  const weights = usable.map((endpoint) => computeWeight(view, endpoint, costMs, now))
   let rest = random * weights.reduce((sum, weight) => sum + weight, 0)
   const drawn = weights.findIndex((weight) => (rest -= weight) < 0)
   return usable[drawn] ?? usable.at(-1)
 }
 
+function computeWeight(
+  view: ServiceView,
+  endpoint: Registration,
+  costMs: Millis,
+  now: Millis,
+): number {
+  const failureFactor = 1 + FAILURE_COST_FACTOR * view.health.getFailureRate(endpoint.id)
+  const expectedMs = estimateCompletion(view, endpoint, costMs, now)
+  return Math.max(1, expectedMs * failureFactor) ** WEIGHT_EXPONENT
+}
+
 function findLeastLoaded(
   view: ServiceView,
   usable: readonly Registration[],
