--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./accounts/index.js"
 export * from "./catalogue/index.js"
 export * from "./container.js"
+export * from "./explain/index.js"
 export * from "./fleet/index.js"
 export * from "./forward/index.js"
 export * from "./instance.js"
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -11,6 +11,7 @@
   OperatorCatalogue,
 } from "./catalogue/index.js"
 import { createEntryContainer } from "./container.js"
+import { explainRequest } from "./explain/index.js"
 import { Membership, Ownership, parseParts } from "./fleet/index.js"
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer } from "./links/index.js"
@@ -55,6 +56,7 @@
   const probes = await startProbeServers(settings, {
     accounts: createAccountsSource(container),
     quarantine: container.resolve(PartGuard),
+    explain: (query) => explainRequest(container.resolve(ENTRY_TOKENS.forward), query),
     log,
     isReady: () => isReady(container),
     formatMetrics: () =>
--- a/packages/entry/src/probe-server.ts
+++ b/packages/entry/src/probe-server.ts
@@ -2,6 +2,11 @@
 import { App } from "@tinyhttp/app"
 import { parseAddress } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
+import {
+  type ExplainRequestQuery,
+  type ExplainRequestReply,
+  registerExplainRoutes,
+} from "./explain/index.js"
 import {
   type AccountsSource,
   type QuarantineSource,
@@ -14,6 +19,8 @@
 export interface ProbeSource {
   readonly accounts: AccountsSource
   readonly quarantine: QuarantineSource
+  /** Explains where a request would go now. */
+  explain(query: ExplainRequestQuery): ExplainRequestReply
   readonly log: Log
   isReady(): boolean
   formatMetrics(): string
@@ -43,6 +50,7 @@
   if (isForOperators) {
     registerAccountRoutes(app, source.accounts)
     registerQuarantineRoutes(app, source.quarantine, source.log)
+    registerExplainRoutes(app, (query) => source.explain(query))
   }
   app.get("/-/ready", (_request, response) => {
     response.status(source.isReady() ? 200 : 503).end()
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -1,6 +1,7 @@
 import type { EndpointId, Millis, Registration, ReportedLoad } from "@galenaway/core"
 import { EndpointTimes } from "./endpoint-times.js"
 import { EngineSpeeds } from "./engine-speeds.js"
+import { WorkLedger } from "./work-ledger.js"
 
 /** The outcome of a request that is evidence of the endpoint's health. */
 export type EndpointOutcome =
@@ -70,6 +71,8 @@
   readonly times = new EndpointTimes()
   /** How the engines differ in speed, as far as they report their pace. */
   readonly speeds = new EngineSpeeds()
+  /** The expected work of this instance's requests. */
+  readonly work = new WorkLedger()
 
   /** Records a request that is sent. `workMs` estimates the endpoint's time until the first token. */
   onSend(endpoint: EndpointId, workMs: Millis, now: Millis): void {
--- a/packages/routing/src/service-endpoint.ts
+++ b/packages/routing/src/service-endpoint.ts
@@ -72,11 +72,14 @@
   now: Millis,
 ): Millis {
   const { id, slots } = endpoint
-  const load = health.times.estimateLoad(id, now) + health.countInFlight(id)
+  const factor = health.times.estimateFactor(id, now)
+  const others = health.times.estimateLoad(id, now)
+  const own = health.work.getUnfinished(id, factor, now)
+  const load = others + own.count
   const ahead = Math.max(0, load + 1 - slots) + UNCERTAIN_QUEUE_SHARE * load
-  const queueMs = (ahead * meanCostMs) / Math.max(1, slots)
-  const runMs = health.times.estimateFactor(id, now) * (costMs + queueMs)
-  return runMs + getHopMs(endpoint, localDataCentre)
+  const meanMs = load > 0 ? (others * meanCostMs + own.costMs) / load : meanCostMs
+  const queueMs = (ahead * meanMs) / Math.max(1, slots)
+  return factor * (costMs + queueMs) + getHopMs(endpoint, localDataCentre)
 }
 
 /** The tables that learn from the answers to plain calls. */
@@ -107,6 +110,18 @@
   return dataCentre === localDataCentre ? 0 : HOP_MS
 }
 
+/** Computes the probability with which each usable endpoint is drawn by the expected completion. */
+export function computeShares(
+  view: ServiceView,
+  costMs: Millis,
+  now: Millis,
+): ReadonlyMap<Registration, number> {
+  const usable = view.endpoints.filter(({ id }) => view.health.isUsable(id, now))
+  const weights = usable.map((endpoint) => computeWeight(view, endpoint, costMs, now))
+  const sum = weights.reduce((total, weight) => total + weight, 0)
+  return new Map(usable.map((endpoint, index) => [endpoint, (weights[index] ?? 0) / sum]))
+}
+
 function drawEndpoint(
   view: ServiceView,
   usable: readonly Registration[],
@@ -114,16 +129,23 @@
   now: Millis,
   random: number,
 ): Registration | undefined {
-  const weights = usable.map((endpoint) => {
-    const failureFactor = 1 + FAILURE_COST_FACTOR * view.health.getFailureRate(endpoint.id)
-    const expectedMs = estimateCompletion(view, endpoint, costMs, now)
-    return Math.max(1, expectedMs * failureFactor) ** WEIGHT_EXPONENT
-  })
+  const weights = usable.map((endpoint) => computeWeight(view, endpoint, costMs, now))
   let rest = random * weights.reduce((sum, weight) => sum + weight, 0)
   const drawn = weights.findIndex((weight) => (rest -= weight) < 0)
   return usable[drawn] ?? usable.at(-1)
 }
 
+function computeWeight(
+  view: ServiceView,
+  endpoint: Registration,
+  costMs: Millis,
+  now: Millis,
+): number {
+  const failureFactor = 1 + FAILURE_COST_FACTOR * view.health.getFailureRate(endpoint.id)
+  const expectedMs = estimateCompletion(view, endpoint, costMs, now)
+  return Math.max(1, expectedMs * failureFactor) ** WEIGHT_EXPONENT
+}
+
 function findLeastLoaded(
   view: ServiceView,
   usable: readonly Registration[],
