--- a/packages/entry/src/accounts/index.ts
+++ b/packages/entry/src/accounts/index.ts
@@ -1,4 +1,5 @@
 export * from "./account-table.js"
 export * from "./account-usage.js"
+export * from "./account-weights.js"
 export * from "./authorizer.js"
 export * from "./routes.js"
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -11,7 +11,7 @@
 import { createLog, createMetrics } from "@galenaway/observe"
 import { EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
 import { type DestinationStream, pino } from "pino"
-import { AccountUsage, Authorizer } from "./accounts/index.js"
+import { AccountUsage, AccountWeights, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -122,6 +122,7 @@
   )
   registerCached(container, Authorizer, () => new Authorizer())
   registerCached(container, AccountUsage, () => new AccountUsage())
+  registerCached(container, AccountWeights, () => new AccountWeights())
   registerCached(container, EndpointHealth, () => new EndpointHealth())
   registerCached(container, PaceTable, () => new PaceTable())
   registerCached(container, Residency, () => new Residency())
--- a/packages/entry/src/forward/call-admission.ts
+++ b/packages/entry/src/forward/call-admission.ts
@@ -119,10 +119,12 @@
   }
 
   private buildOptions(waitMs: Millis, isLate: boolean): AdmissionOptions {
-    const { facts, priority } = this.call
+    const { facts, priority, account } = this.call
     const objectiveInMs = Math.max(0, this.computeObjectiveIn())
-    const { promptTokens } = facts
-    return { promptTokens, priority, objectiveInMs, waitMs, isLate }
+    const { promptTokens, outputTokens } = facts
+    const tokens = { promptTokens, outputTokens }
+    const shared = { ...tokens, priority, objectiveInMs, waitMs, isLate }
+    return { ...shared, ...(account && { account: account.name }) }
   }
 
   /** Computes how long the call can wait until its prompt must be read. */
--- a/packages/entry/src/forward/destinations.ts
+++ b/packages/entry/src/forward/destinations.ts
@@ -190,9 +190,16 @@
     const wasMissing = this.enginesWithoutAdapter.delete(endpoint.id)
     const canRedirect = this.refusingEngines.size < MAX_REDIRECT_COUNT
     const { objectiveMs } = call.route
-    const { priority } = call
+    const { priority, account } = call
     const objectiveInMs = Math.max(0, call.arrivedAt + objectiveMs - startedAt)
-    const options = { waitMs, wasMissing, canRedirect, priority, objectiveInMs }
+    const options = {
+      waitMs,
+      wasMissing,
+      canRedirect,
+      priority,
+      objectiveInMs,
+      ...(account && { account: account.name }),
+    }
     const outcome = await context.links.load(endpoint.id, adapter, version, options)
     const stalledMs = context.clock.now() - startedAt
     context.metrics.recordDuration("stall", stalledMs)
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -1,9 +1,15 @@
 import type { Server } from "node:http"
 import type { DependencyContainer } from "tsyringe"
-import { type Clock, type StoreItem, systemClock, waitFor } from "@galenaway/core"
+import {
+  type Clock,
+  type ServingConfiguration,
+  type StoreItem,
+  systemClock,
+  waitFor,
+} from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { EndpointHealth, Residency } from "@galenaway/routing"
-import { type AccountsSource, AccountUsage, Authorizer } from "./accounts/index.js"
+import { type AccountsSource, AccountUsage, AccountWeights, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -72,6 +78,13 @@
   }
 }
 
+function applyAccounts(container: DependencyContainer, configuration: ServingConfiguration): void {
+  const { accounts = [] } = configuration
+  container.resolve(Authorizer).applyConfiguration(configuration)
+  container.resolve(AccountUsage).removeUnlisted(accounts)
+  container.resolve(AccountWeights).setAccounts(accounts)
+}
+
 function createAccountsSource(container: DependencyContainer): AccountsSource {
   const authorizer = container.resolve(Authorizer)
   const usage = container.resolve(AccountUsage)
@@ -91,8 +104,7 @@
   const residency = container.resolve(Residency)
   const clock = container.resolve(ENTRY_TOKENS.clock)
   container.resolve(OperatorCatalogue).on("configuration", (configuration) => {
-    container.resolve(Authorizer).applyConfiguration(configuration)
-    container.resolve(AccountUsage).removeUnlisted(configuration.accounts ?? [])
+    applyAccounts(container, configuration)
     container.resolve(CallerServer).setLimits(configuration.limits)
   })
   scheduleFirstClaims(container)
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -9,7 +9,7 @@
 } from "@galenaway/core"
 import type { Log } from "@galenaway/observe"
 import { hashText } from "@galenaway/policy"
-import type { AdmitRequest, EndpointUse, LeavingEndpoint } from "../generated/fleet.js"
+import type { EndpointUse, LeavingEndpoint } from "../generated/fleet.js"
 import type { OwnerReport } from "../fleet/ownership-confirmer.js"
 import type { Ownership } from "../fleet/ownership.js"
 import type {
@@ -20,6 +20,7 @@
   Owner,
 } from "../owner/index.js"
 import type { PartReport } from "../quarantine/index.js"
+import { buildAdmitRequest, buildLoadRequest } from "./owner-requests.js"
 import { PeerLink, type PeerLinkHandlers } from "./peer-link.js"
 import { computeBatchIntervalMs } from "./batch-interval.js"
 import type { AdapterUseTable } from "./adapter-use-table.js"
@@ -216,11 +217,9 @@
     if (owner.hasEngine(endpoint)) return owner.load(endpoint, adapter, version, options)
     const link = this.findLink(endpoint)
     if (!link) return { kind: "refused", reason: "the engine's owner isn't known" }
-    const waitMs = Math.round(options.waitMs)
-    const objectiveInMs = Math.round(options.objectiveInMs)
-    const request = { endpoint, adapter, version: version ?? 0, ...options, waitMs, objectiveInMs }
+    const request = buildLoadRequest(endpoint, adapter, version, options)
     try {
-      const reply = await link.load(request, waitMs + ANSWER_MARGIN_MS)
+      const reply = await link.load(request, request.waitMs + ANSWER_MARGIN_MS)
       return reply.isHeld
         ? { kind: "held", version: reply.version }
         : { kind: "refused", reason: reply.reason }
@@ -315,21 +314,3 @@
   const isAsUrgent = priority <= options.priority
   return !options.wasMissing && isAsUrgent && expiresAt - now >= SHARED_WAIT_SHARE * options.waitMs
 }
-
-function buildAdmitRequest(
-  endpoint: EndpointId,
-  instance: InstanceId,
-  options: AdmissionOptions,
-): AdmitRequest {
-  return {
-    endpoint,
-    instance,
-    promptTokens: Math.round(options.promptTokens),
-    priority: Math.max(0, Math.round(options.priority)),
-    objectiveInMs: Math.max(0, Math.round(options.objectiveInMs)),
-    waitMs: Math.max(0, Math.round(options.waitMs)),
-    isLate: options.isLate,
-    id: 0,
-    isCancelled: false,
-  }
-}
--- a/packages/entry/src/owner/adapter-loader.ts
+++ b/packages/entry/src/owner/adapter-loader.ts
@@ -127,6 +127,7 @@
     switch (answer) {
       case "accepted":
         metrics.count("loads")
+        this.queue.recordLoad(adapter)
         this.slots.onLoadAccepted(adapter, version, now)
         this.pollSchedule.onLoadOrdered(adapter, now)
         return
--- a/packages/entry/src/owner/admission-gate.ts
+++ b/packages/entry/src/owner/admission-gate.ts
@@ -1,9 +1,13 @@
-import type { Clock, InstanceId, Millis } from "@galenaway/core"
-import { AdmissionQueue, type EnginePace, RunningRequests } from "@galenaway/policy"
+import type { AccountName, Clock, InstanceId, Millis } from "@galenaway/core"
+import { AdmissionQueue, type EnginePace, type GetWeight, RunningRequests } from "@galenaway/policy"
 
 /** A request to read a prompt on an engine. Times are durations, since the clocks of instances differ. */
 export interface AdmissionOptions {
   readonly promptTokens: number
+  /** Maximum number of tokens of the answer; 0 if it isn't known. */
+  readonly outputTokens?: number
+  /** The client account of the caller; undefined if its route needs none. */
+  readonly account?: AccountName
   /** 0 is the most urgent. */
   readonly priority: number
   /** Time until the request misses its latency objective, in ms. */
@@ -49,9 +53,10 @@
     /** Number of requests that the engine runs at the same time. */
     slots: number,
     getPace: () => GatePace,
+    getWeight?: GetWeight,
   ) {
     const placeCount = Math.max(1, slots)
-    this.queue = new AdmissionQueue(getPace, () => {
+    const getSlots = () => {
       const { runMs, reportIntervalMs } = getPace()
       // Requests that have ended count as running until they are reported.
       const unreported = (placeCount * reportIntervalMs) / runMs
@@ -59,7 +64,8 @@
         free: Math.ceil(placeCount + unreported) - this.running.count(clock.now()),
         turnoverMs: runMs / placeCount,
       }
-    })
+    }
+    this.queue = new AdmissionQueue(getPace, getSlots, getWeight)
   }
 
   /** Waits for the decision about a request of an instance. An aborted request is refused; never rejects. */
@@ -84,10 +90,9 @@
           resolve(outcome)
         },
       })
-      const { promptTokens, priority, isLate } = options
-      const objectiveAt = now + options.objectiveInMs
-      const expiresAt = now + options.waitMs
-      this.queue.add({ id, promptTokens, priority, objectiveAt, expiresAt, isLate }, now)
+      const { objectiveInMs, waitMs, ...request } = options
+      const objectiveAt = now + objectiveInMs
+      this.queue.add({ ...request, id, objectiveAt, expiresAt: now + waitMs }, now)
       this.update()
     })
   }
--- a/packages/entry/src/owner/engine-controller.ts
+++ b/packages/entry/src/owner/engine-controller.ts
@@ -10,7 +10,7 @@
   type Registration,
   waitFor,
 } from "@galenaway/core"
-import { AdapterSlots } from "@galenaway/policy"
+import { AdapterSlots, type GetWeight } from "@galenaway/policy"
 import { AdapterLoader, type AdapterLoaderDependencies } from "./adapter-loader.js"
 import { DEFAULT_LOAD_MS, LoadPollSchedule, type LoadTimeEstimator } from "./load-poll-schedule.js"
 import { estimateLoadEnd, type LoadOptions, type LoadOutcome, LoadQueue } from "./load-queue.js"
@@ -28,6 +28,8 @@
   readonly startedAt: Millis
   /** Returns the time for which an engine wants nothing from this instance, neither requests nor orders, in ms. */
   getPause(endpoint: EndpointId): Millis
+  /** Returns the weights by which loads are divided among client accounts. */
+  readonly getWeight: GetWeight
   /** One estimator is shared by the controllers of all engines of an owner. */
   readonly loadTimeEstimator: LoadTimeEstimator
 }
@@ -75,7 +77,7 @@
     private readonly deps: EngineControllerDependencies,
   ) {
     this.slots = new AdapterSlots(limits.adapterSlots, deps.loadTimeEstimator.maxConcurrentLoads)
-    this.queue = new LoadQueue(deps.clock, DEFAULT_LOAD_MS)
+    this.queue = new LoadQueue(deps.clock, DEFAULT_LOAD_MS, deps.getWeight)
     this.sender = new OrderSender(engine, deps)
     this.pollSchedule = new LoadPollSchedule(deps.loadTimeEstimator)
     this.loader = new AdapterLoader(this.slots, this.queue, this.pollSchedule, {
--- a/packages/entry/src/owner/load-queue.ts
+++ b/packages/entry/src/owner/load-queue.ts
@@ -1,4 +1,5 @@
-import type { AdapterName, AdapterVersion, Clock, Millis } from "@galenaway/core"
+import type { AccountName, AdapterName, AdapterVersion, Clock, Millis } from "@galenaway/core"
+import { FairShares, FairTurns, type GetWeight, type TurnRequest } from "@galenaway/policy"
 
 /** The options of a request to load an adapter. */
 export interface LoadOptions {
@@ -12,6 +13,8 @@
   readonly priority: number
   /** Time until the request misses its latency objective, in ms; 0 if it has missed it. */
   readonly objectiveInMs: Millis
+  /** The client account of the request; undefined if it has none. */
+  readonly account?: AccountName
 }
 
 /** The result of a request to load an adapter. */
@@ -40,9 +43,21 @@
   waiters: Waiter[]
 }
 
+/** What decides about the turn of a queued load. Every load has the same cost. */
+interface LoadTurn extends TurnRequest {
+  /** Undefined for a load that isn't queued yet. */
+  readonly adapter: AdapterName | undefined
+  readonly urgency: number
+}
+
+/** Loads of an account that is ahead of its share by more than this number of loads go last. */
+const MAX_LEAD_COUNT = 1
+const LOAD_COST = 1
+
 /** A queue of the adapters to load on one engine. Requests for the same adapter share one entry. */
 export class LoadQueue {
   private readonly entries = new Map<AdapterName, QueueEntry>()
+  private readonly shares: FairShares
   /** Whether a request was added since the controller last cleared this flag. */
   hasNewEntries = false
 
@@ -50,7 +65,10 @@
   constructor(
     private readonly clock: Clock,
     private readonly loadMs: Millis,
-  ) {}
+    getWeight?: GetWeight,
+  ) {
+    this.shares = new FairShares(getWeight)
+  }
 
   /** Adds a request. Resolves when the adapter is loaded, the request is refused or its wait has expired; never rejects. */
   add(
@@ -63,6 +81,7 @@
     entry.version = maxVersion(entry.version, version)
     this.hasNewEntries = true
     const now = this.clock.now()
+    this.shares.recordRequest(options.account, now)
     return new Promise((resolve) => {
       const objectiveAt = now + options.objectiveInMs
       entry.waiters.push({ expiresAt: now + options.waitMs, options, objectiveAt, resolve })
@@ -74,35 +93,61 @@
     return this.entries.has(adapter)
   }
 
+  /** Records that the load of an adapter was ordered, which its account has used. */
+  recordLoad(adapter: AdapterName): void {
+    const entry = this.entries.get(adapter)
+    if (entry) this.shares.recordUse(this.buildTurn(adapter, entry), this.clock.now())
+  }
+
   /**
    * Lists the queued loads: first those that can still meet their latency
    * objective, then the others. Both groups are ordered by priority, and loads
-   * of equal priority by arrival.
+   * of equal priority by arrival; those of accounts beyond their shares go last.
    */
   list(): readonly PendingLoad[] {
-    const loadedAt = this.clock.now() + this.loadMs
-    return [...this.entries]
-      .map(([adapter, entry]) => ({
-        adapter,
-        entry,
-        urgency: computeEntryUrgency(entry, loadedAt),
-      }))
-      .sort((a, b) => a.urgency - b.urgency)
-      .map(({ adapter, entry: { version, waiters } }) => ({
-        adapter,
-        version,
-        canRedirect: waiters.every(({ options }) => options.canRedirect),
-      }))
+    return this.listTurns().flatMap(({ adapter }) => {
+      const entry = adapter === undefined ? undefined : this.entries.get(adapter)
+      if (adapter === undefined || !entry) return []
+      const canRedirect = entry.waiters.every(({ options }) => options.canRedirect)
+      return [{ adapter, version: entry.version, canRedirect }]
+    })
   }
 
-  /** Counts the queued adapters that are at least as urgent as a request with these options. */
-  countAhead({ priority, objectiveInMs }: LoadOptions): number {
-    const loadedAt = this.clock.now() + this.loadMs
+  /** Counts the queued adapters that are loaded before that of a request with these options. */
+  countAhead({ priority, objectiveInMs, account }: LoadOptions): number {
     const urgency = computeUrgency(priority, objectiveInMs > this.loadMs)
-    let count = 0
-    for (const entry of this.entries.values())
-      if (computeEntryUrgency(entry, loadedAt) <= urgency) count++
-    return count
+    const added = {
+      adapter: undefined,
+      urgency,
+      cost: LOAD_COST,
+      ...(account !== undefined && { account }),
+    }
+    return this.listTurns(added).indexOf(added)
+  }
+
+  /** Lists the turns of the queued loads and of one that would be added. */
+  private listTurns(added?: LoadTurn): readonly LoadTurn[] {
+    const now = this.clock.now()
+    const shares = this.shares.copy()
+    const queued = [...this.entries].map(([adapter, entry]) => this.buildTurn(adapter, entry))
+    if (added) shares.recordRequest(added.account, now)
+    const turns = [...queued, ...(added ? [added] : [])].sort((a, b) => a.urgency - b.urgency)
+    const firstLate = turns.findIndex(({ urgency }) => urgency >= LATE_PRIORITY_OFFSET)
+    const onTimeCount = firstLate < 0 ? turns.length : firstLate
+    return [
+      ...orderTurns(turns.slice(0, onTimeCount), shares, now),
+      ...orderTurns(turns.slice(onTimeCount), shares, now),
+    ]
+  }
+
+  private buildTurn(adapter: AdapterName, { waiters }: QueueEntry): LoadTurn {
+    const loadedAt = this.clock.now() + this.loadMs
+    const urgencies = waiters.map(({ options, objectiveAt }) =>
+      computeUrgency(options.priority, objectiveAt > loadedAt),
+    )
+    const urgency = Math.min(...urgencies)
+    const account = waiters[urgencies.indexOf(urgency)]?.options.account
+    return { adapter, urgency, cost: LOAD_COST, ...(account !== undefined && { account }) }
   }
 
   /** Resolves all requests for an adapter as loaded. */
@@ -147,12 +192,19 @@
 /** Offset that orders loads that can't meet their objective after all others. */
 const LATE_PRIORITY_OFFSET = 1000
 
-function computeEntryUrgency({ waiters }: QueueEntry, loadedAt: Millis): number {
-  return Math.min(
-    ...waiters.map(({ options, objectiveAt }) =>
-      computeUrgency(options.priority, objectiveAt > loadedAt),
-    ),
-  )
+/** Orders loads by the shares of their accounts, if each of them is ordered in turn. */
+function orderTurns(
+  loads: readonly LoadTurn[],
+  shares: FairShares,
+  now: Millis,
+): readonly LoadTurn[] {
+  const turns = new FairTurns(loads, shares, MAX_LEAD_COUNT)
+  const ordered: LoadTurn[] = []
+  for (let load = turns.peek(); load; load = turns.peek()) {
+    turns.serve(load, now)
+    ordered.push(load)
+  }
+  return ordered
 }
 
 function computeUrgency(priority: number, canMeetObjective: boolean): number {
--- a/packages/entry/src/owner/owner.ts
+++ b/packages/entry/src/owner/owner.ts
@@ -13,6 +13,7 @@
   ServiceName,
 } from "@galenaway/core"
 import type { Log, Metrics } from "@galenaway/observe"
+import type { GetWeight } from "@galenaway/policy"
 import type { VersionTable } from "@galenaway/routing"
 import type { EndpointDirectory } from "../catalogue/directory.js"
 import type { OperatorCatalogue } from "../catalogue/operator-catalogue.js"
@@ -48,6 +49,8 @@
   readonly orderTimeoutMs: Millis
   /** Returns the pace of the engines of a service. */
   readonly getPace: (service: ServiceName) => GatePace
+  /** Returns the weights by which engines are divided among client accounts. */
+  readonly getWeight: GetWeight
   /** Monotonic time of the start of this process. */
   readonly startedAt: Millis
   /** Returns the time for which an engine wants nothing from this instance, in ms. */
@@ -175,8 +178,9 @@
       },
     })
     this.controllers.set(endpoint, controller)
-    const { clock, getPace } = this.deps
-    this.gates.set(endpoint, new AdmissionGate(clock, engine.slots, () => getPace(engine.service)))
+    const { clock, getPace, getWeight } = this.deps
+    const getEnginePace = () => getPace(engine.service)
+    this.gates.set(endpoint, new AdmissionGate(clock, engine.slots, getEnginePace, getWeight))
     log.info({ endpoint, model, startedAt: engine.startedAt }, "engine controller started")
     if (engine.phase === "live") controller.start()
     else controller.stop(LEAVING_REASON)
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -1,5 +1,6 @@
 import type { DependencyContainer } from "tsyringe"
 import type {
+  AccountName,
   EndpointId,
   EngineClient,
   HeaderCodec,
@@ -16,7 +17,7 @@
   RetryLimiter,
   VersionTable,
 } from "@galenaway/routing"
-import { AccountUsage, Authorizer } from "./accounts/index.js"
+import { AccountUsage, AccountWeights, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -50,6 +51,7 @@
 export function createOwner(c: DependencyContainer, engineClient: EngineClient): Owner {
   const residency = c.resolve(Residency)
   const clock = c.resolve(ENTRY_TOKENS.clock)
+  const weights = c.resolve(AccountWeights)
   return new Owner({
     self: c.resolve(ENTRY_TOKENS.self).id,
     ownership: c.resolve(Ownership),
@@ -61,6 +63,7 @@
     log: c.resolve(ENTRY_TOKENS.log),
     metrics: c.resolve(ENTRY_TOKENS.metrics),
     getPace: (service) => buildPace(c, service),
+    getWeight: (account) => weights.get(account),
     orderTimeoutMs: c.resolve(ENTRY_TOKENS.times).orderTimeoutMs,
     getPause: (endpoint) => c.resolve(EndpointHealth).getPause(endpoint, clock.now()),
     onPause: (endpoint, ms) => {
@@ -105,10 +108,13 @@
   const catalogue = c.resolve(OperatorCatalogue)
   return new LinkServer(
     {
-      admit: ({ endpoint, instance, ...options }, signal) =>
-        owner.admit(endpoint, instance, options, signal),
-      load: ({ endpoint, adapter, version, ...options }) =>
-        owner.load(endpoint, adapter, version > 0 ? version : undefined, options),
+      admit: ({ endpoint, instance, account, ...options }, signal) =>
+        owner.admit(endpoint, instance, { ...options, ...decodeAccount(account) }, signal),
+      load: ({ endpoint, adapter, version, account, ...options }) =>
+        owner.load(endpoint, adapter, version > 0 ? version : undefined, {
+          ...options,
+          ...decodeAccount(account),
+        }),
       onUpdate: (update) => {
         const { instance, configurationVersion, uses, ends, soundParts, partStates } = update
         c.resolve(PartGuard).onReport({ ends, soundParts, states: partStates })
@@ -137,6 +143,11 @@
   )
 }
 
+/** Decodes the account of a message, which is empty if the request has none. */
+function decodeAccount(account: string): { readonly account?: AccountName } {
+  return account === "" ? {} : { account }
+}
+
 /** Lists the items of the store that an instance needs to start while the store can't be reached. */
 function listItems(c: DependencyContainer): readonly StoreItem[] {
   return [
--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -6,6 +6,7 @@
 import {
   AccountTable,
   AccountUsage,
+  AccountWeights,
   Authorizer,
   type Call,
   type CallerReply,
@@ -85,6 +86,21 @@
   expect(isRevokedBy([{ ...OTHER_ACCOUNT, keys: ["key-a1"] }])).to.equal(true)
 })
 
+it("the weight of an account is its quota in tokens, otherwise the mean", () => {
+  const weights = new AccountWeights()
+  expect(weights.get("a")).to.equal(1)
+  const quota = { unit: "tokens", ratePerS: 300, burst: 0, plainTokens: 1 } as const
+  weights.setAccounts([
+    { name: "a", keys: [], quota },
+    { name: "b", keys: [], quota: { ...quota, ratePerS: 100 } },
+    { name: "c", keys: [], quota: { ...quota, unit: "requests" } },
+  ])
+  const names = ["a", "b", "c", "removed", undefined]
+  expect(names.map((name) => weights.get(name))).to.deep.equal([300, 100, 200, 200, 200])
+  weights.setAccounts([])
+  expect(weights.get("a")).to.equal(1)
+})
+
 it("a request without a valid key gets 401 before its body is read", async () => {
   const authorizer = new Authorizer()
   authorizer.applyConfiguration({ accounts: [ACCOUNT] })
--- a/packages/entry/test/admit-stream.test.ts
+++ b/packages/entry/test/admit-stream.test.ts
@@ -14,6 +14,8 @@
   objectiveInMs: 1,
   waitMs: 1,
   isLate: false,
+  account: "",
+  outputTokens: 0,
   id: 0,
   isCancelled: false,
 }
--- a/packages/entry/test/engine-controller.test.ts
+++ b/packages/entry/test/engine-controller.test.ts
@@ -183,6 +183,7 @@
     log,
     orderTimeoutMs: 90,
     startedAt: -1000,
+    getWeight: () => 1,
     loadTimeEstimator: new LoadTimeEstimator(),
     versions: new VersionTable(1000),
     metrics: noopMetrics,
--- a/packages/entry/test/owner.test.ts
+++ b/packages/entry/test/owner.test.ts
@@ -7,7 +7,7 @@
   parseFleetRecords,
   AdapterUseTable,
 } from "@galenaway/entry"
-import { createManualClock } from "@galenaway/fakes"
+import { createManualClock, createRandom } from "@galenaway/fakes"
 import { buildItem } from "./support.js"
 
 const LOAD_MS = 250
@@ -71,6 +71,43 @@
   expect(queue.countAhead({ ...OPTIONS, priority: 2 })).to.equal(2)
 })
 
+it("loads of other accounts go before the backlog of an account that is beyond its share", () => {
+  const { queue } = createQueue()
+  for (let index = 0; index < 8; index++)
+    void queue.add(`a${index}`, undefined, { ...OPTIONS, account: "a" })
+  void queue.add("b0", undefined, { ...OPTIONS, account: "b" })
+  const names = queue.list().map(({ adapter }) => adapter)
+  expect(names.indexOf("b0")).to.be.lessThan(4)
+  for (const adapter of names.slice(0, 3)) queue.recordLoad(adapter)
+  void queue.add("c0", undefined, { ...OPTIONS, account: "c" })
+  expect(queue.list()[0]?.adapter).to.equal("b0")
+  expect(queue.countAhead({ ...OPTIONS, account: "a" })).to.equal(10)
+  expect(queue.countAhead({ ...OPTIONS, account: "d" })).to.be.lessThan(5)
+})
+
+it("without accounts loads are ordered by urgency and arrival", () => {
+  const { queue } = createQueue()
+  const random = createRandom(3)
+  const added: { adapter: string; urgency: number }[] = []
+  for (let index = 0; index < 60; index++) {
+    const priority = Math.floor(3 * random())
+    const isLate = random() < 0.3
+    void queue.add(`a${index}`, undefined, {
+      ...OPTIONS,
+      priority,
+      objectiveInMs: isLate ? 0 : 900,
+    })
+    added.push({ adapter: `a${index}`, urgency: priority + (isLate ? 10 : 0) })
+    if (random() < 0.2) queue.recordLoad(`a${Math.floor(index * random())}`)
+    const ordered = [...added].sort((a, b) => a.urgency - b.urgency)
+    expect(queue.list().map(({ adapter }) => adapter)).to.deep.equal(
+      ordered.map(({ adapter }) => adapter),
+    )
+    const urgent = added.filter(({ urgency }) => urgency <= priority)
+    expect(queue.countAhead({ ...OPTIONS, priority, objectiveInMs: 900 })).to.equal(urgent.length)
+  }
+})
+
 it("a load is finished after its own time, or later when as many run as may run at once", () => {
   const estimate = (ahead: number) => estimateLoadEnd(ahead, 4, LOAD_MS)
   expect([0, 3, 4, 7].map(estimate)).to.deep.equal([LOAD_MS, LOAD_MS, 1.25 * LOAD_MS, 2 * LOAD_MS])
