--- a/packages/entry/src/links/owner-requests.ts
+++ b/packages/entry/src/links/owner-requests.ts
@@ -2,6 +2,8 @@
 import type { AdmitRequest, LoadRequest } from "../generated/fleet.js"
 import type { AdmissionOptions, LoadOptions } from "../owner/index.js"
 
+const MAX_UINT32 = 2 ** 32 - 1
+
 /** Builds the message that asks an engine's owner for admission. */
 export function buildAdmitRequest(
   endpoint: EndpointId,
@@ -11,12 +13,12 @@
   return {
     endpoint,
     instance,
-    promptTokens: Math.round(options.promptTokens),
-    outputTokens: Math.round(options.outputTokens ?? 0),
+    promptTokens: toUint32(options.promptTokens),
+    outputTokens: toUint32(options.outputTokens ?? 0),
     account: options.account ?? "",
-    priority: Math.max(0, Math.round(options.priority)),
-    objectiveInMs: Math.max(0, Math.round(options.objectiveInMs)),
-    waitMs: Math.max(0, Math.round(options.waitMs)),
+    priority: toUint32(options.priority),
+    objectiveInMs: toUint32(options.objectiveInMs),
+    waitMs: toUint32(options.waitMs),
     isLate: options.isLate,
     id: 0,
     isCancelled: false,
@@ -36,7 +38,13 @@
     adapter,
     version: version ?? 0,
     account: options.account ?? "",
-    objectiveInMs: Math.round(options.objectiveInMs),
-    waitMs: Math.round(options.waitMs),
+    priority: toUint32(options.priority),
+    objectiveInMs: toUint32(options.objectiveInMs),
+    waitMs: toUint32(options.waitMs),
   }
 }
+
+/** Rounds a number to one that a field can hold. Encoding another one ends the stream, and with it the waits of all its requests. */
+function toUint32(value: number): number {
+  return Math.min(MAX_UINT32, Math.max(0, Math.round(value)))
+}
