--- a/packages/entry/src/accounts/index.ts
+++ b/packages/entry/src/accounts/index.ts
@@ -1,3 +1,4 @@
 export * from "./account-table.js"
 export * from "./account-usage.js"
+export * from "./account-weights.js"
 export * from "./authorizer.js"
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -18,7 +18,7 @@
   Residency,
   VersionTable,
 } from "@galenaway/routing"
-import { AccountUsage, Authorizer } from "./accounts/index.js"
+import { AccountUsage, AccountWeights, Authorizer } from "./accounts/index.js"
 import {
   ConfigurationWatcher,
   EndpointDirectory,
@@ -114,6 +114,7 @@
   )
   registerCached(container, Authorizer, () => new Authorizer())
   registerCached(container, AccountUsage, () => new AccountUsage())
+  registerCached(container, AccountWeights, () => new AccountWeights())
   registerCached(container, EndpointHealth, () => new EndpointHealth())
   registerCached(container, PaceTable, () => new PaceTable())
   registerCached(container, CostEstimator, () => new CostEstimator())
