--- a/packages/cli/src/commands/accounts.ts
+++ b/packages/cli/src/commands/accounts.ts
@@ -1,5 +1,5 @@
 import type { AccountQuota } from "@galenaway/core"
-import type { AccountReport, AccountsReply } from "@galenaway/entry"
+import type { AccountReport, AccountsReply, QuotaUse } from "@galenaway/entry"
 import { type CommandContext, printResult } from "../context.js"
 import { formatTable } from "../table.js"
 
@@ -31,9 +31,16 @@
     requests: a.requests + b.requests,
     tokens: a.tokens + b.tokens,
     refusals: addCounts(a.refusals, b.refusals),
+    ...((a.use ?? b.use) && { use: mergeUses(a.use, b.use) }),
   }
 }
 
+/** Keeps the state at the instance that allocates the quota, which covers all instances. */
+function mergeUses(a: QuotaUse | undefined, b: QuotaUse | undefined): QuotaUse {
+  const allocation = a?.allocation ?? b?.allocation
+  return allocation ? { allocation } : {}
+}
+
 function addCounts(a: Counts, b: Counts): Counts {
   const sum = { ...a }
   for (const [key, count] of Object.entries(b)) sum[key] = (sum[key] ?? 0) + count
@@ -41,16 +48,28 @@
 }
 
 function formatAccounts({ isKeyNeeded, accounts, keyRefusals }: AccountsReply): string {
-  const rows = accounts.map(({ name, keyCount, priority, quota, requests, tokens, refusals }) => [
-    name,
-    keyCount,
-    priority ?? "-",
-    formatQuota(quota),
-    requests,
-    tokens,
-    formatCounts(refusals),
-  ])
-  const columns = ["ACCOUNT", "KEYS", "PRIORITY", "QUOTA", "REQUESTS", "TOKENS", "REFUSED"]
+  const rows = accounts.map(
+    ({ name, keyCount, priority, quota, use, requests, tokens, refusals }) => [
+      name,
+      keyCount,
+      priority ?? "-",
+      formatQuota(quota),
+      formatDemand(quota, use),
+      requests,
+      tokens,
+      formatCounts(refusals),
+    ],
+  )
+  const columns = [
+    "ACCOUNT",
+    "KEYS",
+    "PRIORITY",
+    "QUOTA",
+    "DEMAND",
+    "REQUESTS",
+    "TOKENS",
+    "REFUSED",
+  ]
   return [
     isKeyNeeded ? "" : "the configuration has no accounts, callers need no key\n",
     formatTable("Accounts", columns, rows),
@@ -62,6 +81,12 @@
   return quota ? `${quota.ratePerS} ${quota.unit}/s + ${quota.burst}` : "-"
 }
 
+/** Formats what requests at all instances ask for, as a percentage of the quota's rate. */
+function formatDemand(quota: AccountQuota | undefined, use: QuotaUse | undefined): string {
+  if (!quota) return "-"
+  return `${Math.round((100 * (use?.allocation?.demandPerS ?? 0)) / quota.ratePerS)}%`
+}
+
 function formatCounts(counts: Counts): string {
   const parts = Object.entries(counts).map(([key, count]) => `${key} ${count}`)
   return parts.length > 0 ? parts.join(", ") : "-"
--- a/packages/cli/test/accounts.test.ts
+++ b/packages/cli/test/accounts.test.ts
@@ -3,18 +3,24 @@
 import { App } from "@tinyhttp/app"
 import { expect } from "chai"
 import type { ClientAccount } from "@galenaway/core"
-import { AccountUsage, type AccountsReply, registerAccountRoutes } from "@galenaway/entry"
+import {
+  AccountUsage,
+  type AccountsReply,
+  type QuotaUse,
+  registerAccountRoutes,
+} from "@galenaway/entry"
 import { runTool } from "./support.js"
 
 const QUOTA = { unit: "tokens", ratePerS: 500, burst: 900, plainTokens: 200 } as const
 const ACCOUNT: ClientAccount = { name: "hule930", keys: ["secret-1"], priority: 1, quota: QUOTA }
+const USE: QuotaUse = { allocation: { demandPerS: 125, holders: 2, units: 30 } }
 
 it("operators see the accounts with the counts of all instances, and no key", async () => {
   const servers = [await startInstance(2), await startInstance(3)]
   const urls = servers.map((server) => `http://127.0.0.1:${(server.address() as AddressInfo).port}`)
   try {
     const { output } = await runTool(["accounts"], { urls })
-    expect(output).to.match(/hule930 +1 +1 +500 tokens\/s \+ 900 +5 +500 +overloaded 2\n/)
+    expect(output).to.match(/hule930 +1 +1 +500 tokens\/s \+ 900 +25% +5 +500 +overloaded 2\n/)
     expect(output).to.contain("Requests without a valid key: missing 0, invalid 0, unknown 2")
     const json = (await runTool(["accounts", "--json"], { urls })).output
     expect((JSON.parse(json) as AccountsReply).accounts[0]).to.deep.include({ requests: 5 })
@@ -36,6 +42,7 @@
     listAccounts: () => [ACCOUNT],
     getCounts: (name) => usage.getCounts(name),
     getKeyRefusals: () => usage.getKeyRefusals(),
+    createUseLookup: () => () => USE,
   })
   const server = createServer().on("request", app.attach)
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
--- a/packages/entry/src/accounts/routes.ts
+++ b/packages/entry/src/accounts/routes.ts
@@ -1,5 +1,6 @@
 import type { App } from "@tinyhttp/app"
 import type { AccountName, AccountQuota, ClientAccount } from "@galenaway/core"
+import type { QuotaUse } from "../quota/index.js"
 import type { AccountCounts, KeyRefusalCounts } from "./account-usage.js"
 
 /** A client account as operators see it. Its keys are counted only. */
@@ -8,6 +9,8 @@
   readonly keyCount: number
   readonly priority?: number
   readonly quota?: AccountQuota
+  /** Absent without a quota. */
+  readonly use?: QuotaUse
 }
 
 /** The client accounts of an instance, for operators. Counts are those of the instance. */
@@ -25,14 +28,17 @@
   listAccounts(): readonly ClientAccount[]
   getCounts(name: AccountName): AccountCounts
   getKeyRefusals(): KeyRefusalCounts
+  /** Creates a function that describes the use of an account's quota now. */
+  createUseLookup(): (name: AccountName) => QuotaUse
 }
 
 /** Registers the operators' interface of the accounts: `GET /v1/accounts`. */
 export function registerAccountRoutes(app: App, source: AccountsSource): void {
   app.get("/v1/accounts", (_request, response) => {
+    const findUse = source.createUseLookup()
     const reply: AccountsReply = {
       isKeyNeeded: source.hasAccounts,
-      accounts: source.listAccounts().map((account) => buildReport(account, source)),
+      accounts: source.listAccounts().map((account) => buildReport(account, source, findUse)),
       keyRefusals: source.getKeyRefusals(),
     }
     response.json(reply)
@@ -42,12 +48,13 @@
 function buildReport(
   { name, keys, priority, quota }: ClientAccount,
   source: AccountsSource,
+  findUse: (name: AccountName) => QuotaUse,
 ): AccountReport {
   return {
     name,
     keyCount: keys.length,
     ...(priority !== undefined && { priority }),
-    ...(quota && { quota }),
+    ...(quota && { quota, use: findUse(name) }),
     ...source.getCounts(name),
   }
 }
--- a/packages/entry/src/forward/errors.ts
+++ b/packages/entry/src/forward/errors.ts
@@ -1,4 +1,5 @@
-import type { ErrorCode, ErrorOutcome, ErrorStep, Millis } from "@galenaway/core"
+import type { ErrorCode, ErrorOutcome, ErrorStep } from "@galenaway/core"
+import type { QuotaRefusal, QuotaRefusalReason } from "@galenaway/policy"
 
 /** An error answer that this instance sends when no endpoint's answer can be sent. */
 export interface ErrorAnswer {
@@ -73,18 +74,27 @@
   }
 }
 
-/** Builds the answer to a request beyond its account's quota. `retryAfterMs` is the time until the quota has its cost again. */
-export function buildOverQuota(retryAfterMs: Millis): ErrorAnswer {
+/** Builds the answer to a request beyond its account's quota. */
+export function buildOverQuota({ reason, retryAfterMs }: QuotaRefusal): ErrorAnswer {
   return {
     status: 429,
     code: "quota-exceeded",
     step: "route",
     outcome: "not-run",
-    message: "the account's quota is used up",
+    message: describeQuotaRefusal(reason),
     retryAfterMs,
   }
 }
 
+function describeQuotaRefusal(reason: QuotaRefusalReason): string {
+  switch (reason) {
+    case "used-up":
+      return "the account's quota is used up"
+    case "no-allocator":
+      return "the account's quota can't be checked at the moment"
+  }
+}
+
 /** Builds the answer to a request that an endpoint may have run, with an unknown outcome. */
 export function buildUnknownOutcome(message: string): ErrorAnswer {
   return { status: 502, code: "endpoint-failed", step: "send", outcome: "unknown", message }
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -122,7 +122,7 @@
     const { quotas } = this.context
     const decision = await quotas.take(account, computeCost(account.quota, facts))
     if (decision.kind === "refused") {
-      this.refuse(accepted, buildOverQuota(decision.retryAfterMs))
+      this.refuse(accepted, buildOverQuota(decision))
       return
     }
     const mayHaveRun = await this.serveWithinQuota(accepted, disconnectSignal)
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -15,7 +15,7 @@
 import { EndpointPools, ForwardHandler } from "./forward/index.js"
 import { fetchCatalogue, PeerLinks, LinkServer } from "./links/index.js"
 import { Owner } from "./owner/index.js"
-import { QuotaGate } from "./quota/index.js"
+import { createUseLookup, QuotaAllocators, QuotaGate } from "./quota/index.js"
 import { PartGuard } from "./quarantine/index.js"
 import { startProbeServers } from "./probe-server.js"
 import { reloadSettings } from "./reload.js"
@@ -83,6 +83,11 @@
     listAccounts: () => authorizer.listAccounts(),
     getCounts: (name) => usage.getCounts(name),
     getKeyRefusals: () => usage.getKeyRefusals(),
+    createUseLookup: () =>
+      createUseLookup({
+        gate: container.resolve(QuotaGate),
+        allocators: container.resolve(QuotaAllocators),
+      }),
   }
 }
 
--- a/packages/entry/src/quota/quota-gate.ts
+++ b/packages/entry/src/quota/quota-gate.ts
@@ -2,9 +2,9 @@
 import type { AccountName, ClientAccount, Clock, InstanceId, Millis } from "@galenaway/core"
 import type { Log, Metrics } from "@galenaway/observe"
 import {
-  type AccountShare,
   type QuotaBounds,
   type QuotaDecision,
+  type QuotaRefusal,
   QuotaQueue,
   type QuotaShard,
   ShareHolder,
@@ -13,6 +13,7 @@
   type UnitPermit,
 } from "@galenaway/policy"
 import type { ShardReply } from "./messages.js"
+import type { HeldShare } from "./use.js"
 
 /** The instance that allocates a shard. */
 export interface ShardAllocator {
@@ -42,16 +43,6 @@
 /** The permission to run a request: units of its account's quota, undefined if the account has none. */
 export type QuotaPermit = UnitPermit | undefined
 
-/** What this instance knows of the use of an account's quota. */
-export interface QuotaUse {
-  readonly account: AccountName
-  /** Units that requests at this instance ask for, per second. */
-  readonly demandPerS: number
-  /** Parts of the quota's rate and burst that this instance holds. */
-  readonly rateShare: number
-  readonly burstShare: number
-}
-
 const TICK_MS = 50
 const MIN_REPORT_INTERVAL_MS = 1000
 const MAX_REPORT_INTERVAL_MS = 3000
@@ -91,7 +82,7 @@
       else this.scheduleFlush()
     })
     this.timer ??= this.startTimer(now)
-    if (decision.kind === "refused") this.deps.metrics.count("quota-refusals")
+    if (decision.kind === "refused") this.countRefusal(decision)
     return decision
   }
 
@@ -109,10 +100,13 @@
     this.scheduleFlush()
   }
 
-  /** Lists the accounts with a quota that have recently had requests at this instance. */
-  list(): readonly QuotaUse[] {
+  /** Describes the use of an account's quota at this instance; undefined without a recent request. */
+  findUse(account: AccountName): HeldShare | undefined {
+    const share = this.holder.findShare(account)
+    if (!share) return undefined
     const now = this.deps.clock.now()
-    return this.holder.list().map((share) => describeShare(share, now))
+    const { rate, burst } = share.getParts(now)
+    return { demandPerS: share.getDemand(now) * MS_PER_S, rate, burst }
   }
 
   /** Stops sending reports. */
@@ -121,6 +115,16 @@
     clearImmediate(this.flush)
   }
 
+  private countRefusal({ reason }: QuotaRefusal): void {
+    switch (reason) {
+      case "used-up":
+        this.deps.metrics.count("quota-refusals")
+        return
+      case "no-allocator":
+        this.deps.metrics.count("quota-outage-refusals")
+    }
+  }
+
   private startTimer(now: Millis): NodeJS.Timeout {
     // Instances whose callers start together don't report together.
     this.reportAt = now + Math.random() * this.getReportIntervalMs()
@@ -180,9 +184,3 @@
     return Math.min(MAX_REPORT_INTERVAL_MS, Math.max(MIN_REPORT_INTERVAL_MS, spacedMs))
   }
 }
-
-function describeShare(share: AccountShare, now: Millis): QuotaUse {
-  const { rate, burst } = share.getParts(now)
-  const demandPerS = share.getDemand(now) * MS_PER_S
-  return { account: share.account, demandPerS, rateShare: rate, burstShare: burst }
-}
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -23,6 +23,7 @@
   | "cut-answers"
   | "quarantine-refusals"
   | "quota-refusals"
+  | "quota-outage-refusals"
   | "quota-reports"
 /** Metrics with a current value. */
 export type GaugeMetric =
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -54,6 +54,8 @@
   "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
   "quota-refusals": "Requests refused because their account's quota was used up.",
+  "quota-outage-refusals":
+    "Requests refused because the allocator of their account's quota didn't answer.",
   "quota-reports": "Reports sent to the allocators of accounts' quotas.",
 }
 
--- a/packages/policy/src/quota/quota-queue.ts
+++ b/packages/policy/src/quota/quota-queue.ts
@@ -4,10 +4,19 @@
 import type { ShareReply, ShareReport } from "./messages.js"
 import { getQuotaShard, type QuotaShard, type ShareHolder } from "./share-holder.js"
 
+/** Why a request is refused: the quota is used up, or no allocator answers. */
+export type QuotaRefusalReason = "used-up" | "no-allocator"
+
 /** Whether a request is within its account's quota. */
 export type QuotaDecision<Permit = UnitPermit> =
-  | { readonly kind: "granted"; readonly permit: Permit }
-  | { readonly kind: "refused"; readonly retryAfterMs: Millis }
+  { readonly kind: "granted"; readonly permit: Permit } | QuotaRefusal
+
+/** The refusal of a request, with the time until the quota has its cost again. */
+export interface QuotaRefusal {
+  readonly kind: "refused"
+  readonly reason: QuotaRefusalReason
+  readonly retryAfterMs: Millis
+}
 
 /** A report and the shard whose allocator must receive it. */
 export interface ShardReport {
@@ -170,11 +179,13 @@
     return now >= allocatorEmptyUntil && !isSilent && this.hasAllocator(shard)
   }
 
-  private buildRefusal(share: AccountShare | undefined, cost: number, now: Millis): QuotaDecision {
+  private buildRefusal(share: AccountShare | undefined, cost: number, now: Millis): QuotaRefusal {
     const emptyMs = (share?.allocatorEmptyUntil ?? now) - now
-    const allocatorMs = emptyMs > 0 ? emptyMs : NO_ALLOCATOR_RETRY_MS
+    const isUsedUp = emptyMs > 0
+    const allocatorMs = isUsedUp ? emptyMs : NO_ALLOCATOR_RETRY_MS
     const ownMs = share?.computeWaitMs(cost, now) ?? Infinity
     const retryAfterMs = Math.max(1, Math.min(allocatorMs, ownMs, MAX_RETRY_AFTER_MS))
-    return { kind: "refused", retryAfterMs: Math.ceil(retryAfterMs) }
+    const reason = isUsedUp ? "used-up" : "no-allocator"
+    return { kind: "refused", reason, retryAfterMs: Math.ceil(retryAfterMs) }
   }
 }
