--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -26,6 +26,7 @@
   | "choices-by-load"
   | "choices-by-completion"
   | "quota-refusals"
+  | "quota-outage-refusals"
   | "quota-reports"
 /** Metrics with a current value. */
 export type GaugeMetric =
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -60,6 +60,8 @@
   "choices-by-load": "Plain calls whose endpoint was chosen by its number of requests.",
   "choices-by-completion": "Plain calls whose endpoint was chosen by the expected completion.",
   "quota-refusals": "Requests refused because their account's quota was used up.",
+  "quota-outage-refusals":
+    "Requests refused because the allocator of their account's quota didn't answer.",
   "quota-reports": "Reports sent to the allocators of accounts' quotas.",
 }
 
