--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -155,6 +155,8 @@
     retryShare: 0.2,
     retryWindowS: 10,
     retryFixed: 20,
+    cpuShare: 1,
+    cores: 1,
     logLevel: index === 0 ? "info" : "error",
   }))
 }
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -26,6 +26,7 @@
   LinkServer,
   PeerLinks,
 } from "./links/index.js"
+import { SlowInstances } from "./load/index.js"
 import { openLogOutput } from "./log-output.js"
 import { Owner } from "./owner/index.js"
 import { PartGuard, PartStore } from "./quarantine/index.js"
@@ -36,6 +37,7 @@
 import { ENTRY_TOKENS, type EntryPorts } from "./tokens.js"
 import {
   createForwardContext,
+  createInstanceMonitor,
   createLeavingReports,
   createLinks,
   createLinkServer,
@@ -239,6 +241,8 @@
   settings: EntrySettings,
   { headerCodec }: EntryPorts,
 ): void {
+  container.registerInstance(SlowInstances, new SlowInstances())
+  registerCached(container, ENTRY_TOKENS.monitor, (c) => createInstanceMonitor(c, settings))
   registerCached(container, ENTRY_TOKENS.forward, (c) =>
     createForwardContext(c, settings, headerCodec),
   )
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -19,6 +19,7 @@
 } from "@galenaway/routing"
 import type { EndpointDirectory } from "../catalogue/directory.js"
 import type { OperatorCatalogue } from "../catalogue/operator-catalogue.js"
+import type { InstanceMonitor } from "../load/index.js"
 import type { PeerLinks, AdapterUseTable } from "../links/index.js"
 import type { PartGuard } from "../quarantine/index.js"
 import type { RequestLog } from "../request-log.js"
@@ -58,6 +59,8 @@
   buildPlacementView(service: ServiceName): PlacementView
   /** Decides which requests are taken and sent while the instance stops. */
   readonly stop: StopSchedule
+  /** Measures the delay that this instance itself adds; undefined if it isn't measured. */
+  readonly monitor?: Pick<InstanceMonitor, "isMovingCallers" | "isTooSlowFor"> | undefined
   /** Returns how many connections this instance may open to an endpoint. */
   computeConnectionLimit(endpoint: Registration): number
 }
--- a/packages/entry/src/forward/errors.ts
+++ b/packages/entry/src/forward/errors.ts
@@ -43,6 +43,16 @@
   retryAfterMs: RETRY_AFTER_MS,
 }
 
+/** Answer to a request that this instance would delay beyond its objective. Other instances have time for it. */
+export const TOO_SLOW: ErrorAnswer = {
+  status: 503,
+  code: "overloaded",
+  step: "route",
+  outcome: "not-run",
+  message: "the instance can't serve the request in time",
+  retryAfterMs: RETRY_AFTER_MS,
+}
+
 /** Answer when a body is larger than the configuration allows. */
 export const TOO_LARGE: ErrorAnswer = {
   status: 413,
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -12,6 +12,7 @@
   NO_ROUTE,
   STOPPING,
   TOO_LARGE,
+  TOO_SLOW,
 } from "./errors.js"
 import { listRequestParts } from "../quarantine/index.js"
 import { ForwardJob } from "./job.js"
@@ -41,6 +42,7 @@
       response,
       this.context.headerCodec,
       () => this.context.stop.isStopping,
+      () => this.context.monitor?.isMovingCallers ?? false,
     )
     try {
       await this.serve(request, response, reply)
@@ -75,6 +77,11 @@
       this.sendRefusal(request, reply, NO_ROUTE)
       return
     }
+    if (this.context.monitor?.isTooSlowFor(route.objectiveMs)) {
+      this.context.metrics.count("slow-refusals")
+      this.sendRefusal(request, reply, TOO_SLOW)
+      return
+    }
     const disconnectSignal = this.createDisconnectSignal(response)
     const body = await readBody(request, routes.configuration.limits.maxBodyBytes, disconnectSignal)
     if (body === "too-large") this.sendRefusal(request, reply, TOO_LARGE)
--- a/packages/entry/src/forward/reply.ts
+++ b/packages/entry/src/forward/reply.ts
@@ -17,6 +17,8 @@
     private readonly headerCodec: HeaderCodec,
     /** Returns whether the connection must close after this answer. */
     private readonly shouldClose: () => boolean,
+    /** Returns whether the caller should use another connection for its next request. Only a head can ask it to. */
+    private readonly shouldMove: () => boolean = () => false,
   ) {
     response.sendDate = false
   }
@@ -39,7 +41,7 @@
   /** Sends the status and the end-to-end headers of an endpoint's answer. */
   writeHead(status: number, headers: RawHeaders): void {
     this.status = status
-    const added = this.shouldClose() ? ["Connection", "close"] : []
+    const added = this.shouldClose() || this.shouldMove() ? ["Connection", "close"] : []
     this.response.writeHead(status, [...this.headerCodec.buildAnswer(headers), ...added])
   }
 
@@ -87,7 +89,7 @@
     const headers = ["Content-Type", "application/json", "Content-Length", String(body.length)]
     if (answer.retryAfterMs !== undefined)
       headers.push("Retry-After", String(answer.retryAfterMs / MS_PER_S))
-    if (this.shouldClose()) headers.push("Connection", "close")
+    if (this.shouldClose() || this.shouldMove()) headers.push("Connection", "close")
     this.response.writeHead(answer.status, headers)
     this.response.end(body)
   }
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -52,7 +52,7 @@
   const probes = await startProbeServers(settings, {
     quarantine: container.resolve(PartGuard),
     log,
-    isReady: () => isReady(container),
+    isReady: () => isReady(container) && !container.resolve(ENTRY_TOKENS.monitor)?.isOnBreak,
     formatMetrics: () => container.resolve(ENTRY_TOKENS.metrics).formatMetrics(),
   })
   await container.resolve(CallerServer).start(settings.listen)
@@ -127,6 +127,7 @@
   container.resolve(Membership).start()
   container.resolve(Ownership).start()
   container.resolve(PeerLinks).start()
+  container.resolve(ENTRY_TOKENS.monitor)?.start()
 }
 
 /** Fetches the catalogue from the seeds until the instance is ready, for a start while the store can't be reached. */
@@ -218,6 +219,7 @@
   container.resolve(DirectoryPoller).stop()
   container.resolve(Ownership).stop()
   container.resolve(PeerLinks).stop()
+  container.resolve(ENTRY_TOKENS.monitor)?.stop()
   container.resolve(LinkServer).stop()
   await container.resolve(Membership).stop()
   await container.resolve(EndpointPools).stop()
--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -42,6 +42,8 @@
   listPartStates(): readonly PartState[]
   /** Lists the prompt parts that may end engines. */
   listSuspects(): readonly PartId[]
+  /** Lists the instances that delay their answers, which is sent to followers. */
+  listSlow(): readonly InstanceId[]
   /** Lists the endpoints that have begun to leave recently, which a new follower receives first. */
   listLeaving(): readonly LeavingEndpoint[]
   /** Lists the snapshots of all owned engines, which a new follower receives first. */
@@ -192,6 +194,7 @@
       partStates: [...partStates],
       leaving: [...leaving],
       suspects: [...this.handlers.listSuspects()],
+      slowInstances: [...this.handlers.listSlow()],
       ...this.handlers.getStoreNews(),
     }
   }
--- a/packages/entry/src/links/peer-link.ts
+++ b/packages/entry/src/links/peer-link.ts
@@ -30,6 +30,8 @@
   onUpdate(peer: InstanceId, update: OwnerUpdate): void
   /** Returns the version of this instance's configuration, which is sent to peers. */
   getConfigurationVersion(): number
+  /** Returns whether this instance delays its answers, which is sent to peers. */
+  isSlow(): boolean
   /** Lists the states of all known prompt parts, which a peer receives when the connection opens. */
   listPartStates(): readonly PartState[]
 }
@@ -94,6 +96,11 @@
     this.send([], EMPTY_REPORT, leaving)
   }
 
+  /** Sends the peer whether this instance delays its answers. Does nothing without a connection. */
+  sendSlowness(): void {
+    this.send([], EMPTY_REPORT)
+  }
+
   private send(
     uses: EndpointUse[],
     { ends, soundParts, states }: PartReport,
@@ -107,6 +114,7 @@
       soundParts: [...soundParts],
       partStates: [...states],
       leaving: [...leaving],
+      isSlow: this.handlers.isSlow(),
     })
   }
 
--- a/packages/entry/src/links/peer-links.ts
+++ b/packages/entry/src/links/peer-links.ts
@@ -113,6 +113,11 @@
     for (const id of this.listCollectors()) this.linksByPeer.get(id)?.sendLeaving(leaving)
   }
 
+  /** Sends all owners whether this instance delays its answers. */
+  sendSlowness(): void {
+    for (const link of this.linksByPeer.values()) link.sendSlowness()
+  }
+
   /** Returns whether this instance is one of those that collect reports. */
   isCollector(): boolean {
     return this.listCollectors().includes(this.deps.self)
--- /dev/null
+++ b/packages/entry/src/load/index.ts
@@ -0,0 +1,2 @@
+export * from "./instance-monitor.js"
+export * from "./slow-instances.js"
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -27,6 +27,8 @@
   retryShare: SHARE_SCHEMA,
   retryWindowS: SECONDS_SCHEMA,
   retryFixed: z.coerce.number().min(0),
+  cpuShare: z.coerce.number().positive(),
+  cores: z.coerce.number().min(0),
   logLevel: z.enum(["debug", "info", "warn", "error"]),
 })
 
@@ -61,6 +63,10 @@
   readonly retryWindowS: number
   /** Retries of the fleet in a window in addition to the share. */
   readonly retryFixed: number
+  /** Share of its processor that the instance may use. */
+  readonly cpuShare: number
+  /** Speed of the processor, compared to the usual one. 0 if it isn't known: the instance then doesn't measure its own delay. */
+  readonly cores: number
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -132,6 +138,16 @@
     description: "retries in a window in addition to the share",
     defaultValue: "20",
   },
+  cpuShare: {
+    flag: "--cpu-share <share>",
+    description: "share of its processor that the instance may use",
+    defaultValue: "1",
+  },
+  cores: {
+    flag: "--cores <speed>",
+    description: "speed of the processor, compared to the usual one; 0 measures no own delay",
+    defaultValue: "0",
+  },
   logLevel: {
     flag: "--log-level <level>",
     description: "debug, info, warn or error",
--- a/packages/entry/src/tokens.ts
+++ b/packages/entry/src/tokens.ts
@@ -5,6 +5,7 @@
 import type { CatalogueFormat } from "./catalogue/index.js"
 import type { RegisteredInstance } from "./fleet/index.js"
 import type { ForwardContext } from "./forward/index.js"
+import type { InstanceMonitor } from "./load/index.js"
 import type { EntrySettings } from "./settings.js"
 
 /** Interfaces between an entry instance and its environment. The platform package implements them. */
@@ -25,4 +26,6 @@
   self: Symbol("self") as InjectionToken<RegisteredInstance>,
   times: Symbol("times") as InjectionToken<AuthorityTimes>,
   forward: Symbol("forward") as InjectionToken<ForwardContext>,
+  /** Undefined if the settings don't state the instance's processor. */
+  monitor: Symbol("monitor") as InjectionToken<InstanceMonitor | undefined>,
 } as const
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -3,6 +3,7 @@
   EndpointId,
   EngineClient,
   HeaderCodec,
+  InstanceId,
   Millis,
   Registration,
   ServiceName,
@@ -24,6 +25,7 @@
 } from "./catalogue/index.js"
 import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
+import { InstanceMonitor, SlowInstances } from "./load/index.js"
 import {
   PeerLinks,
   LeavingReports,
@@ -42,6 +44,7 @@
 /** Share of an endpoint's connection limit that all instances together may use. */
 const CONNECTION_SHARE = 0.9
 const MS_PER_S = 1000
+const MICROS_PER_MS = 1000
 /** Longest pause between two events of a stream where no route has such an objective. */
 const DEFAULT_PAUSE_MS = 500
 
@@ -112,6 +115,7 @@
         const { instance, configurationVersion, uses, ends, soundParts, partStates } = update
         c.resolve(PartGuard).onReport({ ends, soundParts, states: partStates })
         c.resolve(LeavingReports).onReport(instance, update.leaving)
+        c.resolve(SlowInstances).onReport(instance, update.isSlow)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, instance)
         for (const { endpoint, adapters, running } of uses) {
           owner.onRunning(endpoint, instance, running)
@@ -123,12 +127,14 @@
       listPartStates: () => c.resolve(PartGuard).listStates(),
       listLeaving: () => c.resolve(LeavingReports).listRecent(),
       listSuspects: () => c.resolve(PartGuard).listSuspects(),
+      listSlow: () => listSlow(c),
       listItems: () => listItems(c),
       getStoreNews: () => buildStoreNews(c),
       getConfigurationVersion: () => catalogue.version,
       getOwnerReport: () => c.resolve(Ownership).getOwnerReport(),
       onFollowerGone: (instance) => {
         owner.removeHolder(instance)
+        c.resolve(SlowInstances).removeFollower(instance)
       },
     },
     c.resolve(ENTRY_TOKENS.clock),
@@ -136,6 +142,44 @@
   )
 }
 
+/** Lists the followers that delay their answers, and this instance if it does. */
+function listSlow(c: DependencyContainer): readonly InstanceId[] {
+  const isSlow = c.resolve(ENTRY_TOKENS.monitor)?.isSlow ?? false
+  const followers = c.resolve(SlowInstances).listFollowers()
+  return isSlow ? [...followers, c.resolve(ENTRY_TOKENS.self).id] : followers
+}
+
+/** Creates the monitor of this instance's own delay; undefined if the settings don't state its processor. */
+export function createInstanceMonitor(
+  c: DependencyContainer,
+  { cores, cpuShare }: EntrySettings,
+): InstanceMonitor | undefined {
+  if (cores === 0) return undefined
+  const { id, dataCentre } = c.resolve(ENTRY_TOKENS.self)
+  return new InstanceMonitor({
+    self: id,
+    slowInstances: c.resolve(SlowInstances),
+    clock: c.resolve(ENTRY_TOKENS.clock),
+    log: c.resolve(ENTRY_TOKENS.log),
+    metrics: c.resolve(ENTRY_TOKENS.metrics),
+    cores: cores * cpuShare,
+    readProcessorMs,
+    listMembers: () =>
+      [...c.resolve(Ownership).instances.values()]
+        .filter((instance) => instance.dataCentre === dataCentre && !instance.isStopping)
+        .map((instance) => instance.id),
+    findShortestObjective: () => c.resolve(OperatorCatalogue).routes?.shortestObjectiveMs,
+    notifyPeers: () => {
+      c.resolve(PeerLinks).sendSlowness()
+    },
+  })
+}
+
+function readProcessorMs(): Millis {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / MICROS_PER_MS
+}
+
 /** Lists the items of the store that an instance needs to start while the store can't be reached. */
 function listItems(c: DependencyContainer): readonly StoreItem[] {
   return [
@@ -195,11 +239,13 @@
     log: c.resolve(ENTRY_TOKENS.log),
     handlers: {
       getConfigurationVersion: () => c.resolve(OperatorCatalogue).version,
+      isSlow: () => c.resolve(ENTRY_TOKENS.monitor)?.isSlow ?? false,
       listPartStates: () => c.resolve(PartGuard).listStates(),
       onUpdate: (peer, update) => {
         const { configurationVersion, engines, changes, dropped, suspects, partStates } = update
         c.resolve(PartGuard).onPublished(peer, suspects, partStates)
         c.resolve(LeavingReports).onPublished(peer, update.leaving)
+        c.resolve(SlowInstances).onPublished(peer, update.slowInstances, clock.now())
         handleStoreNews(c, update)
         void c.resolve(ConfigurationWatcher).onPeerVersion(configurationVersion, peer)
         const endpoints = endpointsByPeer.get(peer) ?? new Set<string>()
@@ -297,6 +343,7 @@
       canLoad: (endpoint) => links.canLoad(endpoint),
     }),
     stop: c.resolve(StopSchedule),
+    monitor: c.resolve(ENTRY_TOKENS.monitor),
     computeConnectionLimit: ({ service }: Registration) => {
       const limit = catalogue.routes?.configuration.services.get(service)?.maxConnections ?? 0
       return Math.floor((CONNECTION_SHARE * limit) / countInstances())
--- a/packages/entry/test/handler.test.ts
+++ b/packages/entry/test/handler.test.ts
@@ -4,6 +4,7 @@
 import { type ForwardContext, ForwardHandler, StopSchedule } from "@galenaway/entry"
 import { waitFor } from "@galenaway/core"
 import { createManualClock, flushPromises } from "@galenaway/fakes"
+import { noopMetrics } from "@galenaway/observe"
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 /** More than the buffers of a connection hold. */
@@ -46,6 +47,31 @@
   }
 })
 
+// A late answer costs the endpoint as much as one in time.
+it("a request that a slow instance would delay too long is refused at once, on a connection that closes", async () => {
+  const route = { objectiveMs: 500 }
+  const handler = new ForwardHandler({
+    ...CONTEXT,
+    catalogue: { routes: { findRoute: () => route } },
+    metrics: noopMetrics,
+    monitor: { isMovingCallers: true, isTooSlowFor: (ms: number) => ms <= 500 },
+  } as unknown as ForwardContext)
+  const server = createServer((request, response) => {
+    void handler.handle(request, response)
+  })
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
+  try {
+    const { port } = server.address() as AddressInfo
+    const answer = await fetch(`http://127.0.0.1:${String(port)}/`)
+    expect(answer.status).to.equal(503)
+    expect(answer.headers.get("connection")).to.equal("close")
+    expect(await answer.json()).to.deep.include({ outcome: "not-run", code: "overloaded" })
+  } finally {
+    server.closeAllConnections()
+    server.close()
+  }
+})
+
 it("an internal error is never answered as a request that hasn't run", async () => {
   const handler = new ForwardHandler(CONTEXT)
   const server = createServer((request, response) => {
--- a/packages/entry/test/part-records.test.ts
+++ b/packages/entry/test/part-records.test.ts
@@ -64,6 +64,7 @@
     listPartStates: () => states,
     listSuspects: () => [],
     listLeaving: () => [],
+    listSlow: () => [],
     listSnapshots: () => [],
     getStoreNews: () => NO_STORE_NEWS,
     getConfigurationVersion: () => 1,
@@ -83,6 +84,7 @@
     onUpdate: (_peer: string, { partStates }: { partStates: PartState[] }) =>
       received.push(...partStates),
     getConfigurationVersion: () => 1,
+    isSlow: () => false,
     listPartStates: () => [],
     listLeaving: () => [],
   }
--- a/packages/entry/test/reply.test.ts
+++ b/packages/entry/test/reply.test.ts
@@ -31,6 +31,36 @@
     }
   })
 
+// Callers may send the next request at once, so a connection is closed only if the head said so.
+for (const movesBefore of [false, true])
+  it(`a caller is moved by the head of an answer only, moving before the head ${String(movesBefore)}`, async () => {
+    let isMoving = movesBefore
+    const codec: Partial<HeaderCodec> = { buildAnswer: () => [] }
+    const server = createServer((_request, response) => {
+      const reply = new CallerReply(
+        response,
+        codec as HeaderCodec,
+        () => false,
+        () => isMoving,
+      )
+      reply.writeHead(200, [])
+      isMoving = true
+      reply.end(Buffer.from("end"))
+    })
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
+    const agent = new Agent({ keepAlive: true })
+    try {
+      const { port } = server.address() as AddressInfo
+      const { text, socket } = await receive(port, agent)
+      expect(text).to.equal("end")
+      expect(await hasClosed(socket)).to.equal(movesBefore)
+    } finally {
+      agent.destroy()
+      server.closeAllConnections()
+      server.close()
+    }
+  })
+
 /** Sends one request on a connection that its caller keeps. */
 async function receive(port: number, agent: Agent): Promise<{ text: string; socket: Socket }> {
   const response = await new Promise<IncomingMessage>((resolve) =>
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -53,6 +53,8 @@
   "engine-ends": "Engines that ended while they answered requests of this instance.",
   "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
+  breaks: "Times that the instance wasn't ready because it delayed its answers.",
+  "slow-refusals": "Requests refused because the instance would have delayed them too long.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
@@ -61,6 +63,8 @@
   running: "Requests running on owned endpoints.",
   "suspected-parts": "Prompt parts that may end engines.",
   "quarantined-parts": "Prompt parts that no engine gets.",
+  "own-delay": "Time in ms that the instance itself adds until an answer begins.",
+  "processor-use": "Processor time in use, as a share of what the instance may use.",
 }
 
 /** Metrics that can be read. Their memory is allocated at creation and doesn't grow. */
--- a/packages/policy/src/instance-load.ts
+++ b/packages/policy/src/instance-load.ts
@@ -8,6 +8,10 @@
   readonly utilization: number
 }
 
+/** A longer lateness counts as this: one long pause of the process doesn't show that the next requests are delayed. */
+const MAX_LATENESS_MS = 200
+/** A shorter lateness is usual, for example during a garbage collection. */
+const MIN_LATENESS_MS = 10
 /** Weight of the latest sample in the moving averages. */
 const SAMPLE_WEIGHT = 0.3
 /** Number of times that a request waits for the event loop until its answer begins: head, body, admission, connection, first bytes. */
@@ -50,17 +54,22 @@
 
   /** Records a sample. `objectiveMs` is the shortest latency objective of the requests that are served. */
   record({ latenessMs, utilization }: InstanceSample, objectiveMs: Millis): void {
-    this.latenessMs += SAMPLE_WEIGHT * (latenessMs - this.latenessMs)
+    const countedMs = Math.min(latenessMs, MAX_LATENESS_MS)
+    this.latenessMs += SAMPLE_WEIGHT * (countedMs - this.latenessMs)
     this.utilization += SAMPLE_WEIGHT * (utilization - this.utilization)
-    const share = this.slow ? RECOVERED_SHARE : SLOW_SHARE
-    const factor = this.utilization >= HIGH_UTILIZATION ? EARLY_FACTOR : 1
-    const isDelayed = this.addedMs > factor * share * objectiveMs
+    const isDelayed = this.addedMs > this.computeLimit(objectiveMs)
     this.delayedCount = isDelayed ? this.delayedCount + 1 : 0
     this.slow = isDelayed && (this.slow || this.delayedCount >= SLOW_SAMPLE_COUNT)
   }
 
+  private computeLimit(objectiveMs: Millis): Millis {
+    if (this.slow) return RECOVERED_SHARE * objectiveMs
+    const factor = this.utilization >= HIGH_UTILIZATION ? EARLY_FACTOR : 1
+    return Math.max(factor * SLOW_SHARE * objectiveMs, WAIT_COUNT * MIN_LATENESS_MS)
+  }
+
   /** Returns whether an answer that is due in `objectiveMs` is late whatever endpoint gives it. */
   isTooSlowFor(objectiveMs: Millis): boolean {
-    return this.addedMs >= objectiveMs
+    return this.slow && this.addedMs >= objectiveMs
   }
 }
--- a/packages/policy/test/instance-load.test.ts
+++ b/packages/policy/test/instance-load.test.ts
@@ -33,11 +33,19 @@
   expect(load.isSlow).to.equal(false)
 })
 
-// One sample is late when the event loop runs one long task.
-it("a single late sample makes no instance slow", () => {
+// A process that was paused once would reject requests that it could serve in time.
+it("a single late sample makes no instance slow, however late it is", () => {
   const load = createLoad(2, 0.5)
-  load.record({ latenessMs: 60, utilization: 0.5 }, OBJECTIVE_MS)
-  expect(load.isSlow).to.equal(false)
+  load.record({ latenessMs: 10_000, utilization: 0.5 }, OBJECTIVE_MS)
+  for (let i = 0; i < 20; i++) {
+    expect(load.isSlow).to.equal(false)
+    load.record({ latenessMs: 2, utilization: 0.5 }, OBJECTIVE_MS)
+  }
+})
+
+it("requests are rejected only by a slow instance whose delay exceeds their objective", () => {
+  expect(createLoad(90, 1).isTooSlowFor(OBJECTIVE_MS)).to.equal(false)
+  expect(createLoad(110, 1).isTooSlowFor(OBJECTIVE_MS)).to.equal(true)
 })
 
 it("at most a quarter of the instances have their turn at once, and each has one", () => {
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -6,6 +6,8 @@
 export class RouteTable {
   private readonly byHost = new Map<string, RoutesByPrefix>()
   private readonly pauseMsByService = new Map<ServiceName, Millis>()
+  /** The shortest latency objective of all routes; undefined if no route has one. */
+  readonly shortestObjectiveMs: Millis | undefined
 
   constructor(readonly configuration: ServingConfiguration) {
     for (const route of configuration.routes) {
@@ -14,6 +16,9 @@
       routes.set(route.pathPrefix, route)
       this.byHost.set(route.host, routes)
     }
+    const objectives = configuration.routes.map(({ objectiveMs }) => objectiveMs)
+    const positive = objectives.filter((objectiveMs) => objectiveMs > 0)
+    this.shortestObjectiveMs = positive.length > 0 ? Math.min(...positive) : undefined
   }
 
   /** Returns the shortest pause between two events that the stream routes of a service require; undefined if none does. */
