--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -158,6 +158,8 @@
     quotaWindowS: 8,
     quotaExcess: 0.1,
     quotaSlack: 0,
+    cpuShare: 1,
+    cores: 1,
     logLevel: index === 0 ? "info" : "error",
   }))
 }
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -22,6 +22,7 @@
 import type { AccountUsage, Authorizer } from "../accounts/index.js"
 import type { EndpointDirectory } from "../catalogue/directory.js"
 import type { OperatorCatalogue } from "../catalogue/operator-catalogue.js"
+import type { InstanceMonitor } from "../load/index.js"
 import type { PeerLinks, AdapterUseTable } from "../links/index.js"
 import type { PartGuard } from "../quarantine/index.js"
 import type { QuotaGate } from "../quota/index.js"
@@ -68,6 +69,8 @@
   readonly quotas: QuotaGate
   /** Decides which requests are taken and sent while the instance stops. */
   readonly stop: StopSchedule
+  /** Measures the delay that this instance itself adds; undefined if it isn't measured. */
+  readonly monitor?: Pick<InstanceMonitor, "isMovingCallers" | "isTooSlowFor"> | undefined
   /** Returns how many connections this instance may open to an endpoint. */
   computeConnectionLimit(endpoint: Registration): number
 }
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -14,6 +14,7 @@
   NO_ROUTE,
   STOPPING,
   TOO_LARGE,
+  TOO_SLOW,
 } from "./errors.js"
 import { computeCost } from "../quota/index.js"
 import { listRequestParts } from "../quarantine/index.js"
@@ -57,6 +58,7 @@
       response,
       this.context.headerCodec,
       () => this.context.stop.isStopping,
+      () => this.context.monitor?.isMovingCallers ?? false,
     )
     try {
       await this.serve(request, response, reply)
@@ -101,6 +103,11 @@
     const { account } = authorization
     if (account)
       this.context.accountUsage.onRequest(account.name, facts.promptTokens + facts.outputTokens)
+    if (this.context.monitor?.isTooSlowFor(route.objectiveMs)) {
+      this.context.metrics.count("slow-refusals")
+      this.sendRefusal(request, reply, TOO_SLOW)
+      return
+    }
     const { limits } = routes.configuration
     await this.serveAuthorized(
       { request, reply, route, facts, limits, arrivedAt, account },
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -64,7 +64,7 @@
     quarantine: container.resolve(PartGuard),
     explain: (query) => explainRequest(container.resolve(ENTRY_TOKENS.forward), query),
     log,
-    isReady: () => isReady(container),
+    isReady: () => isReady(container) && !container.resolve(ENTRY_TOKENS.monitor)?.isOnBreak,
     formatMetrics: () =>
       container.resolve(ENTRY_TOKENS.metrics).formatMetrics() +
       container.resolve(AccountUsage).formatMetrics(),
@@ -167,6 +167,7 @@
   container.resolve(Membership).start()
   container.resolve(Ownership).start()
   container.resolve(PeerLinks).start()
+  container.resolve(ENTRY_TOKENS.monitor)?.start()
 }
 
 /** Fetches the catalogue from the seeds until the instance is ready, for a start while the store can't be reached. */
@@ -259,6 +260,7 @@
   container.resolve(Ownership).stop()
   container.resolve(PeerLinks).stop()
   container.resolve(QuotaGate).stop()
+  container.resolve(ENTRY_TOKENS.monitor)?.stop()
   container.resolve(LinkServer).stop()
   await container.resolve(Membership).stop()
   await container.resolve(EndpointPools).stop()
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -30,6 +30,8 @@
   quotaWindowS: SECONDS_SCHEMA,
   quotaExcess: SHARE_SCHEMA,
   quotaSlack: z.coerce.number().min(0),
+  cpuShare: z.coerce.number().positive(),
+  cores: z.coerce.number().min(0),
   logLevel: z.enum(["debug", "info", "warn", "error"]),
 })
 
@@ -70,6 +72,10 @@
   readonly quotaExcess: number
   /** By how many tokens the use of a quota in a window may exceed it in addition. */
   readonly quotaSlack: number
+  /** Share of its processor that the instance may use. */
+  readonly cpuShare: number
+  /** Speed of the processor, compared to the usual one. 0 if it isn't known: the instance then doesn't measure its own delay. */
+  readonly cores: number
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -156,6 +162,16 @@
     description: "tokens by which the use of a quota in a window may exceed it in addition",
     defaultValue: "0",
   },
+  cpuShare: {
+    flag: "--cpu-share <share>",
+    description: "share of its processor that the instance may use",
+    defaultValue: "1",
+  },
+  cores: {
+    flag: "--cores <speed>",
+    description: "speed of the processor, compared to the usual one; 0 measures no own delay",
+    defaultValue: "0",
+  },
   logLevel: {
     flag: "--log-level <level>",
     description: "debug, info, warn or error",
