--- a/packages/policy/src/admission-queue.ts
+++ b/packages/policy/src/admission-queue.ts
@@ -205,8 +205,10 @@
     const tooLate = this.listTooLate(now)
     if (tooLate.length === 0 || !this.shares.isDivided)
       return tooLate.map((request) => this.refuse(request))
+    // Not all can start in time, so the accounts with a backlog make way for the others.
     this.allowedLeadCount = MAX_LEAD_OVERLOADED_COUNT
     const refused = this.listTooLate(now).map((request) => this.refuse(request))
+    // Those that are left may start in time only in the order by which the others were refused.
     this.allowedLeadCount = MAX_LEAD_IN_TIME_COUNT
     if (this.listTooLate(now).length > 0) this.allowedLeadCount = MAX_LEAD_OVERLOADED_COUNT
     return refused
