--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -157,6 +157,7 @@
     retryFixed: 20,
     cpuShare: 1,
     cores: 1,
+    transferMs: 0,
     logLevel: index === 0 ? "info" : "error",
   }))
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -29,6 +29,7 @@
   retryFixed: z.coerce.number().min(0),
   cpuShare: z.coerce.number().positive(),
   cores: z.coerce.number().min(0),
+  transferMs: z.coerce.number().min(0),
   logLevel: z.enum(["debug", "info", "warn", "error"]),
 })
 
@@ -67,6 +68,8 @@
   readonly cpuShare: number
   /** Speed of the processor, compared to the usual one. 0 if it isn't known: the instance then doesn't measure its own delay. */
   readonly cores: number
+  /** Price of a request's bytes between data centres, as an added wait in ms. 0 if they are free: engines of all data centres are then chosen by their load and distance. */
+  readonly transferMs: number
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -148,6 +151,11 @@
     description: "speed of the processor, compared to the usual one; 0 measures no own delay",
     defaultValue: "0",
   },
+  transferMs: {
+    flag: "--transfer-ms <ms>",
+    description: "price of a request's bytes between data centres, as an added wait",
+    defaultValue: "0",
+  },
   logLevel: {
     flag: "--log-level <level>",
     description: "debug, info, warn or error",
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -25,7 +25,7 @@
 } from "./catalogue/index.js"
 import { formatPartItem, Ownership } from "./fleet/index.js"
 import { EndpointPools, type ForwardContext } from "./forward/index.js"
-import { InstanceMonitor, SlowInstances } from "./load/index.js"
+import { InstanceMonitor, ServiceOverflow, SlowInstances } from "./load/index.js"
 import {
   PeerLinks,
   LeavingReports,
@@ -302,6 +302,7 @@
   const ownership = c.resolve(Ownership)
   const catalogue = c.resolve(OperatorCatalogue)
   const budgets = new Map<ServiceName, RetryLimiter>()
+  const overflow = createOverflow(c, settings)
   const countInstances = () => Math.max(1, ownership.instances.size)
   return {
     localDataCentre: settings.dataCentre,
@@ -340,6 +341,9 @@
       versions,
       popularity: c.resolve(Popularity),
       localDataCentre: settings.dataCentre,
+      ...(overflow && {
+        getDataCentreCost: (dataCentre) => overflow.getCost(service, dataCentre),
+      }),
       canLoad: (endpoint) => links.canLoad(endpoint),
     }),
     stop: c.resolve(StopSchedule),
@@ -351,6 +355,25 @@
   }
 }
 
+function createOverflow(
+  c: DependencyContainer,
+  { dataCentre, transferMs }: EntrySettings,
+): ServiceOverflow | undefined {
+  if (transferMs === 0) return undefined
+  const directory = c.resolve(EndpointDirectory)
+  const health = c.resolve(EndpointHealth)
+  const clock = c.resolve(ENTRY_TOKENS.clock)
+  return new ServiceOverflow({
+    localDataCentre: dataCentre,
+    transferMs,
+    clock,
+    log: c.resolve(ENTRY_TOKENS.log),
+    metrics: c.resolve(ENTRY_TOKENS.metrics),
+    listEngines: (service) => directory.listLive(service),
+    countRunning: (endpoint) => health.countRunning(endpoint, clock.now()),
+  })
+}
+
 function getRetryBudget(
   budgets: Map<ServiceName, RetryLimiter>,
   service: ServiceName,
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -24,6 +24,7 @@
   | "quarantine-refusals"
   | "breaks"
   | "slow-refusals"
+  | "overflows"
 /** Metrics with a current value. */
 export type GaugeMetric =
   | "batch-fill"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -55,6 +55,7 @@
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
   breaks: "Times that the instance wasn't ready because it delayed its answers.",
   "slow-refusals": "Requests refused because the instance would have delayed them too long.",
+  overflows: "Times that a full data centre began to send its requests to another one.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -41,6 +41,8 @@
   readonly versions: VersionTable
   readonly popularity: Popularity
   readonly localDataCentre: DataCentre
+  /** Returns the cost in ms of sending to a data centre, in addition to the hop; 0 if absent. */
+  readonly getDataCentreCost?: (dataCentre: DataCentre) => Millis
   /** Returns whether an engine's owner can be requested to load adapters. */
   canLoad(endpoint: EndpointId): boolean
 }
@@ -294,7 +296,7 @@
 }
 
 function estimateCost(
-  { health, pace, localDataCentre }: PlacementView,
+  { health, pace, localDataCentre, getDataCentreCost }: PlacementView,
   { id, slots, dataCentre }: Registration,
   now: Millis,
 ): Millis {
@@ -302,7 +304,7 @@
   const load = (running * FULL_BATCH_MS) / Math.max(1, slots)
   // At a full engine, a place becomes free each time that one of its requests ends.
   const wait = (health.countAhead(id, slots, now) * pace.runMs) / Math.max(1, slots)
-  const hop = dataCentre === localDataCentre ? 0 : HOP_MS
+  const hop = dataCentre === localDataCentre ? 0 : HOP_MS + (getDataCentreCost?.(dataCentre) ?? 0)
   const slow = Math.max(1, health.getSlowness(id))
   const queue = Math.max(wait + health.getBacklog(id, now), health.getQueueWait(id, now))
   const busy = (load + queue) * slow
--- a/packages/routing/test/data-centre-costs.test.ts
+++ b/packages/routing/test/data-centre-costs.test.ts
@@ -1,9 +1,12 @@
 import { expect } from "chai"
-import { DataCentreCosts } from "@galenaway/routing"
+import { choosePlacement, DataCentreCosts } from "@galenaway/routing"
 import { replayDataCentres } from "./data-centre-replay.js"
+import { buildEngine, buildMetadata, buildView } from "./support.js"
 
 const TRANSFER_MS = 40
 const DEMAND_SHARE = 0.7
+/** Running requests that cost more than the hop to another data centre, and less than its price. */
+const BUSY_COUNT = 6
 
 function buildLoads(a: number, b: number, c: number) {
   return [
@@ -62,3 +65,21 @@
   if (process.env.GALENAWAY_VERBOSE !== undefined) console.log({ cheapest, costs })
   expect(costs.lateShare).to.be.at.most(cheapest.lateShare + 0.01)
 })
+
+it("an engine of another data centre is used when its load makes up for the price, not before", () => {
+  const local = buildEngine("e1", "dc-a")
+  const remote = buildEngine("e2", "dc-b")
+  const view = {
+    ...buildView([local, remote]),
+    getDataCentreCost: (name: string) => (name === "dc-b" ? TRANSFER_MS : 0),
+  }
+  for (const { id } of [local, remote]) view.residency.add(id, "m/a", 1)
+  const choose = () => {
+    const placement = choosePlacement(view, buildMetadata(), new Set(), 0)
+    return placement.kind === "none" ? undefined : placement.endpoint.id
+  }
+  for (let i = 0; i < BUSY_COUNT; i++) view.health.onSend(local.id, 0, 0)
+  expect(choose()).to.equal(local.id)
+  for (let i = 0; i < local.slots; i++) view.health.onSend(local.id, 0, 0)
+  expect(choose()).to.equal(remote.id)
+})
--- a/scripts/configuration-docs.mjs
+++ b/scripts/configuration-docs.mjs
@@ -66,6 +66,16 @@
 | --- | --- | --- | --- | --- |
 ${listSettingReferences().map(formatRow).join("\n")}
 
+## Settings of an entry instance
+
+Not part of the document: each instance on the users' platform reads them from flags, environment variables and the file of \`deploy/entry.settings\`; \`--help\` lists all. Those about the instance's own processor and its data centre are:
+
+| setting | meaning | default |
+| --- | --- | --- |
+| \`--cores\` (\`GALENAWAY_CORES\`) | Speed of the instance's processor, compared to the usual one. With 0 the instance doesn't measure its own delay. | 0 |
+| \`--cpu-share\` (\`GALENAWAY_CPU_SHARE\`) | Share of the processor that the instance may use. | 1 |
+| \`--transfer-ms\` (\`GALENAWAY_TRANSFER_MS\`) | Price of a request's bytes between data centres, as an added wait in ms. With 0 the engines of all data centres are chosen by load and distance only. | 0 |
+
 ## Exceptions
 
 At most ${EXCEPTION_LIMIT}. Each has a \`match\`, a \`set\` with some of the settings, a \`reason\`, an \`author\` and a \`date\`. An exception holds where every field of its match is equal. Where several hold, the one with the strongest field decides, and among equals the next field; from strong to weak: ${[...MATCH_FIELDS].reverse().join(", ")}. \`galenaway explain MODEL --rank RANK\` shows which default or exception decides each setting.
