--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -160,6 +160,7 @@
     quotaSlack: 0,
     cpuShare: 1,
     cores: 1,
+    transferMs: 0,
     logLevel: index === 0 ? "info" : "error",
   }))
 }
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -30,6 +30,7 @@
   | "quota-reports"
   | "breaks"
   | "slow-refusals"
+  | "overflows"
 /** Metrics with a current value. */
 export type GaugeMetric =
   | "batch-fill"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -65,6 +65,7 @@
   "quota-reports": "Reports sent to the allocators of accounts' quotas.",
   breaks: "Times that the instance wasn't ready because it delayed its answers.",
   "slow-refusals": "Requests refused because the instance would have delayed them too long.",
+  overflows: "Times that a full data centre began to send its requests to another one.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -46,6 +46,8 @@
   readonly costs?: PlacementCosts
   /** Whether the expected costs of requests are better than their mean. Without it, requests are counted. */
   readonly usesWork?: boolean
+  /** Returns the cost in ms of sending to a data centre, in addition to the hop; 0 if absent. */
+  readonly getDataCentreCost?: (dataCentre: DataCentre) => Millis
   /** Returns whether an engine's owner can be requested to load adapters. */
   canLoad(endpoint: EndpointId): boolean
 }
@@ -311,7 +313,8 @@
   // At a full engine, a place becomes free each time that one of its requests ends.
   const runMs = estimateRemainingRun(view, engine, slowdown, now)
   const wait = (health.countAhead(id, slots, now) * runMs) / Math.max(1, slots)
-  const hop = dataCentre === localDataCentre ? 0 : hopMs
+  const distance = hopMs + (view.getDataCentreCost?.(dataCentre) ?? 0)
+  const hop = dataCentre === localDataCentre ? 0 : distance
   const slow = Math.max(1, health.getSlowness(id)) * slowdown
   const queue = Math.max(wait + health.getBacklog(id, now), health.getQueueWait(id, now))
   // The request itself takes longer on a slow engine, also on an idle one.
