--- a/packages/entry/test/handler.test.ts
+++ b/packages/entry/test/handler.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from "node:http"
 import { type AddressInfo, connect } from "node:net"
 import { expect } from "chai"
-import { type ForwardContext, ForwardHandler, StopSchedule } from "@galenaway/entry"
+import { Authorizer, type ForwardContext, ForwardHandler, StopSchedule } from "@galenaway/entry"
 import { waitFor } from "@galenaway/core"
 import { createManualClock, flushPromises } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
@@ -52,7 +52,8 @@
   const route = { objectiveMs: 500 }
   const handler = new ForwardHandler({
     ...CONTEXT,
-    catalogue: { routes: { findRoute: () => route } },
+    catalogue: { routes: { findRoute: () => route, configuration: { limits: {} } } },
+    authorizer: new Authorizer(),
     metrics: noopMetrics,
     monitor: { isMovingCallers: true, isTooSlowFor: (ms: number) => ms <= 500 },
   } as unknown as ForwardContext)
--- a/packages/policy/src/quota/account-allocation.ts
+++ b/packages/policy/src/quota/account-allocation.ts
@@ -37,9 +37,9 @@
 }
 
 /** Part of the rate that is allocated as shares. The rest refills the allocator's bucket, from which instances with new demand receive units at once, also from a new allocator. */
-const MAX_SHARED_RATE = 0.8
+const MAX_SHARED_RATE = 0.5
 /** Part of the burst that is allocated as shares. */
-const MAX_SHARED_BURST = 0.6
+const MAX_SHARED_BURST = 0.5
 /** A share exceeds the demand by this factor, since demand varies between two reports. */
 const RATE_MARGIN = 1.25
 /** How long a reported demand counts. It exceeds the longest interval between two reports. */
