--- a/packages/demo/src/fleet.ts
+++ b/packages/demo/src/fleet.ts
@@ -80,6 +80,8 @@
    * signal, or doesn't exist.
    */
   getExitCode(name: string): number | null
+  /** Returns the process id of a process, or undefined if there is none with this name. */
+  getProcessId(name: string): number | undefined
   /** Waits until a process has exited. */
   waitForEnd(name: string): Promise<void>
   /** Starts an exited instance again with the same settings. */
@@ -136,6 +138,7 @@
     signal: (name, signal) => started.get(name)?.child.kill(signal),
     setFault: (name, faults) => launcher.setFault(name, faults),
     getExitCode: (name) => started.get(name)?.child.exitCode ?? null,
+    getProcessId: (name) => started.get(name)?.child.pid,
     waitForEnd: async (name) => started.get(name)?.ended,
     restartInstance: async (id) => {
       const instance = instances.find((each) => each.id === id)
