--- /dev/null
+++ b/packages/ingress/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./body-reader.js"
+export * from "./byte-budget.js"
+export * from "./closing-order.js"
+export * from "./guard.js"
+export * from "./limits.js"
