--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -8,6 +8,7 @@
 import type { InjectionToken } from "tsyringe"
 import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
 import { systemClock } from "@galenaway/core"
+import { IngressGuard } from "@galenaway/ingress"
 import { createLog, createMetrics } from "@galenaway/observe"
 import { EndpointHealth, PaceTable, Popularity, Residency, VersionTable } from "@galenaway/routing"
 import { type DestinationStream, pino } from "pino"
@@ -36,6 +37,7 @@
 import { ENTRY_TOKENS, type EntryPorts } from "./tokens.js"
 import {
   createForwardContext,
+  createIngressGuard,
   createLeavingReports,
   createLinks,
   createLinkServer,
@@ -257,6 +259,7 @@
   settings: EntrySettings,
   { headerCodec }: EntryPorts,
 ): void {
+  registerCached(container, IngressGuard, createIngressGuard)
   registerCached(container, ENTRY_TOKENS.forward, (c) =>
     createForwardContext(c, settings, headerCodec),
   )
@@ -265,5 +268,9 @@
     ForwardHandler,
     (c) => new ForwardHandler(c.resolve(ENTRY_TOKENS.forward)),
   )
-  registerCached(container, CallerServer, (c) => new CallerServer(c.resolve(ForwardHandler)))
+  registerCached(
+    container,
+    CallerServer,
+    (c) => new CallerServer(c.resolve(ForwardHandler), c.resolve(IngressGuard)),
+  )
 }
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -7,6 +7,7 @@
   Registration,
   ServiceName,
 } from "@galenaway/core"
+import type { IngressGuard } from "@galenaway/ingress"
 import type { Metrics } from "@galenaway/observe"
 import type {
   EndpointHealth,
@@ -32,6 +33,8 @@
   readonly catalogue: OperatorCatalogue
   readonly directory: EndpointDirectory
   readonly headerCodec: HeaderCodec
+  /** Reads and discards the bodies of requests. */
+  readonly ingress: IngressGuard
   readonly pools: EndpointPools
   readonly health: EndpointHealth
   readonly paces: PaceTable
--- a/packages/entry/src/forward/errors.ts
+++ b/packages/entry/src/forward/errors.ts
@@ -52,6 +52,25 @@
   message: "the body is larger than allowed",
 }
 
+/** Answer when the bodies of other requests take the memory for this one. */
+export const BODY_NOT_HELD: ErrorAnswer = {
+  status: 503,
+  code: "overloaded",
+  step: "parse",
+  outcome: "not-run",
+  message: "too many bytes of requests are held",
+  retryAfterMs: RETRY_AFTER_MS,
+}
+
+/** Answer when a body hasn't arrived by the deadline of its request. */
+export const BODY_TIMEOUT: ErrorAnswer = {
+  status: 408,
+  code: "deadline",
+  step: "parse",
+  outcome: "not-run",
+  message: "the body did not arrive within the time limit",
+}
+
 /** Builds the answer to a request that no endpoint has run or will run. `retryAfterMs` is in ms. */
 export function buildRefusal(
   message: string,
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -1,10 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http"
 import type { RequestMetadata, Route } from "@galenaway/core"
+import type { BodyFailure } from "@galenaway/ingress"
 import { chooseService, type PartId } from "@galenaway/routing"
-import { readBody } from "./body.js"
 import { type Call, isStopLimit, StopLimitError } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import {
+  BODY_NOT_HELD,
+  BODY_TIMEOUT,
   buildRefusal,
   buildUnknownOutcome,
   type ErrorAnswer,
@@ -76,17 +78,38 @@
       return
     }
     const disconnectSignal = this.createDisconnectSignal(response)
-    const body = await readBody(request, routes.configuration.limits.maxBodyBytes, disconnectSignal)
-    if (body === "too-large") this.sendRefusal(request, reply, TOO_LARGE)
-    else if (isStopLimit(disconnectSignal)) this.sendRefusal(request, reply, STOPPING)
-    else if (body !== "gone")
-      await this.forward(route, request, body, arrivedAt, disconnectSignal, reply)
+    const facts = this.context.headerCodec.readRequest(request.rawHeaders)
+    const deadline = arrivedAt + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
+    const body = await this.context.ingress.readBody(request, {
+      maxBytes: routes.configuration.limits.maxBodyBytes,
+      deadline,
+      signal: disconnectSignal,
+    })
+    if (isStopLimit(disconnectSignal)) this.sendRefusal(request, reply, STOPPING)
+    else if (typeof body === "string") this.refuseBody(request, reply, body)
+    else await this.forward(route, request, body, facts, arrivedAt, disconnectSignal, reply)
+  }
+
+  private refuseBody(request: IncomingMessage, reply: CallerReply, failure: BodyFailure): void {
+    switch (failure) {
+      case "too-large":
+        this.sendRefusal(request, reply, TOO_LARGE)
+        return
+      case "no-memory":
+        this.sendRefusal(request, reply, BODY_NOT_HELD)
+        return
+      case "timeout":
+        this.sendRefusal(request, reply, BODY_TIMEOUT)
+        return
+      case "gone":
+    }
   }
 
   private async forward(
     route: Route,
     request: IncomingMessage,
     body: Buffer,
+    facts: RequestMetadata,
     arrivedAt: number,
     disconnectSignal: AbortSignal,
     reply: CallerReply,
@@ -97,7 +120,6 @@
       return
     }
     const headers = request.rawHeaders
-    const facts = this.context.headerCodec.readRequest(headers)
     const timeoutMs = Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs)
     const call: Call = {
       method: request.method ?? "GET",
@@ -138,8 +160,7 @@
       { request: attempt, status: answer.status, reason: answer.message },
       "answered by the instance",
     )
-    // An unread body would block the connection for later requests.
-    request.resume()
+    this.context.ingress.discardBody(request)
     reply.sendError(answer)
   }
 }
--- a/packages/entry/src/quarantine/routes.ts
+++ b/packages/entry/src/quarantine/routes.ts
@@ -3,7 +3,7 @@
 import { z } from "zod"
 import type { Log } from "@galenaway/observe"
 import type { PartId, QuarantinedPart } from "@galenaway/routing"
-import { readBody } from "../forward/body.js"
+import { readBody } from "./body.js"
 
 /** The request parts that an instance holds back, for operators. */
 export interface QuarantineReply {
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -27,6 +27,8 @@
   retryShare: SHARE_SCHEMA,
   retryWindowS: SECONDS_SCHEMA,
   retryFixed: z.coerce.number().min(0),
+  memoryMb: z.coerce.number().min(64),
+  maxFds: z.coerce.number().int().min(232).optional(),
   logLevel: z.enum(["debug", "info", "warn", "error"]),
 })
 
@@ -61,6 +63,10 @@
   readonly retryWindowS: number
   /** Retries of the fleet in a window in addition to the share. */
   readonly retryFixed: number
+  /** Memory of the process, in megabytes. It determines how many bytes are held for callers. */
+  readonly memoryMb: number
+  /** Number of descriptors that the process may open, by default the limit of the system. It determines how many connections callers may open. */
+  readonly maxFds?: number | undefined
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -132,6 +138,15 @@
     description: "retries in a window in addition to the share",
     defaultValue: "20",
   },
+  memoryMb: {
+    flag: "--memory-mb <mb>",
+    description: "memory of the process; bodies and answers held for callers stay within a part",
+    defaultValue: "1024",
+  },
+  maxFds: {
+    flag: "--max-fds <count>",
+    description: "descriptors of the process; callers may open connections for a part",
+  },
   logLevel: {
     flag: "--log-level <level>",
     description: "debug, info, warn or error",
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -8,6 +8,7 @@
   ServiceName,
   StoreItem,
 } from "@galenaway/core"
+import { computeGuardLimits, IngressGuard } from "@galenaway/ingress"
 import {
   EndpointHealth,
   PaceTable,
@@ -98,6 +99,27 @@
   }
 }
 
+/** Creates the guard of the callers' interface. */
+export function createIngressGuard(c: DependencyContainer): IngressGuard {
+  const { memoryMb, maxFds } = c.resolve(ENTRY_TOKENS.settings)
+  const metrics = c.resolve(ENTRY_TOKENS.metrics)
+  const log = c.resolve(RequestLog)
+  return new IngressGuard(computeGuardLimits({ memoryMb, maxDescriptors: maxFds }), {
+    onClose: (reason) => {
+      metrics.count("caller-closes")
+      log.write({ reason }, "caller connection closed")
+    },
+    onRefusedBody: (reason) => {
+      metrics.count("body-refusals")
+      log.write({ reason }, "body not read")
+    },
+    onTick: (connections, heldBytes) => {
+      metrics.setGauge("caller-connections", connections)
+      metrics.setGauge("held-bytes", heldBytes)
+    },
+  })
+}
+
 /** Creates the server that peers connect to. */
 export function createLinkServer(c: DependencyContainer): LinkServer {
   const owner = c.resolve(Owner)
@@ -262,6 +284,7 @@
     catalogue,
     directory,
     headerCodec,
+    ingress: c.resolve(IngressGuard),
     pools: c.resolve(EndpointPools),
     health,
     paces: c.resolve(PaceTable),
--- a/packages/entry/test/server.test.ts
+++ b/packages/entry/test/server.test.ts
@@ -3,9 +3,11 @@
 import { type IncomingMessage, type ServerResponse } from "node:http"
 import { expect } from "chai"
 import { CallerServer, type ForwardHandler } from "@galenaway/entry"
+import { IngressGuard } from "@galenaway/ingress"
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 const TIMEOUT_MS = 1000
+const GUARD_LIMITS = { budgetBytes: 64 * 1024 * 1024, maxConnections: 100 }
 /** More than the buffers of a connection hold. */
 const LARGE_BYTES = 16 * 1024 * 1024
 
@@ -67,7 +69,8 @@
       return Promise.resolve()
     },
   }
-  const server = new CallerServer(handler as ForwardHandler)
+  const guard = new IngressGuard(GUARD_LIMITS)
+  const server = new CallerServer(handler as ForwardHandler, guard)
   await server.start(`127.0.0.1:${String(port)}`)
   const open = async () => {
     const socket = connect({ port, host: "127.0.0.1" })
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -22,9 +22,17 @@
   | "engine-ends"
   | "cut-answers"
   | "quarantine-refusals"
+  | "caller-closes"
+  | "body-refusals"
 /** Metrics with a current value. */
 export type GaugeMetric =
-  "batch-fill" | "queued" | "running" | "suspected-parts" | "quarantined-parts"
+  | "batch-fill"
+  | "queued"
+  | "running"
+  | "suspected-parts"
+  | "quarantined-parts"
+  | "caller-connections"
+  | "held-bytes"
 
 /**
  * Records the metrics of one process. Its methods don't throw and don't block.
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -53,6 +53,8 @@
   "engine-ends": "Engines that ended while they answered requests of this instance.",
   "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
+  "caller-closes": "Connections of callers that were closed to protect this process.",
+  "body-refusals": "Requests refused because their body did not fit or did not arrive.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
@@ -61,6 +63,8 @@
   running: "Requests running on owned endpoints.",
   "suspected-parts": "Prompt parts that may end engines.",
   "quarantined-parts": "Prompt parts that no engine gets.",
+  "caller-connections": "Open connections of callers.",
+  "held-bytes": "Bytes held for callers.",
 }
 
 /** Metrics that can be read. Their memory is allocated at creation and doesn't grow. */
