--- a/packages/daemon/src/caller/completions.ts
+++ b/packages/daemon/src/caller/completions.ts
@@ -9,6 +9,7 @@
   type Router,
   type RouteRequest,
 } from "@galenaway/core"
+import type { IngressGuard } from "@galenaway/ingress"
 import { type AnswerTarget, streamAnswer } from "./answer.js"
 import { sendError, wrapError } from "./errors.js"
 import type { TimeSource } from "./idle-timeout.js"
@@ -28,6 +29,7 @@
   readonly router: Router
   readonly engines: ReadonlyMap<EndpointId, EnginePort>
   readonly getDeadlineMs: DeadlineSource
+  readonly ingress: IngressGuard
 }
 
 /** One request in progress. */
@@ -53,7 +55,7 @@
     try {
       const ids = readRequestIds(request.headers)
       response.setHeader("x-request-id", ids.caller)
-      const body = await readLimitedBody(request)
+      const body = await readLimitedBody(request, this.deps.ingress)
       const now = this.deps.clock.now()
       const { getDeadlineMs } = this.deps
       const parsed = parseCompletion(ids.internal, body, request.headers, now, getDeadlineMs)
--- a/packages/daemon/src/caller/request.ts
+++ b/packages/daemon/src/caller/request.ts
@@ -1,14 +1,16 @@
 import { randomUUID } from "node:crypto"
 import type { IncomingHttpHeaders } from "node:http"
 import type { Request } from "@tinyhttp/app"
-import getRawBody from "raw-body"
-import { type Clock, RefusedError } from "@galenaway/core"
+import { type Clock, RefusedError, systemClock } from "@galenaway/core"
+import type { BodyFailure, IngressGuard } from "@galenaway/ingress"
 import type { TimeSource } from "./idle-timeout.js"
 import { createInputError } from "./parse.js"
 import { waitMs } from "./timer.js"
 
 /** The largest accepted request body. */
 export const BODY_LIMIT_BYTES = 1024 * 1024
+/** Time within which a whole request must arrive. */
+export const REQUEST_TIMEOUT_MS = 30_000
 const CALLER_ID_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/
 /** Number of hexadecimal digits that are added to a caller's id. */
 const UNIQUE_SUFFIX_LENGTH = 12
@@ -34,15 +36,29 @@
   return { caller: given, internal: `${given}-${unique}` }
 }
 
-/** Reads a request body. Throws a RefusedError when it exceeds the limit or is incomplete. */
-export async function readLimitedBody(request: Request): Promise<string> {
-  try {
-    return await getRawBody(request, { limit: BODY_LIMIT_BYTES, encoding: "utf8" })
-  } catch (error) {
-    if ((error as { type?: string }).type !== "entity.too.large")
-      throw createInputError("body: it did not arrive whole")
-    const message = `body: at most ${BODY_LIMIT_BYTES} bytes`
-    throw new RefusedError("too-large", "parse", "caller", message)
+/** Reads a request body. Throws a RefusedError when it exceeds the limit, can't be held or doesn't arrive whole in time. */
+export async function readLimitedBody(request: Request, ingress: IngressGuard): Promise<string> {
+  const deadline = systemClock.now() + REQUEST_TIMEOUT_MS
+  const body = await ingress.readBody(request, { maxBytes: BODY_LIMIT_BYTES, deadline })
+  if (typeof body === "string") throw createBodyError(body)
+  return body.toString()
+}
+
+function createBodyError(failure: BodyFailure): RefusedError {
+  switch (failure) {
+    case "too-large":
+      return new RefusedError(
+        "too-large",
+        "parse",
+        "caller",
+        `body: at most ${BODY_LIMIT_BYTES} bytes`,
+      )
+    case "no-memory":
+      return new RefusedError("overloaded", "parse", "self", "too many bytes of requests are held")
+    case "timeout":
+      return new RefusedError("deadline", "parse", "caller", "body: it did not arrive in time")
+    case "gone":
+      return createInputError("body: it did not arrive whole")
   }
 }
 
--- a/packages/daemon/src/caller/server.ts
+++ b/packages/daemon/src/caller/server.ts
@@ -1,11 +1,12 @@
-import { createServer, type Server } from "node:http"
+import { createServer, type RequestListener, type Server } from "node:http"
 import { App } from "@tinyhttp/app"
+import type { IngressGuard } from "@galenaway/ingress"
 import type { CompletionHandler } from "./completions.js"
+import { REQUEST_TIMEOUT_MS } from "./request.js"
 import type { ServiceHandler } from "./services.js"
 import type { Address } from "../settings.js"
 
 const HEADERS_TIMEOUT_MS = 10_000
-const REQUEST_TIMEOUT_MS = 30_000
 const MAX_HEADER_BYTES = 16 * 1024
 const DRAIN_POLL_MS = 20
 const MICROSECONDS_PER_MS = 1000
@@ -22,6 +23,7 @@
   address: Address,
   completions: CompletionHandler,
   services: ServiceHandler,
+  ingress: IngressGuard,
 ): Promise<CallerServer> {
   const app = new App()
   const state = { running: 0, isDraining: false }
@@ -38,7 +40,7 @@
   })
   app.post("/v1/chat/completions", (request, response) => completions.handle(request, response))
   app.post("/v1/services/:operation", (request, response) => services.handle(request, response))
-  const server = await listen(app, address)
+  const server = await listen(app, address, ingress)
   return {
     address,
     drain: async (limitMs) => {
@@ -49,13 +51,15 @@
   }
 }
 
-function listen(app: App, address: Address): Promise<Server> {
+function listen(app: App, address: Address, ingress: IngressGuard): Promise<Server> {
   const options = {
     maxHeaderSize: MAX_HEADER_BYTES,
     headersTimeout: HEADERS_TIMEOUT_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
   }
-  const server = createServer(options).on("request", app.attach)
+  const server = createServer(options)
+  ingress.setHeaderTimeout(HEADERS_TIMEOUT_MS)
+  ingress.attach(server, app.attach as RequestListener)
   return new Promise((resolve, reject) => {
     server.once("error", reject)
     server.listen(address.port, address.host, () => {
--- a/packages/daemon/src/caller/services.ts
+++ b/packages/daemon/src/caller/services.ts
@@ -8,6 +8,7 @@
   GalenawayError,
   Incarnation,
 } from "@galenaway/core"
+import type { IngressGuard } from "@galenaway/ingress"
 import { sendError, wrapError } from "./errors.js"
 import type { TimeSource } from "./idle-timeout.js"
 import { parseDeadline, createInputError } from "./parse.js"
@@ -27,6 +28,7 @@
   readonly platform: ClaimStore
   readonly incarnation: Incarnation
   readonly agent: Agent
+  readonly ingress: IngressGuard
   /** Returns whether new calls may be sent to an endpoint; false for one that is leaving. */
   readonly isUsable?: (endpoint: EndpointId) => boolean
   /** Returns whether another incarnation may be running, so that it can settle its claims. */
@@ -71,7 +73,12 @@
     try {
       const ids = readRequestIds(request.headers)
       response.setHeader("x-request-id", ids.caller)
-      const parsed = parseCall(ids.internal, operation, request, await readLimitedBody(request))
+      const parsed = parseCall(
+        ids.internal,
+        operation,
+        request,
+        await readLimitedBody(request, this.deps.ingress),
+      )
       await this.answer(parsed, response, start)
     } catch (error) {
       sendError(response, error)
--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -8,6 +8,7 @@
 } from "tsyringe"
 import { Agent } from "undici"
 import type { EndpointId, EndpointInfo, EnginePort, PlatformPort, Router } from "@galenaway/core"
+import { computeGuardLimits, IngressGuard } from "@galenaway/ingress"
 import {
   createLog,
   createMetrics,
@@ -57,6 +58,8 @@
 /** The naive router's state of each engine, by endpoint. */
 export type RowMap = ReadonlyMap<EndpointId, NaiveEngineState>
 
+/** A body is held as text, and encoded again when it is sent to an endpoint. */
+const BODY_COPY_COUNT = 2
 const KEEP_ALIVE_MS = 30_000
 const CONNECT_TIMEOUT_MS = 1000
 
@@ -94,6 +97,7 @@
   registerCached<RowMap>(container, TOKENS.rows, () => createRows(settings.endpoints))
   registerCached(container, Coordination, (c) => createCoordination(settings, c))
   registerCached<Router>(container, TOKENS.router, (c) => createRouter(settings, c))
+  registerCached(container, IngressGuard, (c) => createIngressGuard(settings, c))
   registerCached(
     container,
     CompletionHandler,
@@ -102,6 +106,7 @@
         router: c.resolve(TOKENS.router),
         engines: c.resolve(TOKENS.engines),
         getDeadlineMs: createDeadlineSource(settings, c),
+        ingress: c.resolve(IngressGuard),
         recorder: c.resolve(TOKENS.recorder),
         metrics: c.resolve(TOKENS.metrics),
         log: c.resolve(TOKENS.log),
@@ -119,6 +124,7 @@
         incarnation: c.resolve(TOKENS.incarnation),
         ...createServicePredicates(settings, c),
         agent: c.resolve(TOKENS.agent),
+        ingress: c.resolve(IngressGuard),
         recorder: c.resolve(TOKENS.recorder),
         metrics: c.resolve(TOKENS.metrics),
         log: c.resolve(TOKENS.log),
@@ -158,6 +164,32 @@
   }
 }
 
+/** Creates the guard of the callers' interface. */
+function createIngressGuard(
+  { memoryMb, maxFds }: Settings,
+  container: DependencyContainer,
+): IngressGuard {
+  const metrics = container.resolve<Metrics>(TOKENS.metrics)
+  const log = container.resolve<Log>(TOKENS.log)
+  return new IngressGuard(
+    computeGuardLimits({ memoryMb, maxDescriptors: maxFds, copyCount: BODY_COPY_COUNT }),
+    {
+      onClose: (reason) => {
+        metrics.count("caller-closes")
+        log.info({ reason }, "caller connection closed")
+      },
+      onRefusedBody: (reason) => {
+        metrics.count("body-refusals")
+        log.info({ reason }, "body not read")
+      },
+      onTick: (connections, heldBytes) => {
+        metrics.setGauge("caller-connections", connections)
+        metrics.setGauge("held-bytes", heldBytes)
+      },
+    },
+  )
+}
+
 /** Registers the recorder and the metrics, also as sources of the operators' interface. */
 function registerObservers(container: DependencyContainer, settings: Settings): void {
   const { id: instance, dataCentre } = settings
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 import type { DependencyContainer } from "tsyringe"
+import { IngressGuard } from "@galenaway/ingress"
 import type { Log } from "@galenaway/observe"
 import { CompletionHandler } from "./caller/completions.js"
 import { type CallerServer, startCallerServer } from "./caller/server.js"
@@ -42,6 +43,7 @@
     settings.listen,
     container.resolve(CompletionHandler),
     container.resolve(ServiceHandler),
+    container.resolve(IngressGuard),
   )
   const operators = await startOperatorInterface(container, settings)
   log.info({ listen: `${settings.listen.host}:${settings.listen.port}` }, "started")
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -38,6 +38,8 @@
   operatorKey: z.string().min(8, "at least 8 characters"),
   peerKey: z.string().min(8, "at least 8 characters"),
   drainSeconds: z.coerce.number().min(0).max(3600),
+  memoryMb: z.coerce.number().min(64),
+  maxFds: z.coerce.number().int().min(232).optional(),
 })
 
 /** An address to listen on or connect to. */
@@ -68,6 +70,10 @@
   readonly peerKey: string
   /** The longest time for which a graceful stop waits for running requests. */
   readonly drainSeconds: number
+  /** Memory of the process, in megabytes. It determines how many bytes are held for callers. */
+  readonly memoryMb: number
+  /** Number of descriptors that the process may open, by default the limit of the system. It determines how many connections callers may open. */
+  readonly maxFds?: number | undefined
 }
 
 /** One or more invalid settings. The message has a line for each: its name, its value and the accepted values. */
@@ -126,6 +132,8 @@
   )
   addOption("--peer-key <secret>", "GALENAWAY_PEER_KEY", "secret between instances")
   addOption("--drain-seconds <seconds>", "GALENAWAY_DRAIN_SECONDS", "longest graceful stop", "30")
+  addOption("--memory-mb <mb>", "GALENAWAY_MEMORY_MB", "memory of the process", "1024")
+  addOption("--max-fds <count>", "GALENAWAY_MAX_FDS", "descriptors of the process")
   command.exitOverride().parse([...argv], { from: "user" })
   const options = command.opts<Record<string, string | undefined>>()
   return {
--- a/packages/daemon/test/caller-services.test.ts
+++ b/packages/daemon/test/caller-services.test.ts
@@ -6,6 +6,7 @@
 import { pino } from "pino"
 import { Agent, request as sendRequest } from "undici"
 import type { EndpointInfo, GalenawayError } from "@galenaway/core"
+import { IngressGuard } from "@galenaway/ingress"
 import {
   ServiceHandler,
   type ServiceHandlerDependencies,
@@ -41,6 +42,7 @@
     platform: createMemoryStore({ wait: waitMs }),
     incarnation: "a",
     agent: new Agent(),
+    ingress: new IngressGuard({ budgetBytes: 4 * 1024 * 1024, maxConnections: 100 }),
     clock,
     wait: waitMs,
     recorder: noopRecorder,
--- a/packages/daemon/test/caller.test.ts
+++ b/packages/daemon/test/caller.test.ts
@@ -15,6 +15,7 @@
   type StreamPart,
   UnknownOutcomeError,
 } from "@galenaway/core"
+import { IngressGuard } from "@galenaway/ingress"
 import { CompletionHandler, STALL_LIMIT_MS, StreamWriter } from "@galenaway/daemon"
 import { createManualClock } from "@galenaway/fakes"
 import { type EventDetails, noopMetrics, noopRecorder } from "@galenaway/observe"
@@ -93,6 +94,7 @@
   const recorder = { ...noopRecorder, record: (event: EventDetails) => events.push(event) }
   const handler = new CompletionHandler({
     getDeadlineMs: () => DEADLINE_MS,
+    ingress: new IngressGuard({ budgetBytes: 4 * 1024 * 1024, maxConnections: 100 }),
     router,
     engines: new Map([["e1", engine]]),
     clock,
