--- a/bench/src/processor-time.ts
+++ b/bench/src/processor-time.ts
@@ -158,6 +158,7 @@
     quotaWindowS: 8,
     quotaExcess: 0.1,
     quotaSlack: 0,
+    memoryMb: 1024,
     cpuShare: 1,
     cores: 1,
     transferMs: 0,
--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -8,6 +8,7 @@
 import type { InjectionToken } from "tsyringe"
 import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
 import { systemClock } from "@galenaway/core"
+import { IngressGuard } from "@galenaway/ingress"
 import { createLog, createMetrics } from "@galenaway/observe"
 import {
   CostEstimator,
@@ -49,6 +50,7 @@
 import {
   createForwardContext,
   createInstanceMonitor,
+  createIngressGuard,
   createLeavingReports,
   createLinks,
   createLinkServer,
@@ -269,6 +271,7 @@
 ): void {
   container.registerInstance(SlowInstances, new SlowInstances())
   registerCached(container, ENTRY_TOKENS.monitor, (c) => createInstanceMonitor(c, settings))
+  registerCached(container, IngressGuard, createIngressGuard)
   registerCached(container, ENTRY_TOKENS.forward, (c) =>
     createForwardContext(c, settings, headerCodec),
   )
@@ -277,5 +280,9 @@
     ForwardHandler,
     (c) => new ForwardHandler(c.resolve(ENTRY_TOKENS.forward)),
   )
-  registerCached(container, CallerServer, (c) => new CallerServer(c.resolve(ForwardHandler)))
+  registerCached(
+    container,
+    CallerServer,
+    (c) => new CallerServer(c.resolve(ForwardHandler), c.resolve(IngressGuard)),
+  )
 }
--- a/packages/entry/src/forward/context.ts
+++ b/packages/entry/src/forward/context.ts
@@ -7,6 +7,7 @@
   Registration,
   ServiceName,
 } from "@galenaway/core"
+import type { IngressGuard } from "@galenaway/ingress"
 import type { Metrics } from "@galenaway/observe"
 import type {
   CostEstimator,
@@ -39,6 +40,8 @@
   readonly headerCodec: HeaderCodec
   readonly authorizer: Authorizer
   readonly accountUsage: AccountUsage
+  /** Reads and discards the bodies of requests. */
+  readonly ingress: IngressGuard
   readonly pools: EndpointPools
   readonly health: EndpointHealth
   readonly paces: PaceTable
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -1,10 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http"
 import type { CallerLimits, ClientAccount, Millis, RequestMetadata, Route } from "@galenaway/core"
+import type { BodyFailure } from "@galenaway/ingress"
 import { chooseService, type PartId } from "@galenaway/routing"
-import { readBody } from "./body.js"
 import { type Call, isStopLimit, StopLimitError } from "./call.js"
 import type { ForwardContext } from "./context.js"
 import {
+  BODY_NOT_HELD,
+  BODY_TIMEOUT,
   buildOverQuota,
   buildRefusal,
   buildUnauthorized,
@@ -141,17 +143,35 @@
     accepted: AcceptedRequest,
     disconnectSignal: AbortSignal,
   ): Promise<boolean> {
-    const { maxBodyBytes } = accepted.limits
     // The connection may have closed while the quota was awaited.
-    const body = disconnectSignal.aborted
-      ? "gone"
-      : await readBody(accepted.request, maxBodyBytes, disconnectSignal)
-    if (body === "too-large") this.refuse(accepted, TOO_LARGE)
-    else if (isStopLimit(disconnectSignal)) this.refuse(accepted, STOPPING)
-    else if (body !== "gone") return this.forward(accepted, body, disconnectSignal)
+    if (disconnectSignal.aborted && !isStopLimit(disconnectSignal)) return false
+    const { request, facts, route, arrivedAt, limits } = accepted
+    const body = await this.context.ingress.readBody(request, {
+      maxBytes: limits.maxBodyBytes,
+      deadline: arrivedAt + Math.min(facts.deadlineMs ?? Infinity, route.timeoutMs),
+      signal: disconnectSignal,
+    })
+    if (isStopLimit(disconnectSignal)) this.refuse(accepted, STOPPING)
+    else if (typeof body === "string") this.refuseBody(accepted, body)
+    else return this.forward(accepted, body, disconnectSignal)
     return false
   }
 
+  private refuseBody(accepted: AcceptedRequest, failure: BodyFailure): void {
+    switch (failure) {
+      case "too-large":
+        this.refuse(accepted, TOO_LARGE)
+        return
+      case "no-memory":
+        this.refuse(accepted, BODY_NOT_HELD)
+        return
+      case "timeout":
+        this.refuse(accepted, BODY_TIMEOUT)
+        return
+      case "gone":
+    }
+  }
+
   private async forward(
     accepted: AcceptedRequest,
     body: Buffer,
@@ -211,8 +231,7 @@
       { request: attempt, status: answer.status, reason: answer.message },
       "answered by the instance",
     )
-    // An unread body would block the connection for later requests.
-    request.resume()
+    this.context.ingress.discardBody(request)
     reply.sendError(answer)
   }
 }
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -33,6 +33,8 @@
   cpuShare: z.coerce.number().positive(),
   cores: z.coerce.number().min(0),
   transferMs: z.coerce.number().min(0),
+  memoryMb: z.coerce.number().min(64),
+  maxFds: z.coerce.number().int().min(232).optional(),
   logLevel: z.enum(["debug", "info", "warn", "error"]),
 })
 
@@ -79,6 +81,10 @@
   readonly cores: number
   /** Price of a request's bytes between data centres, as an added wait in ms. 0 if they are free: engines of all data centres are then chosen by their load and distance. */
   readonly transferMs: number
+  /** Memory of the process, in megabytes. It determines how many bytes are held for callers. */
+  readonly memoryMb: number
+  /** Number of descriptors that the process may open, by default the limit of the system. It determines how many connections callers may open. */
+  readonly maxFds?: number | undefined
   readonly logLevel: "debug" | "info" | "warn" | "error"
 }
 
@@ -180,6 +186,15 @@
     description: "price of a request's bytes between data centres, as an added wait",
     defaultValue: "0",
   },
+  memoryMb: {
+    flag: "--memory-mb <mb>",
+    description: "memory of the process; bodies and answers held for callers stay within a part",
+    defaultValue: "1024",
+  },
+  maxFds: {
+    flag: "--max-fds <count>",
+    description: "descriptors of the process; callers may open connections for a part",
+  },
   logLevel: {
     flag: "--log-level <level>",
     description: "debug, info, warn or error",
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -31,6 +31,8 @@
   | "breaks"
   | "slow-refusals"
   | "overflows"
+  | "caller-closes"
+  | "body-refusals"
 /** Metrics with a current value. */
 export type GaugeMetric =
   | "batch-fill"
@@ -40,6 +42,8 @@
   | "quarantined-parts"
   | "own-delay"
   | "processor-use"
+  | "caller-connections"
+  | "held-bytes"
 
 /**
  * Records the metrics of one process. Its methods don't throw and don't block.
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -66,6 +66,8 @@
   breaks: "Times that the instance wasn't ready because it delayed its answers.",
   "slow-refusals": "Requests refused because the instance would have delayed them too long.",
   overflows: "Times that a full data centre began to send its requests to another one.",
+  "caller-closes": "Connections of callers that were closed to protect this process.",
+  "body-refusals": "Requests refused because their body did not fit or did not arrive.",
 }
 
 const GAUGE_HELP: Readonly<Record<GaugeMetric, string>> = {
@@ -76,6 +78,8 @@
   "quarantined-parts": "Prompt parts that no engine gets.",
   "own-delay": "Time in ms that the instance itself adds until an answer begins.",
   "processor-use": "Processor time in use, as a share of what the instance may use.",
+  "caller-connections": "Open connections of callers.",
+  "held-bytes": "Bytes held for callers.",
 }
 
 /** Metrics that can be read. Their memory is allocated at creation and doesn't grow. */
