--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -166,6 +166,7 @@
   const configuration = { version: 1, routes: routes ?? [], services: new Map(), limits }
   const context = {
     authorizer,
+    ingress: { discardBody: () => undefined, readBody: () => Promise.resolve(Buffer.alloc(0)) },
     accountUsage: new AccountUsage(),
     catalogue: { routes: routes && new RouteTable(configuration) },
     directory: { listLive: () => [] },
--- a/packages/entry/test/handler.test.ts
+++ b/packages/entry/test/handler.test.ts
@@ -19,6 +19,7 @@
   },
   headerCodec: { readRequest: () => ({}), buildAnswer: () => [] },
   clock: { now: () => 0 },
+  ingress: { discardBody: () => undefined },
   log: { write: () => undefined },
   stop: new StopSchedule(createManualClock(), 8000),
 } as unknown as ForwardContext
