--- a/packages/entry/src/explain/explain-request.ts
+++ b/packages/entry/src/explain/explain-request.ts
@@ -6,7 +6,7 @@
   type Placement,
   type ServiceChoiceRule,
 } from "@galenaway/routing"
-import type { ForwardContext } from "../forward/index.js"
+import { chooseOutputTokens, type ForwardContext } from "../forward/index.js"
 
 /** The request that an operator asks about. */
 export interface ExplainRequestQuery {
@@ -120,7 +120,7 @@
     adapter,
     account,
     promptTokens,
-    outputTokens: lengthHint ?? outputTokens,
+    outputTokens: chooseOutputTokens(lengthHint, outputTokens),
   }
   const costMs = costs.estimateRun(request, paces.get(service))
   const isCostLearned = costs.isInformative(service)
--- a/packages/entry/src/forward/work.ts
+++ b/packages/entry/src/forward/work.ts
@@ -38,6 +38,12 @@
     : costs.estimateRun(toModelRequest(call), paces.get(call.service))
 }
 
+/** Returns the caller's estimate, at most the maximum if there is one. */
+export function chooseOutputTokens(lengthHint: number | undefined, maxTokens: number): number {
+  if (lengthHint === undefined) return maxTokens
+  return maxTokens > 0 ? Math.min(lengthHint, maxTokens) : lengthHint
+}
+
 function toModelRequest({ service, route, facts, account }: Call): ModelRequest {
   const { adapter, promptTokens, lengthHint, outputTokens } = facts
   return {
@@ -46,6 +52,6 @@
     adapter,
     account: account?.name,
     promptTokens,
-    outputTokens: lengthHint ?? outputTokens,
+    outputTokens: chooseOutputTokens(lengthHint, outputTokens),
   }
 }
--- a/packages/routing/src/cost-estimator.ts
+++ b/packages/routing/src/cost-estimator.ts
@@ -1,5 +1,5 @@
 import type { AdapterName, Millis, ServiceName } from "@galenaway/core"
-import type { PaceEstimator } from "@galenaway/policy"
+import { hashText, type PaceEstimator } from "@galenaway/policy"
 import { RecentTable } from "./recent-table.js"
 
 /** What the cost of a call without a model depends on. */
@@ -49,9 +49,14 @@
 const PREFIX_SEGMENT_COUNT = 2
 /** Bound on the kinds of calls, and on those of model requests, that are told apart. */
 const MAX_KIND_COUNT = 500
+/** Bound on the output tokens of one request as a multiple of their mean, and at least this number. */
+const MAX_TOKEN_FACTOR = 20
+const MIN_TOKEN_BOUND = 5000
 /** Estimates are used when their error is at most this share of that of the mean, after this number of requests. */
 const INFORMATIVE_ERROR_SHARE = 0.7
 const MIN_RUN_COUNT = 20
+/** One error counts at most as this multiple of the mean. */
+const MAX_ERROR_FACTOR = 2
 
 /**
  * Learns what requests cost, from the answers to one instance: the time that an
@@ -66,13 +71,13 @@
  */
 export class CostEstimator {
   private readonly services = new Map<ServiceName, LearnedCost>()
-  private readonly kinds = new RecentTable<LearnedCost>(MAX_KIND_COUNT)
+  private readonly kinds = new RecentTable<number, LearnedCost>(MAX_KIND_COUNT)
   private readonly serviceRuns = new Map<ServiceName, ServiceRuns>()
-  private readonly runKinds = new RecentTable<LearnedRun>(MAX_KIND_COUNT)
+  private readonly runKinds = new RecentTable<number, LearnedRun>(MAX_KIND_COUNT)
 
   /** Estimates the cost of a call in ms. */
   estimateCall(call: PlainCall): Millis {
-    return this.kinds.get(formatCallKind(call))?.meanMs ?? this.getMeanCost(call.service)
+    return this.kinds.get(hashCallKind(call))?.meanMs ?? this.getMeanCost(call.service)
   }
 
   /** Returns the mean cost of the calls of a service in ms. */
@@ -84,7 +89,7 @@
   recordCall(call: PlainCall, ms: Millis): void {
     const service = this.services.get(call.service) ?? { meanMs: FIRST_COST_MS, count: 0 }
     this.services.set(call.service, service)
-    const key = formatCallKind(call)
+    const key = hashCallKind(call)
     const kind = this.kinds.get(key) ?? { meanMs: service.meanMs, count: 0 }
     recordCost(service, ms)
     recordCost(kind, ms)
@@ -108,10 +113,11 @@
     const runs = this.serviceRuns.get(request.service) ?? createServiceRuns(pace)
     this.serviceRuns.set(request.service, runs)
     const weight = computeWeight(runs.count + 1)
-    const estimateErrorMs = Math.abs(this.predictRun(request, pace) - ms)
+    const maxErrorMs = MAX_ERROR_FACTOR * runs.meanMs
+    const estimateErrorMs = Math.min(maxErrorMs, Math.abs(this.predictRun(request, pace) - ms))
     runs.estimateErrorMs += weight * (estimateErrorMs - runs.estimateErrorMs)
     runs.meanErrorMs += weight * (Math.abs(runs.meanMs - ms) - runs.meanErrorMs)
-    const key = formatRunKind(request)
+    const key = hashRunKind(request)
     const { meanMs, meanTokens, writeMs } = runs
     const kind = this.runKinds.get(key) ?? { meanMs, meanTokens, writeMs, count: 0 }
     const readMs = computeReadMs(request, pace)
@@ -120,12 +126,12 @@
   }
 
   private predictRun(request: ModelRequest, pace: PaceEstimator): Millis {
-    const learned =
-      this.runKinds.get(formatRunKind(request)) ?? this.serviceRuns.get(request.service)
+    const learned = this.runKinds.get(hashRunKind(request)) ?? this.serviceRuns.get(request.service)
     if (!learned) return pace.runMs
-    if (request.outputTokens <= 0 || learned.meanTokens <= 0) return learned.meanMs
+    const tokens = boundTokens(request.outputTokens, learned)
+    if (tokens <= 0 || learned.meanTokens <= 0) return learned.meanMs
     const msPerToken = learned.writeMs / learned.meanTokens
-    return computeReadMs(request, pace) + request.outputTokens * msPerToken
+    return computeReadMs(request, pace) + tokens * msPerToken
   }
 }
 
@@ -138,6 +144,11 @@
   return { meanMs: pace.runMs, meanTokens: 0, writeMs: 0, count: 0, ...errors }
 }
 
+/** Bounds an estimate of a caller, so that an absurd one doesn't spoil those of others. */
+function boundTokens(tokens: number, { meanTokens }: LearnedRun): number {
+  return Math.min(tokens, Math.max(MIN_TOKEN_BOUND, MAX_TOKEN_FACTOR * meanTokens))
+}
+
 function computeWeight(count: number): number {
   return Math.max(SMOOTHING_SHARE, 1 / (count + PRIOR_COUNT))
 }
@@ -147,20 +158,22 @@
   cost.meanMs += computeWeight(cost.count) * (ms - cost.meanMs)
 }
 
-function recordRun(learned: LearnedRun, tokens: number, ms: Millis, readMs: Millis): void {
+function recordRun(learned: LearnedRun, outputTokens: number, ms: Millis, readMs: Millis): void {
   recordCost(learned, ms)
+  const tokens = boundTokens(outputTokens, learned)
   if (tokens <= 0) return
   const weight = computeWeight(learned.count)
   learned.meanTokens += weight * (tokens - learned.meanTokens)
   learned.writeMs += weight * (Math.max(0, ms - readMs) - learned.writeMs)
 }
 
-function formatCallKind({ service, route, path }: PlainCall): string {
+/** Identifies a kind of calls by a hash, since paths and names of adapters may be long. */
+function hashCallKind({ service, route, path }: PlainCall): number {
   const [pathname = ""] = path.split("?", 1)
   const prefix = pathname.split("/", PREFIX_SEGMENT_COUNT + 1).join("/")
-  return `${service} ${route} ${prefix}`
+  return hashText(`${service} ${route} ${prefix}`)
 }
 
-function formatRunKind({ service, route, adapter = "", account = "" }: ModelRequest): string {
-  return `${service} ${route} ${adapter} ${account}`
+function hashRunKind({ service, route, adapter = "", account = "" }: ModelRequest): number {
+  return hashText(`${service} ${route} ${adapter} ${account}`)
 }
--- a/packages/routing/src/endpoint-times.ts
+++ b/packages/routing/src/endpoint-times.ts
@@ -4,6 +4,7 @@
   /** Moving average of the actual time of calls divided by their cost, at the usual pace. */
   factor: number
   sampleCount: number
+  sampledAt: Millis
   /** Moving average of the reported pace, as a multiple of the usual time; undefined without reports. */
   meanPace: number | undefined
   /** The last pace that the endpoint reported to any instance. */
@@ -20,6 +21,17 @@
 const PERCENT = 100
 /** Age at which a report has lost all but 1/e of its weight against the average of earlier ones. */
 const REPORT_AGE_MS = 300
+/**
+ * Ages at which a learned load or pace, and a learned time, have lost all but 1/e of
+ * what they differ from the usual. An endpoint that was bad gets no calls that could
+ * show that it no longer is, so what is known of it must fade.
+ */
+const REPORT_FADE_MS = 3000
+const FACTOR_FADE_MS = 10_000
+/** Bounds on a reported pace, and on the reported calls as a multiple of the places. */
+const MIN_PACE = 0.1
+const MAX_PACE = 10
+const MAX_LOAD_FACTOR = 10
 /** Weight of the latest report in the moving averages of load and pace. */
 const LOAD_SMOOTHING_SHARE = 0.15
 const PACE_SMOOTHING_SHARE = 0.1
@@ -50,7 +62,7 @@
   /** Records the load that an endpoint reported. */
   onReport(endpoint: EndpointId, report: ReportedLoad, now: Millis): void {
     const row = this.getRow(endpoint)
-    const load = report.running + report.waiting
+    const load = getLoad(report)
     row.meanLoad += LOAD_SMOOTHING_SHARE * (load - row.meanLoad)
     row.report = report
     row.reportedAt = now
@@ -61,7 +73,7 @@
   onPace(endpoint: EndpointId, pacePercent: number, at: Millis): void {
     const row = this.getRow(endpoint)
     if (row.meanPace !== undefined && at <= row.pacedAt) return
-    row.pace = pacePercent / PERCENT
+    row.pace = Math.min(MAX_PACE, Math.max(MIN_PACE, pacePercent / PERCENT))
     row.pacedAt = at
     row.meanPace ??= row.pace
     row.meanPace += PACE_SMOOTHING_SHARE * (row.pace - row.meanPace)
@@ -78,7 +90,9 @@
   estimatePace(endpoint: EndpointId, now: Millis): number | undefined {
     const row = this.rows.get(endpoint)
     if (row?.meanPace === undefined) return undefined
-    return row.meanPace + computeFreshness(row.pacedAt, now) * (row.pace - row.meanPace)
+    const age = now - row.pacedAt
+    const pace = row.meanPace + computeWeight(age, REPORT_AGE_MS) * (row.pace - row.meanPace)
+    return 1 + computeWeight(age, REPORT_FADE_MS) * (pace - 1)
   }
 
   /** Returns whether calls were waiting at an endpoint by its last report, so that the time of a call contains a wait. */
@@ -87,11 +101,12 @@
   }
 
   /** Records the time of a complete call that didn't wait at its endpoint, and what it was expected to cost. */
-  onCall(endpoint: EndpointId, ms: Millis, costMs: Millis): void {
+  onCall(endpoint: EndpointId, ms: Millis, costMs: Millis, now: Millis): void {
     const row = this.getRow(endpoint)
     const pace = row.meanPace === undefined ? 1 : row.pace
     const ratio = Math.min(MAX_FACTOR, ms / Math.max(1, costMs) / pace)
     row.sampleCount++
+    row.sampledAt = now
     const weight = Math.max(FACTOR_SMOOTHING_SHARE, 1 / (row.sampleCount + PRIOR_CALL_COUNT))
     row.factor += weight * (ratio - row.factor)
   }
@@ -99,7 +114,9 @@
   /** Estimates the time that an endpoint takes for a call, as a multiple of the call's cost. */
   estimateFactor(endpoint: EndpointId, now: Millis): number {
     const row = this.rows.get(endpoint)
-    return row ? row.factor * (this.estimatePace(endpoint, now) ?? 1) : 1
+    if (!row) return 1
+    const factor = 1 + computeWeight(now - row.sampledAt, FACTOR_FADE_MS) * (row.factor - 1)
+    return factor * (this.estimatePace(endpoint, now) ?? 1)
   }
 
   /** Returns the learned time of an endpoint as a multiple of the cost of calls, without its pace at present. */
@@ -112,8 +129,10 @@
   estimateLoad(endpoint: EndpointId, now: Millis): number {
     const row = this.rows.get(endpoint)
     if (!row?.report) return 0
-    const load = row.report.running + row.report.waiting
-    return row.meanLoad + computeFreshness(row.reportedAt, now) * (load - row.meanLoad)
+    const age = now - row.reportedAt
+    const load =
+      row.meanLoad + computeWeight(age, REPORT_AGE_MS) * (getLoad(row.report) - row.meanLoad)
+    return computeWeight(age, REPORT_FADE_MS) * load
   }
 
   /** Records that an endpoint refused a call because it was full. */
@@ -158,6 +177,7 @@
       row = {
         factor: 1,
         sampleCount: 0,
+        sampledAt: 0,
         meanPace: undefined,
         pace: 1,
         pacedAt: 0,
@@ -172,6 +192,11 @@
   }
 }
 
-function computeFreshness(reportedAt: Millis, now: Millis): number {
-  return Math.exp((reportedAt - now) / REPORT_AGE_MS)
+function getLoad({ running, waiting, slots }: ReportedLoad): number {
+  return Math.min(running + waiting, MAX_LOAD_FACTOR * Math.max(1, slots))
+}
+
+/** Computes the weight of a figure by its age, 1/e at `scaleMs`. */
+function computeWeight(age: Millis, scaleMs: Millis): number {
+  return Math.exp(-Math.max(0, age) / scaleMs)
 }
--- a/packages/routing/src/recent-table.ts
+++ b/packages/routing/src/recent-table.ts
@@ -1,16 +1,16 @@
 /** A table with a bounded number of entries. The one that was set least recently is dropped. */
-export class RecentTable<V> {
-  private readonly entries = new Map<string, V>()
+export class RecentTable<K, V> {
+  private readonly entries = new Map<K, V>()
 
   constructor(private readonly maxCount: number) {}
 
   /** Returns the value of a key. */
-  get(key: string): V | undefined {
+  get(key: K): V | undefined {
     return this.entries.get(key)
   }
 
   /** Sets the value of a key, which is the most recent one from then on. */
-  set(key: string, value: V): void {
+  set(key: K, value: V): void {
     this.entries.delete(key)
     this.entries.set(key, value)
     const [oldest] = this.entries.keys()
--- a/packages/routing/src/service-endpoint.ts
+++ b/packages/routing/src/service-endpoint.ts
@@ -101,7 +101,7 @@
   if (times.hasWaiting(endpoint.id)) return false
   const runMs = ms - getHopMs(endpoint, localDataCentre)
   const factor = times.estimateFactor(endpoint.id, now)
-  times.onCall(endpoint.id, runMs, costs.estimateCall(call))
+  times.onCall(endpoint.id, runMs, costs.estimateCall(call), now)
   costs.recordCall(call, runMs / factor)
   return true
 }
--- a/packages/routing/test/request-cost.test.ts
+++ b/packages/routing/test/request-cost.test.ts
@@ -131,6 +131,20 @@
   expect(costs.estimateRun(wrong, pace)).to.be.closeTo(readMs + 300 * TOKEN_MS, 300)
 })
 
+it("an absurd estimate of one caller doesn't spoil the costs of others", () => {
+  const costs = new CostEstimator()
+  const pace = new PaceEstimator()
+  const readMs = pace.firstTokenMs + pace.estimatePromptMs(REQUEST.promptTokens)
+  for (let count = 0; count < 200; count++) {
+    const outputTokens = 20 + 200 * (count % 5)
+    costs.recordRun({ ...REQUEST, outputTokens }, pace, readMs + outputTokens * TOKEN_MS)
+  }
+  const absurd = { ...REQUEST, account: "other", outputTokens: 1e300 }
+  costs.recordRun(absurd, pace, readMs + 100 * TOKEN_MS)
+  expect(costs.estimateRun(REQUEST, pace)).to.be.closeTo(readMs + 100 * TOKEN_MS, 100)
+  expect(costs.estimateRun(absurd, pace)).to.be.below(1e6)
+})
+
 it("requests cost the mean of their service where the estimates of callers say nothing", () => {
   const costs = new CostEstimator()
   const pace = new PaceEstimator()
--- a/packages/routing/test/service-endpoint.test.ts
+++ b/packages/routing/test/service-endpoint.test.ts
@@ -79,6 +79,39 @@
   expect(times.estimateFactor("e0", 5000)).to.be.within(1, 1.2)
 })
 
+it("an endpoint that was very slow gets calls again some time after its last answer", () => {
+  const view = buildView(3)
+  for (const { id } of view.endpoints) {
+    const isSlow = id === "e0"
+    const pacePercent = isSlow ? 900 : 100
+    for (let at = 1; at <= 20; at++) {
+      view.health.onLoad(id, { running: isSlow ? 30 : 1, waiting: 0, slots: 6, pacePercent }, at)
+      view.health.times.onCall(id, isSlow ? 900 : COST_MS, COST_MS, at)
+    }
+  }
+  const random = createRandom(11)
+  const countSlow = (now: number) => {
+    const chosen = Array.from(
+      { length: 300 },
+      () => chooseEndpoint(view, COST_MS, NO_ENDPOINTS, now, random())?.endpoint.id,
+    )
+    return chosen.filter((id) => id === "e0").length
+  }
+  expect(countSlow(20)).to.equal(0)
+  expect(countSlow(40_000)).to.be.above(30)
+})
+
+it("absurd reports of one endpoint don't last", () => {
+  const view = buildView(2)
+  const report = { running: 1e300, waiting: 1e300, slots: 6, pacePercent: 1e300 }
+  view.health.onLoad("e0", report, 0)
+  const { times } = view.health
+  expect(times.estimateFactor("e0", 0)).to.be.at.most(10)
+  expect(times.estimateLoad("e0", 0)).to.be.at.most(60)
+  expect(times.estimateLoad("e0", 20_000)).to.be.below(0.1)
+  expect(times.estimateFactor("e0", 20_000)).to.be.below(1.1)
+})
+
 it("an endpoint that refuses a call is told apart by its expected completion", () => {
   const view = buildView(2)
   view.health.onSend("e0", 0, 0)
@@ -136,7 +169,7 @@
       health.onEnd(id, random() < 0.3 ? "broken" : "answered", now)
     }
     for (let count = Math.floor(8 * random()); count > 0; count--)
-      health.times.onCall(id, COST_MS * (0.9 + 0.2 * random()), COST_MS)
+      health.times.onCall(id, COST_MS * (0.9 + 0.2 * random()), COST_MS, now)
   }
   const excluded = new Set(view.endpoints.flatMap(({ id }) => (random() < 0.2 ? [id] : [])))
   return { view, excluded, now }
