--- a/packages/entry/src/explain/explain-request.ts
+++ b/packages/entry/src/explain/explain-request.ts
@@ -6,7 +6,7 @@
   type Placement,
   type ServiceChoiceRule,
 } from "@galenaway/routing"
-import { chooseOutputTokens, type ForwardContext } from "../forward/index.js"
+import { buildServiceView, chooseOutputTokens, type ForwardContext } from "../forward/index.js"
 
 /** The request that an operator asks about. */
 export interface ExplainRequestQuery {
@@ -86,18 +86,17 @@
 }
 
 function explainPlainCall(
-  { costs, directory, health, localDataCentre, clock }: ForwardContext,
+  context: ForwardContext,
   route: Route,
   service: ServiceName,
   share: number,
   { path }: ExplainRequestQuery,
 ): ServiceDestinations {
-  const meanCostMs = costs.getMeanCost(service)
+  const { costs, directory, clock } = context
   const costMs = costs.estimateCall({ service, route: route.name, path })
-  const endpoints = directory.listLive(service)
-  const view = { endpoints, health, localDataCentre, meanCostMs }
+  const view = buildServiceView(context, service, directory.listLive(service))
   const { rule, candidates } = explainService(view, costMs, clock.now())
-  const isCostLearned = costMs !== meanCostMs
+  const isCostLearned = costMs !== costs.getMeanCost(service)
   const decision = formatRule(rule)
   return { service, share, costMs, isCostLearned, decision, candidates }
 }
--- a/packages/entry/src/forward/plain-call.ts
+++ b/packages/entry/src/forward/plain-call.ts
@@ -1,5 +1,10 @@
-import type { EndpointId, Millis, Registration } from "@galenaway/core"
-import { chooseEndpoint, type PlainCall, recordPlainCall } from "@galenaway/routing"
+import type { EndpointId, Millis, Registration, ServiceName } from "@galenaway/core"
+import {
+  chooseEndpoint,
+  type PlainCall,
+  recordPlainCall,
+  type ServiceView,
+} from "@galenaway/routing"
 import type { AttemptResult, Destination } from "./answer.js"
 import type { Call } from "./call.js"
 import type { ForwardContext } from "./context.js"
@@ -8,14 +13,14 @@
 
 /** Chooses the endpoint of a call without a model. Returns undefined when none is usable. */
 export function choosePlainDestination(
-  { health, costs, localDataCentre, clock, metrics }: ForwardContext,
+  context: ForwardContext,
   call: Call,
   endpoints: readonly Registration[],
   excluded: ReadonlySet<EndpointId>,
 ): Destination | undefined {
-  const meanCostMs = costs.getMeanCost(call.service)
+  const { costs, clock, metrics } = context
   const choice = chooseEndpoint(
-    { endpoints, health, localDataCentre, meanCostMs },
+    buildServiceView(context, call.service, endpoints),
     costs.estimateCall(toPlainCall(call)),
     excluded,
     clock.now(),
@@ -43,12 +48,24 @@
 ): void {
   if (result.kind !== "answered" || headMs === undefined) return
   if (result.answer.status >= FIRST_ERROR_STATUS) return
-  recordPlainCall(context, endpoint, toPlainCall(call), headMs, context.clock.now())
+  const { health, costs, localDataCentre, placementCosts, clock } = context
+  const tables = { health, costs, localDataCentre, hopMs: placementCosts.roundTripMs }
+  recordPlainCall(tables, endpoint, toPlainCall(call), headMs, clock.now())
   if (expectedMs === undefined) return
   context.metrics.recordDuration("expected-completion", expectedMs)
   context.metrics.recordDuration("actual-completion", headMs)
 }
 
+/** Builds the view from which the endpoint of a plain call is chosen. */
+export function buildServiceView(
+  { health, costs, localDataCentre, placementCosts }: ForwardContext,
+  service: ServiceName,
+  endpoints: readonly Registration[],
+): ServiceView {
+  const meanCostMs = costs.getMeanCost(service)
+  return { endpoints, health, localDataCentre, meanCostMs, hopMs: placementCosts.roundTripMs }
+}
+
 /** Returns what the cost of a call without a model depends on. */
 export function toPlainCall({ service, route, path }: Call): PlainCall {
   return { service, route: route.name, path }
--- a/packages/entry/test/late-answers.test.ts
+++ b/packages/entry/test/late-answers.test.ts
@@ -10,7 +10,13 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { CostEstimator, EndpointHealth, PaceTable, VersionTable } from "@galenaway/routing"
+import {
+  CostEstimator,
+  EndpointHealth,
+  PaceTable,
+  PlacementCostTable,
+  VersionTable,
+} from "@galenaway/routing"
 import { ATTEMPT_ID, HEADER_CODEC, startRawEngine } from "./engine-attempt.js"
 import { ENGINE, OPEN_GUARD } from "./support.js"
 
@@ -88,6 +94,7 @@
     health: new EndpointHealth(),
     paces: new PaceTable(),
     costs: new CostEstimator(),
+    placementCosts: new PlacementCostTable(),
     versions: new VersionTable(1000),
     guard: OPEN_GUARD,
     clock: createManualClock(),
--- a/packages/entry/test/plain-call.test.ts
+++ b/packages/entry/test/plain-call.test.ts
@@ -10,7 +10,7 @@
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
-import { CostEstimator, EndpointHealth, PaceTable } from "@galenaway/routing"
+import { CostEstimator, EndpointHealth, PaceTable, PlacementCostTable } from "@galenaway/routing"
 import { ENGINE } from "./support.js"
 
 const ENDPOINTS: readonly Registration[] = ["slow", "fast"].map((id) => ({ ...ENGINE, id }))
@@ -67,6 +67,7 @@
   const context = {
     health: new EndpointHealth(),
     costs: new CostEstimator(),
+    placementCosts: new PlacementCostTable(),
     paces: new PaceTable(),
     localDataCentre: ENGINE.dataCentre,
     clock: createManualClock(),
--- a/packages/routing/src/placement-costs.ts
+++ b/packages/routing/src/placement-costs.ts
@@ -39,6 +39,7 @@
 const HOP_QUANTILE = 0.5
 /** Weight of the latest round trip in the moving average of those within the data centre. */
 const SMOOTHING_SHARE = 0.05
+
 /** A quantile of the latest measurements that stays at its default until it clearly differs from it. */
 class LearnedFigure {
   private readonly latest: Millis[] = []
@@ -93,6 +94,11 @@
     this.localRoundTripMs += SMOOTHING_SHARE * (ms - this.localRoundTripMs)
   }
 
+  /** Time of a round trip to another data centre beyond one in the own. */
+  get roundTripMs(): Millis {
+    return this.hop.ms / ROUND_TRIP_COUNT
+  }
+
   /** Returns the costs for the engines of a service with the given pace. */
   getCosts(pace: PaceEstimator): PlacementCosts {
     // Loads cost more than their time, since they evict other adapters: a faster one isn't cheaper than the default.
--- a/packages/routing/src/service-endpoint.ts
+++ b/packages/routing/src/service-endpoint.ts
@@ -10,6 +10,8 @@
   readonly localDataCentre: DataCentre
   /** Mean cost of the service's calls, in ms. */
   readonly meanCostMs: Millis
+  /** Time of a round trip to another data centre beyond one in the own, and the price of its bytes. The default if undefined. */
+  readonly hopMs?: Millis
 }
 
 /** How an endpoint was chosen: by the counts of requests, or by the expected completion where speeds differ. */
@@ -25,8 +27,7 @@
 
 /** Cost of a hop to another data centre, as a share of an endpoint's slots. */
 const HOP_COST_SHARE = 0.15
-/** Time of a hop to another data centre and back, and the price of its bytes. */
-const HOP_MS = 4
+const DEFAULT_HOP_MS = 4
 /** Cost of an endpoint at which every request fails, in multiples of its slots. It is multiplied by the failure rate. */
 const FAILURE_COST_FACTOR = 4
 /** Part of a full batch that counts as waiting, since the number of requests is uncertain. */
@@ -66,11 +67,12 @@
 
 /** Estimates the time until the answer to a call that is sent to an endpoint now, in ms. */
 export function estimateCompletion(
-  { health, localDataCentre, meanCostMs }: ServiceView,
+  view: ServiceView,
   endpoint: Registration,
   costMs: Millis,
   now: Millis,
 ): Millis {
+  const { health, meanCostMs } = view
   const { id, slots } = endpoint
   const factor = health.times.estimateFactor(id, now)
   const others = health.times.estimateLoad(id, now)
@@ -79,7 +81,7 @@
   const ahead = Math.max(0, load + 1 - slots) + UNCERTAIN_QUEUE_SHARE * load
   const meanMs = load > 0 ? (others * meanCostMs + own.costMs) / load : meanCostMs
   const queueMs = (ahead * meanMs) / Math.max(1, slots)
-  return factor * (costMs + queueMs) + getHopMs(endpoint, localDataCentre)
+  return factor * (costMs + queueMs) + getHopMs(endpoint, view)
 }
 
 /** The tables that learn from the answers to plain calls. */
@@ -87,27 +89,33 @@
   readonly health: EndpointHealth
   readonly costs: CostEstimator
   readonly localDataCentre: DataCentre
+  /** See {@link ServiceView}. */
+  readonly hopMs?: Millis
 }
 
 /** Records the time of a complete plain call. Returns whether it shows what the call cost: nothing waited at the endpoint. */
 export function recordPlainCall(
-  { health, costs, localDataCentre }: PlainCallTables,
+  tables: PlainCallTables,
   endpoint: Registration,
   call: PlainCall,
   ms: Millis,
   now: Millis,
 ): boolean {
+  const { health, costs } = tables
   const { times } = health
   if (times.hasWaiting(endpoint.id)) return false
-  const runMs = ms - getHopMs(endpoint, localDataCentre)
+  const runMs = ms - getHopMs(endpoint, tables)
   const factor = times.estimateFactor(endpoint.id, now)
   times.onCall(endpoint.id, runMs, costs.estimateCall(call), now)
   costs.recordCall(call, runMs / factor)
   return true
 }
 
-function getHopMs({ dataCentre }: Registration, localDataCentre: DataCentre): Millis {
-  return dataCentre === localDataCentre ? 0 : HOP_MS
+function getHopMs(
+  { dataCentre }: Registration,
+  { localDataCentre, hopMs = DEFAULT_HOP_MS }: Pick<ServiceView, "localDataCentre" | "hopMs">,
+): Millis {
+  return dataCentre === localDataCentre ? 0 : hopMs
 }
 
 /** Computes the probability with which each usable endpoint is drawn by the expected completion. */
