--- a/packages/routing/src/placement-costs.ts
+++ b/packages/routing/src/placement-costs.ts
@@ -36,32 +36,29 @@
 const MEASUREMENT_COUNT = 16
 /** A request that joins a load waits only for the rest of it, so most waits are shorter than the load. */
 const LOAD_QUANTILE = 0.8
-const HOP_QUANTILE = 0.5
-/** Weight of the latest round trip in the moving average of those within the data centre. */
-const SMOOTHING_SHARE = 0.05
+/** A busy instance delays some of its connections, near ones as much as distant ones. */
+const ROUND_TRIP_QUANTILE = 0.5
+/** Part of the default cost of a hop that remains where round trips take no time, for the price of the bytes. */
+const MIN_HOP_SHARE = 0.5
 
-/** A quantile of the latest measurements that stays at its default until it clearly differs from it. */
-class LearnedFigure {
+/** A quantile of the latest measurements. */
+class RecentQuantile {
   private readonly latest: Millis[] = []
-  private learned: Millis | undefined
+  private value: Millis | undefined
 
-  constructor(
-    private readonly defaultMs: Millis,
-    private readonly quantile: number,
-  ) {}
+  constructor(private readonly quantile: number) {}
 
   record(ms: Millis): void {
     this.latest.push(ms)
     if (this.latest.length > MEASUREMENT_COUNT) this.latest.shift()
     if (this.latest.length < MIN_MEASUREMENT_COUNT) return
     const sorted = [...this.latest].sort((a, b) => a - b)
-    this.learned = sorted[Math.floor(this.quantile * sorted.length)]
+    this.value = sorted[Math.floor(this.quantile * sorted.length)]
   }
 
-  get ms(): Millis {
-    return this.learned === undefined
-      ? this.defaultMs
-      : replaceIfClear(this.learned, this.defaultMs)
+  /** The quantile; undefined until there are enough measurements. */
+  get ms(): Millis | undefined {
+    return this.value
   }
 }
 
@@ -73,10 +70,9 @@
  * waiting engines where a load is faster, or cause loads that are slower than the wait.
  */
 export class PlacementCostTable {
-  private readonly load = new LearnedFigure(DEFAULT_PLACEMENT_COSTS.loadMs, LOAD_QUANTILE)
-  private readonly hop = new LearnedFigure(DEFAULT_PLACEMENT_COSTS.hopMs, HOP_QUANTILE)
-  /** Moving average of the round trips within the own data centre; undefined before the first. */
-  private localRoundTripMs: Millis | undefined
+  private readonly load = new RecentQuantile(LOAD_QUANTILE)
+  private readonly localRoundTrip = new RecentQuantile(ROUND_TRIP_QUANTILE)
+  private readonly remoteRoundTrip = new RecentQuantile(ROUND_TRIP_QUANTILE)
 
   /** Records how long a request waited for an adapter that an owner loaded. A wait that is too short for a load is ignored: the engine held the adapter. */
   recordLoad(ms: Millis): void {
@@ -85,30 +81,35 @@
 
   /** Records the time of a round trip within the own data centre or to another one. */
   recordRoundTrip(ms: Millis, isLocal: boolean): void {
-    if (!isLocal) {
-      if (this.localRoundTripMs === undefined) return
-      this.hop.record(ROUND_TRIP_COUNT * Math.max(0, ms - this.localRoundTripMs))
-      return
-    }
-    this.localRoundTripMs ??= ms
-    this.localRoundTripMs += SMOOTHING_SHARE * (ms - this.localRoundTripMs)
+    if (isLocal) this.localRoundTrip.record(ms)
+    else this.remoteRoundTrip.record(ms)
   }
 
   /** Time of a round trip to another data centre beyond one in the own. */
   get roundTripMs(): Millis {
-    return this.hop.ms / ROUND_TRIP_COUNT
+    return this.hopMs / ROUND_TRIP_COUNT
+  }
+
+  private get hopMs(): Millis {
+    const { hopMs } = DEFAULT_PLACEMENT_COSTS
+    const { ms: localMs } = this.localRoundTrip
+    const { ms: remoteMs } = this.remoteRoundTrip
+    if (localMs === undefined || remoteMs === undefined) return hopMs
+    const learned = replaceIfClear(ROUND_TRIP_COUNT * Math.max(0, remoteMs - localMs), hopMs)
+    return Math.max(MIN_HOP_SHARE * hopMs, learned)
   }
 
   /** Returns the costs for the engines of a service with the given pace. */
   getCosts(pace: PaceEstimator): PlacementCosts {
+    const defaults = DEFAULT_PLACEMENT_COSTS
     // Loads cost more than their time, since they evict other adapters: a faster one isn't cheaper than the default.
-    const loadMs = Math.max(DEFAULT_PLACEMENT_COSTS.loadMs, this.load.ms)
+    const { ms: learnedLoadMs = defaults.loadMs } = this.load
+    const loadMs = Math.max(defaults.loadMs, replaceIfClear(learnedLoadMs, defaults.loadMs))
     const eventMs = replaceIfClear(pace.eventMs, DEFAULT_EVENT_MS)
-    const defaults = DEFAULT_PLACEMENT_COSTS
     // A replica is worth a wait that is a certain part of the load which it takes.
     const loadRatio = loadMs / defaults.loadMs
     return {
-      hopMs: this.hop.ms,
+      hopMs: this.hopMs,
       fullBatchMs: (defaults.fullBatchMs * eventMs) / DEFAULT_EVENT_MS,
       loadMs,
       replicatePopularMs: defaults.replicatePopularMs * loadRatio,
--- a/packages/routing/test/request-cost.test.ts
+++ b/packages/routing/test/request-cost.test.ts
@@ -91,6 +91,32 @@
   )
 })
 
+it("a busy instance whose connections all open slowly doesn't take hops for free", () => {
+  const random = createRandom(12)
+  const table = new PlacementCostTable()
+  for (let count = 0; count < 200; count++) {
+    const delayMs = random() < 0.2 ? 100 * random() : 0
+    table.recordRoundTrip(1 + delayMs, true)
+    table.recordRoundTrip(5 + delayMs, false)
+  }
+  expect(table.getCosts(new PaceEstimator()).hopMs).to.equal(DEFAULT_PLACEMENT_COSTS.hopMs)
+})
+
+it("a hop that takes three times as long costs three times as much, and one that takes no time half", () => {
+  for (const [extraMs, hopMs] of [
+    [12, 24],
+    [0, 4],
+  ] as const) {
+    const table = new PlacementCostTable()
+    for (let count = 0; count < 20; count++) {
+      table.recordRoundTrip(1, true)
+      table.recordRoundTrip(1 + extraMs, false)
+    }
+    expect(table.getCosts(new PaceEstimator()).hopMs).to.equal(hopMs)
+    expect(table.roundTripMs).to.equal(hopMs / 2)
+  }
+})
+
 it("without informative costs and reports of the pace, engines are chosen as by counts and the default costs", () => {
   const random = createRandom(6)
   const metadata = buildMetadata({ adapter: undefined })
