--- a/packages/routing/test/request-cost.test.ts
+++ b/packages/routing/test/request-cost.test.ts
@@ -91,6 +91,32 @@
   )
 })
 
+it("a busy instance whose connections all open slowly doesn't take hops for free", () => {
+  const random = createRandom(12)
+  const table = new PlacementCostTable()
+  for (let count = 0; count < 200; count++) {
+    const delayMs = random() < 0.2 ? 100 * random() : 0
+    table.recordRoundTrip(1 + delayMs, true)
+    table.recordRoundTrip(5 + delayMs, false)
+  }
+  expect(table.getCosts(new PaceEstimator()).hopMs).to.equal(DEFAULT_PLACEMENT_COSTS.hopMs)
+})
+
+it("a hop that takes three times as long costs three times as much, and one that takes no time half", () => {
+  for (const [extraMs, hopMs] of [
+    [12, 24],
+    [0, 4],
+  ] as const) {
+    const table = new PlacementCostTable()
+    for (let count = 0; count < 20; count++) {
+      table.recordRoundTrip(1, true)
+      table.recordRoundTrip(1 + extraMs, false)
+    }
+    expect(table.getCosts(new PaceEstimator()).hopMs).to.equal(hopMs)
+    expect(table.roundTripMs).to.equal(hopMs / 2)
+  }
+})
+
 it("without informative costs and reports of the pace, engines are chosen as by counts and the default costs", () => {
   const random = createRandom(6)
   const metadata = buildMetadata({ adapter: undefined })
@@ -131,6 +157,20 @@
   expect(costs.estimateRun(wrong, pace)).to.be.closeTo(readMs + 300 * TOKEN_MS, 300)
 })
 
+it("an absurd estimate of one caller doesn't spoil the costs of others", () => {
+  const costs = new CostEstimator()
+  const pace = new PaceEstimator()
+  const readMs = pace.firstTokenMs + pace.estimatePromptMs(REQUEST.promptTokens)
+  for (let count = 0; count < 200; count++) {
+    const outputTokens = 20 + 200 * (count % 5)
+    costs.recordRun({ ...REQUEST, outputTokens }, pace, readMs + outputTokens * TOKEN_MS)
+  }
+  const absurd = { ...REQUEST, account: "other", outputTokens: 1e300 }
+  costs.recordRun(absurd, pace, readMs + 100 * TOKEN_MS)
+  expect(costs.estimateRun(REQUEST, pace)).to.be.closeTo(readMs + 100 * TOKEN_MS, 100)
+  expect(costs.estimateRun(absurd, pace)).to.be.below(1e6)
+})
+
 it("requests cost the mean of their service where the estimates of callers say nothing", () => {
   const costs = new CostEstimator()
   const pace = new PaceEstimator()
