--- a/packages/entry/src/owner/adapter-loader.ts
+++ b/packages/entry/src/owner/adapter-loader.ts
@@ -23,8 +23,10 @@
   onChange(): void
 }
 
-/** Maximum delay before the queue is examined again. */
-const IDLE_MS = 200
+/** Maximum delay before a queue is examined again. */
+const QUEUED_MS = 200
+/** The same for an empty queue, which a new request wakes. */
+const EMPTY_MS = 1000
 const RETRY_MS = 20
 const UNLOAD_POLL_MS = 150
 
@@ -45,8 +47,9 @@
 
   private async runQueue(): Promise<Millis> {
     const now = this.deps.clock.now()
-    let delay = IDLE_MS
-    for (const pending of this.listPending()) {
+    const loads = this.listPending()
+    let delay = loads.length > 0 ? QUEUED_MS : EMPTY_MS
+    for (const pending of loads) {
       const version = this.getRequiredVersion(pending)
       const plan = this.slots.planLoad(pending.adapter, version, now)
       const dueAt = this.computeDueTime(pending, plan, now)
