--- a/packages/entry/src/links/link-server.ts
+++ b/packages/entry/src/links/link-server.ts
@@ -69,8 +69,10 @@
 type Follower = ServerDuplexStream<FollowerUpdate, OwnerUpdate>
 type AdmitCall = ServerDuplexStream<AdmitRequest, AdmitReply>
 
-/** At this interval an update is sent unless another one was sent since the last check, so two updates are at most twice this time apart. */
-const HEARTBEAT_INTERVAL_MS = 500
+/** Time after an update in which the next one is sent. Peers are taken for dead after 1.3 s. */
+const HEARTBEAT_MS = 800
+/** The same for a collector of reports, whose followers rely on what it confirms of the store. */
+const COLLECTOR_HEARTBEAT_MS = 500
 /** Size of unread updates above which a follower's connection is closed. */
 const MAX_UNREAD_BYTES = 256 * 1024
 /** Time between two updates about prompt parts, which don't wait for the next batch. */
@@ -88,8 +90,7 @@
   private urgentTimer: NodeJS.Timeout | undefined
   private timer: NodeJS.Timeout | undefined
   private heartbeat: NodeJS.Timeout | undefined
-  /** Whether an update was sent since the heartbeat timer last fired. */
-  private hasSentUpdate = false
+  private isRunning = false
 
   constructor(
     private readonly handlers: LinkServerHandlers,
@@ -108,10 +109,8 @@
         else resolve()
       })
     })
-    this.heartbeat = setInterval(() => {
-      if (!this.hasSentUpdate) this.sendUpdates()
-      this.hasSentUpdate = false
-    }, HEARTBEAT_INTERVAL_MS)
+    this.isRunning = true
+    this.scheduleHeartbeat()
   }
 
   /** Sends a changed snapshot of an engine to the followers with the next batch. */
@@ -147,7 +146,8 @@
   /** Stops listening and ends all connections. */
   stop(): void {
     clearTimeout(this.urgentTimer)
-    clearInterval(this.heartbeat)
+    this.isRunning = false
+    clearTimeout(this.heartbeat)
     clearTimeout(this.timer)
     this.server.forceShutdown()
   }
@@ -158,8 +158,18 @@
     }, computeBatchIntervalMs(this.followers.size))
   }
 
+  /** Sends an update some time after the last one, so that followers see that this instance lives. */
+  private scheduleHeartbeat(): void {
+    clearTimeout(this.heartbeat)
+    if (!this.isRunning) return
+    const isCollector = this.handlers.getStoreNews() !== NO_STORE_NEWS
+    const delayMs = isCollector ? COLLECTOR_HEARTBEAT_MS : HEARTBEAT_MS
+    this.heartbeat = setTimeout(() => {
+      this.sendUpdates()
+    }, delayMs)
+  }
+
   private sendUpdates(): void {
-    this.hasSentUpdate = true
     clearTimeout(this.timer)
     this.timer = undefined
     const messages = [...this.changed.values()].map((snapshot) => this.published.publish(snapshot))
@@ -169,6 +179,7 @@
     this.changed.clear()
     this.dropped.clear()
     for (const [follower, instance] of this.followers) this.send(follower, instance, update)
+    this.scheduleHeartbeat()
   }
 
   private send(follower: Follower, instance: InstanceId, update: OwnerUpdate): void {
--- a/packages/entry/src/quarantine/peer-suspects.ts
+++ b/packages/entry/src/quarantine/peer-suspects.ts
@@ -6,7 +6,7 @@
   readonly until: Millis
 }
 
-/** The last list counts for this time. Peers send theirs at least twice a second. */
+/** The last list counts for this time. Peers send theirs more than once a second. */
 const LIFETIME_MS = 1500
 
 /** The request parts that other instances suspect. */
