--- a/packages/entry/src/fleet/ownership-confirmer.ts
+++ b/packages/entry/src/fleet/ownership-confirmer.ts
@@ -70,11 +70,7 @@
   start(): void {
     this.checkSuspension()
     this.confirmIfDue()
-    const isOwner = this.deps.authority.listEndpoints().length > 0
-    const tickMs = isOwner ? TICK_MS : FOLLOWER_TICK_MS
-    this.timer = setTimeout(() => {
-      this.start()
-    }, tickMs)
+    this.scheduleNext()
   }
 
   /** Stops confirming. */
@@ -82,6 +78,14 @@
     clearTimeout(this.timer)
   }
 
+  private scheduleNext(): void {
+    const isOwner = this.deps.authority.listEndpoints().length > 0
+    const tickMs = isOwner ? TICK_MS : FOLLOWER_TICK_MS
+    this.timer = setTimeout(() => {
+      this.start()
+    }, tickMs)
+  }
+
   /** Confirms the authority unless it was confirmed recently or no engine is owned. */
   confirmIfDue(): void {
     const { authority, clock } = this.deps
