--- a/packages/entry/src/fleet/ownership-confirmer.ts
+++ b/packages/entry/src/fleet/ownership-confirmer.ts
@@ -96,9 +96,11 @@
 
   /** If the process may have been suspended, suspends the authority until it is confirmed again. */
   checkSuspension(): void {
-    if (!this.deps.suspension.check()) return
-    this.deps.authority.suspend()
-    this.deps.log.warn("process may have stood still, confirming ownership first")
+    const { suspension, authority, log } = this.deps
+    if (!suspension.check()) return
+    authority.suspend()
+    if (authority.listEndpoints().length === 0) return
+    log.warn("process may have stood still, confirming ownership first")
     void this.confirm()
   }
 
--- a/packages/entry/test/ownership.test.ts
+++ b/packages/entry/test/ownership.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai"
 import { computeAuthorityTimes, OrderAuthority, SuspensionDetector } from "@galenaway/coordination"
 import {
+  FLEET_PREFIX,
   formatInstance,
   formatInstanceKey,
   formatOwner,
@@ -16,6 +17,8 @@
 const MICROTASK_TURN_COUNT = 50
 const LEASE_MS = 3000
 const STARTUP_DELAY_MS = 2500
+/** Longer than the gap between two checks that doesn't count as a pause. */
+const PAUSE_MS = 1000
 /** Time after which ownership is confirmed again, and the interval at which that is checked, with a margin. */
 const CONFIRM_INTERVAL_MS = 1000
 const CONFIRM_POLL_MS = 200
@@ -52,6 +55,22 @@
   ownership.stop()
 })
 
+// Each instance without engines would read the store whenever its event loop is late.
+it("an instance that owns no engine confirms nothing after a pause", async () => {
+  const { ownership, store, clock } = createOwnership()
+  const prefixes: string[] = []
+  const readRange = store.readRange.bind(store)
+  store.readRange = (prefix) => {
+    prefixes.push(prefix)
+    return readRange(prefix)
+  }
+  await clock.advance(PAUSE_MS)
+  ownership.start()
+  await runMicrotasks()
+  ownership.stop()
+  expect(prefixes).to.deep.equal([FLEET_PREFIX])
+})
+
 for (const isHandedOver of [false, true])
   it(`an engine is handed over for use at once only after this instance's own wait as a new owner, waited ${String(isHandedOver)}`, async () => {
     const { ownership, store, gained, clock } = createOwnership()
