--- a/packages/policy/src/quota/account-allocation.ts
+++ b/packages/policy/src/quota/account-allocation.ts
@@ -40,6 +40,7 @@
 const MAX_SHARED_RATE = 0.8
 /** Part of the burst that is allocated as shares. */
 const MAX_SHARED_BURST = 0.6
+const MAX_SHARED: ShareParts = { rate: MAX_SHARED_RATE, burst: MAX_SHARED_BURST }
 /** A share exceeds the demand by this factor, since demand varies between two reports. */
 const RATE_MARGIN = 1.25
 /** How long a reported demand counts. It exceeds the longest interval between two reports. */
@@ -177,7 +178,7 @@
     now: Millis,
   ): ShareParts {
     const committed = getCommitted(record, now)
-    const free = this.getFree(now)
+    const free = this.getFree(record, now)
     const wanted = this.computeWanted(record, meanCost, limits, now)
     return {
       rate: Math.max(0, Math.min(wanted.rate, committed.rate + free.rate)),
@@ -210,13 +211,13 @@
     return this.bucket.computeWaitMs(missing, now) * (isExceeded ? this.holders.size : 1)
   }
 
-  private getFree(now: Millis): ShareParts {
-    const { rate, burst } = this.sumCommitted(now)
-    const limit =
-      now < this.terms.settledAt
-        ? this.inherited
-        : { rate: MAX_SHARED_RATE, burst: MAX_SHARED_BURST }
-    return { rate: limit.rate - rate, burst: limit.burst - burst }
+  /** Returns what can be added to a holder's share. */
+  private getFree({ isConfirmed }: HolderRecord, now: Millis): ShareParts {
+    if (now >= this.terms.settledAt)
+      return subtractParts(MAX_SHARED, sumCommitted(this.holders.values(), now))
+    if (!isConfirmed) return NO_SHARE
+    const confirmed = [...this.holders.values()].filter((holder) => holder.isConfirmed)
+    return subtractParts(this.inherited, sumCommitted(confirmed, now))
   }
 
   /** Takes the units of an increased share of the burst from the allocator's bucket, which is as full after it. */
@@ -237,7 +238,7 @@
   private getOwnParts(now: Millis): ShareParts {
     if (now < this.terms.settledAt)
       return { rate: 1 - MAX_SHARED_RATE, burst: 1 - MAX_SHARED_BURST }
-    const { rate, burst } = this.sumCommitted(now)
+    const { rate, burst } = sumCommitted(this.holders.values(), now)
     return { rate: Math.max(0, 1 - rate), burst: Math.max(0, 1 - burst) }
   }
 
@@ -248,17 +249,17 @@
     const afterMs = Math.max(0, now - settledAt)
     return ratePerMs * ((1 - MAX_SHARED_RATE) * inRecoveryMs + afterMs)
   }
+}
 
-  private sumCommitted(now: Millis): ShareParts {
-    let rate = 0
-    let burst = 0
-    for (const record of this.holders.values()) {
-      const committed = getCommitted(record, now)
-      rate += committed.rate
-      burst += committed.burst
-    }
-    return { rate, burst }
+function sumCommitted(records: Iterable<HolderRecord>, now: Millis): ShareParts {
+  let rate = 0
+  let burst = 0
+  for (const record of records) {
+    const committed = getCommitted(record, now)
+    rate += committed.rate
+    burst += committed.burst
   }
+  return { rate, burst }
 }
 
 /** Returns the largest share that a holder may have in force. */
@@ -277,3 +278,7 @@
 function addParts(a: ShareParts, b: ShareParts): ShareParts {
   return { rate: a.rate + b.rate, burst: a.burst + b.burst }
 }
+
+function subtractParts(a: ShareParts, b: ShareParts): ShareParts {
+  return { rate: a.rate - b.rate, burst: a.burst - b.burst }
+}
--- a/packages/policy/src/quota/account-share.ts
+++ b/packages/policy/src/quota/account-share.ts
@@ -89,13 +89,17 @@
   /** Gives back the units of a request that no endpoint has run. */
   release({ taken, grant }: UnitPermit, now: Millis): void {
     this.checkExpiry(now)
-    const accepted = this.bucket.putBack(taken, now)
-    if (!grant) return
-    const units = Math.min(taken.units - accepted, grant.left)
-    if (units <= 0) return
+    const refunded = grant ? this.refund(taken.units, grant) : 0
+    this.bucket.putBack({ ...taken, units: taken.units - refunded }, now)
+  }
+
+  /** Gives units back to the allocator, with the next report. Returns their number. */
+  private refund(wanted: number, grant: GrantedUnits): number {
+    const units = Math.min(wanted, grant.left)
     grant.left -= units
     const { token, overflowsAt } = grant
-    this.refunds.push({ units, overflowsAt, token })
+    if (units > 0) this.refunds.push({ units, overflowsAt, token })
+    return units
   }
 
   /** Applies the allocator's answer to a report that was sent at `sentAt`. Call `endGrant` after the waiting requests have taken their units. */
--- a/packages/policy/src/quota/token-bucket.ts
+++ b/packages/policy/src/quota/token-bucket.ts
@@ -17,6 +17,8 @@
   private addedTotal = 0
   private ratePerMs = 0
   private capacityUnits = 0
+  /** Units before the additions since the last `trim`; undefined without any. */
+  private unitsBefore: number | undefined
 
   constructor(
     private units: number,
@@ -54,17 +56,21 @@
     return { units, overflowsAt }
   }
 
-  /** Adds units that another bucket has lost. The bucket may hold more than its capacity until the next `trim`. */
+  /** Adds units that another bucket has lost. The bucket may hold more than its capacity until `trim`, which must follow without a pause. */
   add(units: number, now: Millis): void {
     this.refill(now)
+    this.unitsBefore ??= this.units
     this.units += units
-    this.addedTotal += units
   }
 
   /** Removes the units above the capacity and returns their number. */
   trim(): number {
     const surplus = Math.max(0, this.units - this.capacityUnits)
     this.units -= surplus
+    // Added units that were taken at once leave no less room for those that are put back.
+    if (this.unitsBefore !== undefined)
+      this.addedTotal += Math.max(0, this.units - this.unitsBefore)
+    this.unitsBefore = undefined
     return surplus
   }
 
