--- a/packages/policy/test/account-quota.test.ts
+++ b/packages/policy/test/account-quota.test.ts
@@ -178,6 +178,59 @@
   expect(reply.grants).to.deep.equal([])
 })
 
+it("a share is valid from the sending of its report, however late the reply arrives", () => {
+  const { queue, holder, allocator } = createPair()
+  const share = holder.getShare(ACCOUNT, QUOTA, FULL)
+  queue.take(ACCOUNT, QUOTA, 1, FULL, () => undefined)
+  const [sent] = queue.buildUrgent(FULL)
+  if (!sent) throw new Error("no report")
+  const reply = allocator.handle(sent.report, FULL)
+  queue.onReply(reply, FULL + 5000)
+  expect(share.getParts(FULL + 5000).rate).to.be.greaterThan(0)
+  expect(share.getParts(FULL + TIMES.validMs)).to.deep.equal(NO_SHARE)
+})
+
+it("units that arrive late are used only as stock", () => {
+  const { queue, holder, allocator } = createPair()
+  queue.take(ACCOUNT, QUOTA, 100, FULL, () => undefined)
+  const [sent] = queue.buildUrgent(FULL)
+  if (!sent) throw new Error("no report")
+  const reply = allocator.handle(sent.report, FULL)
+  expect(reply.grants[0]?.units).to.equal(100)
+  expect(reply.grants[0]?.share).to.deep.equal(NO_SHARE)
+  const late = FULL + TIMES.replyTimeoutMs + 1
+  queue.onReply(reply, late)
+  expect(holder.getShare(ACCOUNT, QUOTA, late).take(1, late)).to.equal(undefined)
+})
+
+it("a process whose clock may have stood still has no share until it reports again", () => {
+  const { queue, holder, allocator } = createPair()
+  for (let now = SETTLED; now < FULL; now += 20) send(queue, allocator, 1, now)
+  const share = holder.getShare(ACCOUNT, QUOTA, FULL)
+  holder.clear(FULL)
+  expect(share.take(1, FULL)).to.equal(undefined)
+  expect(send(queue, allocator, 1, FULL)?.kind).to.equal("granted")
+})
+
+it("a reported share counts for its whole validity", () => {
+  const allocator = createAllocator(1, 0)
+  const share = { rate: 0.7, burst: 0.5 }
+  grantShare(allocator, "a", 1, SETTLED, { share, demandPerMs: 0 })
+  const other = grantShare(allocator, "b", 1, SETTLED + TIMES.validMs - 1)
+  expect(other.rate).to.be.at.most(0.1 + 1e-9)
+})
+
+it("a new allocator grants only the part of the rate that is never shared", () => {
+  const allocator = createAllocator(2, 0)
+  let granted = 0
+  for (let now = 10; now < SETTLED; now += 10) {
+    const request = { requested: 1, firstRequested: 1, meanCost: LIMITS.burst }
+    const report = { holder: "a", number: now, accounts: [buildReport(request)] }
+    granted += allocator.handle(report, now).grants[0]?.units ?? 0
+  }
+  expect(granted).to.be.within(100, 0.2 * LIMITS.ratePerMs * SETTLED + 1)
+})
+
 function createHolder(id: string): ShareHolder {
   return new ShareHolder({ id, bounds: BOUNDS, times: TIMES })
 }
