--- a/packages/entry/src/quota/messages.ts
+++ b/packages/entry/src/quota/messages.ts
@@ -69,16 +69,12 @@
   return { ...grant, share: { ...share } }
 }
 
-function parseGrant({
-  account,
-  share,
-  units,
-  overflowsAt,
-  retryAfterMs,
-}: QuotaGrant): AccountGrant {
+function parseGrant(grant: QuotaGrant): AccountGrant {
+  const { account, share, isRenewal, units, overflowsAt, retryAfterMs } = grant
   return {
     account,
     share: parseParts(share),
+    isRenewal,
     units: parseUnits(units),
     overflowsAt,
     retryAfterMs: Math.max(0, retryAfterMs),
--- a/packages/policy/src/quota/account-allocation.ts
+++ b/packages/policy/src/quota/account-allocation.ts
@@ -99,6 +99,7 @@
     return {
       account: report.account,
       share,
+      isRenewal: now < this.terms.settledAt && !record.isConfirmed,
       units: stock + units,
       overflowsAt: taken?.overflowsAt ?? 0,
       retryAfterMs: this.computeRetryMs(missing - units, limits, now),
--- a/packages/policy/src/quota/account-share.ts
+++ b/packages/policy/src/quota/account-share.ts
@@ -41,6 +41,8 @@
   private limits: QuotaLimits
   private parts = NO_SHARE
   private validUntil: Millis = -Infinity
+  /** End of the last share, also after it has expired. */
+  private lastValidUntil: Millis = -Infinity
   private appliedNumber = 0
   private token = 0
   private returned = 0
@@ -107,12 +109,13 @@
     const validUntil = sentAt + this.times.validMs * (1 - CLOCK_MARGIN)
     if (number <= this.appliedNumber || now >= validUntil) return
     this.checkExpiry(now)
-    this.appliedNumber = number
-    this.token = token
-    this.isChanged ||= isReduced(this.parts, grant.share)
-    this.parts = grant.share
-    this.validUntil = validUntil
-    this.updateBucket(now)
+    // An earlier allocator may have allocated it anew.
+    const hasExpired = sentAt < this.lastValidUntil && now >= this.lastValidUntil
+    if (!grant.isRenewal || !hasExpired) {
+      this.appliedNumber = number
+      this.token = token
+      this.setShare(grant.share, validUntil, now)
+    }
     this.bucket.add(grant.units, now)
     const { units, overflowsAt } = grant
     this.currentGrant = { token, overflowsAt, left: units }
@@ -195,6 +198,14 @@
     return report
   }
 
+  private setShare(share: ShareParts, validUntil: Millis, now: Millis): void {
+    this.isChanged ||= isReduced(this.parts, share)
+    this.parts = share
+    this.validUntil = validUntil
+    this.lastValidUntil = validUntil
+    this.updateBucket(now)
+  }
+
   private hasShare(now: Millis): boolean {
     this.checkExpiry(now)
     return this.parts.rate > 0 || this.parts.burst > 0
--- a/packages/policy/src/quota/messages.ts
+++ b/packages/policy/src/quota/messages.ts
@@ -48,6 +48,8 @@
 export interface AccountGrant {
   readonly account: AccountName
   readonly share: ShareParts
+  /** Whether the share is granted only because the holder has reported it, so that it has no effect if that has expired since. */
+  readonly isRenewal: boolean
   /** Units for the waiting requests and the stock. */
   readonly units: number
   /** See {@link TakenUnits}. */
--- a/packages/policy/test/account-quota.test.ts
+++ b/packages/policy/test/account-quota.test.ts
@@ -167,6 +167,23 @@
   expect(grantShare(successor, "b", 1, TIMES.validMs - 1).rate).to.equal(0)
 })
 
+// Guards against a share that the earlier allocator had allocated anew after it had expired.
+it("a renewal has no effect if the share has expired since it was reported", () => {
+  const { queue, holder, allocator } = createPair()
+  for (let now = SETTLED; now < FULL; now += 20) send(queue, allocator, 1, now)
+  const share = holder.getShare(ACCOUNT, QUOTA, FULL)
+  for (const { report } of queue.buildRegular(FULL))
+    queue.onReply(allocator.handle(report, FULL), FULL)
+  const [sent] = queue.buildRegular(FULL + 1)
+  if (!sent) throw new Error("no report")
+  const reply = createAllocator(2, FULL).handle(sent.report, FULL)
+  expect(reply.grants[0]?.share.rate).to.be.greaterThan(0)
+  const expired = FULL + TIMES.validMs * 0.99
+  expect(share.getParts(expired - 1).rate).to.be.greaterThan(0)
+  queue.onReply(reply, expired)
+  expect(share.getParts(expired)).to.deep.equal(NO_SHARE)
+})
+
 it("a report that was overtaken by a later one changes nothing", () => {
   const allocator = createAllocator(1, 0)
   const share = grantShare(allocator, "a", 2, SETTLED)
