--- a/packages/fakes/src/hostile-callers.ts
+++ b/packages/fakes/src/hostile-callers.ts
@@ -16,6 +16,8 @@
   | "large-chunks"
   /** Chunked bodies in chunks of one byte. */
   | "tiny-chunks"
+  /** Many requests on each connection, whose answers are not read. */
+  | "unread-answers"
 
 /** Whom a crowd of hostile callers attacks, and how. */
 export interface CrowdOptions {
@@ -39,6 +41,8 @@
   close(): void
 }
 
+/** Requests that are sent on one connection without reading an answer. */
+const PIPELINED_COUNT = 30
 const PIECE_BYTES = 64 * 1024
 const TINY_CHUNK_COUNT = 128 * 1024
 const TINY_CHUNKS = Buffer.from("1\r\n \r\n".repeat(TINY_CHUNK_COUNT))
@@ -77,7 +81,7 @@
     const [host, port] = [options.address.slice(0, at), Number(options.address.slice(at + 1))]
     this.socket = connect({ host, port, noDelay: true })
     this.socket.on("error", () => undefined)
-    this.socket.resume()
+    if (options.attack !== "unread-answers") this.socket.resume()
     this.socket.once("close", () => {
       this.isSending = false
     })
@@ -138,6 +142,10 @@
       yield buildHead(options, { "Transfer-Encoding": "chunked" })
       yield* splitBody(TINY_CHUNKS)
       if (isException) yield encodeChunk(Buffer.alloc(0))
+      return
+    case "unread-answers":
+      for (let count = 0; count < PIPELINED_COUNT; count++)
+        yield buildHead(options, { "Content-Length": "0" })
   }
 }
 
