--- a/packages/daemon/src/caller/server.ts
+++ b/packages/daemon/src/caller/server.ts
@@ -30,6 +30,9 @@
   app.use((_request, response, next) => {
     state.running++
     response.once("close", () => state.running--)
+    response.once("prefinish", () => {
+      ingress.createAnswerHolder(response).update()
+    })
     if (state.isDraining) response.setHeader("connection", "close")
     next()
   })
--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -43,6 +43,7 @@
       response,
       this.context.headerCodec,
       () => this.context.stop.isStopping,
+      this.context.ingress.createAnswerHolder(response),
     )
     try {
       await this.serve(request, response, reply)
@@ -167,7 +168,7 @@
 
 function waitForClose(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
-    if (response.closed) resolve()
+    if (response.destroyed) resolve()
     else
       response.once("close", () => {
         resolve()
--- a/packages/entry/src/forward/reply.ts
+++ b/packages/entry/src/forward/reply.ts
@@ -1,8 +1,11 @@
 import type { ServerResponse } from "node:http"
 import type { HeaderCodec, RawHeaders } from "@galenaway/core"
+import type { AnswerHolder } from "@galenaway/ingress"
 import type { ErrorAnswer } from "./errors.js"
 
 const MS_PER_S = 1000
+/** A caller that reads slowly may be this far behind before the endpoint is read more slowly as well. An endpoint ends an answer that stays unread for some seconds. */
+const MAX_PENDING_BYTES = 256 * 1024
 
 /**
  * Writes the answer to one caller: a head at most once, then bytes, then an end.
@@ -17,6 +20,7 @@
     private readonly headerCodec: HeaderCodec,
     /** Returns whether the connection must close after this answer. */
     private readonly shouldClose: () => boolean,
+    private readonly holder: AnswerHolder,
   ) {
     response.sendDate = false
   }
@@ -43,9 +47,21 @@
     this.response.writeHead(status, [...this.headerCodec.buildAnswer(headers), ...added])
   }
 
-  /** Sends bytes. Returns false when they are buffered because the caller reads slowly. */
+  /** Sends bytes. Returns false when the caller reads so slowly that no more should be written before `onDrain`. */
   write(bytes: Buffer): boolean {
-    return this.response.write(bytes)
+    if (this.response.write(bytes)) return true
+    this.holder.update()
+    return this.holder.pendingBytes <= MAX_PENDING_BYTES
+  }
+
+  /** Counts bytes of an answer that is gathered before it is written. Returns false when memory is short, so that it should be written at once. */
+  gather(bytes: number): boolean {
+    return this.holder.gather(bytes)
+  }
+
+  /** Ends the count of gathered bytes, which will be written or aren't used. */
+  releaseGathered(): void {
+    this.holder.releaseGathered()
   }
 
   /** Calls the listener once when the buffered bytes have been sent. */
@@ -58,6 +74,7 @@
     if (this.shouldClose()) this.closeAfterEnd()
     if (bytes) this.response.end(bytes)
     else this.response.end()
+    this.holder.update()
   }
 
   /** Closes the connection after the answer. Its head may have been sent before the instance began to stop, so that the caller keeps the connection. */
--- a/packages/entry/src/forward/sinks.ts
+++ b/packages/entry/src/forward/sinks.ts
@@ -24,7 +24,8 @@
 
 /**
  * Buffers a complete answer, so that a broken one is never sent to the caller.
- * An answer of more than 256 KiB is streamed instead.
+ * An answer of more than 256 KiB is streamed instead, and any answer when
+ * memory is short.
  */
 export class BufferingSink implements AnswerSink {
   private status = 0
@@ -41,21 +42,24 @@
   onHead(status: number, headers: RawHeaders): void {
     this.status = status
     this.headers = headers
+    this.reply.releaseGathered()
   }
 
   onData(chunk: Buffer): DataOutcome {
     this.size += chunk.length
-    if (!this.isStreaming && this.size <= MAX_BUFFERED_BYTES) {
+    if (!this.isStreaming) {
       this.chunks.push(chunk)
+      if (this.reply.gather(chunk.length) && this.size <= MAX_BUFFERED_BYTES) return "used"
+      this.startStreaming()
       return "used"
     }
-    if (!this.isStreaming) this.startStreaming()
     writeWithBackpressure(this.reply, chunk, this.getFlowControl())
     return "used"
   }
 
   onEnd(): AttemptResult {
     const { status, headers } = this
+    this.reply.releaseGathered()
     if (!this.isStreaming)
       return { kind: "answered", answer: { status, headers, body: Buffer.concat(this.chunks) } }
     this.reply.end()
@@ -68,8 +72,9 @@
 
   private startStreaming(): void {
     this.isStreaming = true
+    this.reply.releaseGathered()
     this.reply.writeHead(this.status, this.headers)
-    for (const chunk of this.chunks) this.reply.write(chunk)
+    writeWithBackpressure(this.reply, Buffer.concat(this.chunks), this.getFlowControl())
     this.chunks = []
   }
 }
--- a/packages/entry/src/wiring.ts
+++ b/packages/entry/src/wiring.ts
@@ -113,6 +113,10 @@
       metrics.count("body-refusals")
       log.write({ reason }, "body not read")
     },
+    onCutAnswer: () => {
+      metrics.count("unread-answers")
+      log.write({}, "answer cut that its caller does not read")
+    },
     onTick: (connections, heldBytes) => {
       metrics.setGauge("caller-connections", connections)
       metrics.setGauge("held-bytes", heldBytes)
--- a/packages/entry/test/engine-attempt.ts
+++ b/packages/entry/test/engine-attempt.ts
@@ -54,6 +54,8 @@
     hasHead: false,
     writeHead: () => undefined,
     write: () => true,
+    gather: () => true,
+    releaseGathered: () => undefined,
     end: () => undefined,
   }
   const callerReply = reply as unknown as CallerReply
--- a/packages/entry/test/handler.test.ts
+++ b/packages/entry/test/handler.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai"
 import { type ForwardContext, ForwardHandler, StopSchedule } from "@galenaway/entry"
 import { waitFor } from "@galenaway/core"
+import { IngressGuard } from "@galenaway/ingress"
 import { createManualClock, flushPromises } from "@galenaway/fakes"
 
 const REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -18,6 +19,7 @@
   },
   headerCodec: { readRequest: () => ({}), buildAnswer: () => [] },
   clock: { now: () => 0 },
+  ingress: new IngressGuard({ budgetBytes: 64 * 1024 * 1024, maxConnections: 10 }),
   log: { write: () => undefined },
   stop: new StopSchedule(createManualClock(), 8000),
 } as unknown as ForwardContext
--- a/packages/entry/test/late-answers.test.ts
+++ b/packages/entry/test/late-answers.test.ts
@@ -67,6 +67,8 @@
       reply.hasHead = true
     },
     write: () => true,
+    gather: () => true,
+    releaseGathered: () => undefined,
     end: () => {
       reply.ended = true
     },
--- a/packages/entry/test/reply.test.ts
+++ b/packages/entry/test/reply.test.ts
@@ -3,15 +3,22 @@
 import { expect } from "chai"
 import type { HeaderCodec } from "@galenaway/core"
 import { CallerReply } from "@galenaway/entry"
+import { IngressGuard } from "@galenaway/ingress"
 
 const WAIT_MS = 500
 
 for (const isStopping of [false, true])
   it(`a connection whose answer ends after the stop began takes no further request, stopping ${String(isStopping)}`, async () => {
+    const guard = new IngressGuard({ budgetBytes: 1024 * 1024, maxConnections: 10 })
     const state = { isStopping: false }
     const codec: Partial<HeaderCodec> = { buildAnswer: () => [] }
     const server = createServer((_request, response) => {
-      const reply = new CallerReply(response, codec as HeaderCodec, () => state.isStopping)
+      const reply = new CallerReply(
+        response,
+        codec as HeaderCodec,
+        () => state.isStopping,
+        guard.createAnswerHolder(response),
+      )
       reply.writeHead(200, [])
       reply.write(Buffer.from("begin"))
       state.isStopping = isStopping
--- a/packages/entry/test/streams.test.ts
+++ b/packages/entry/test/streams.test.ts
@@ -102,6 +102,14 @@
     return true
   }
 
+  gather(): boolean {
+    return true
+  }
+
+  releaseGathered(): void {
+    // Nothing is counted.
+  }
+
   end(bytes?: Buffer): void {
     this.text += bytes?.toString() ?? ""
     this.isEnded = true
--- a/packages/ingress/src/guard.ts
+++ b/packages/ingress/src/guard.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http"
 import type { Socket } from "node:net"
 import { type Clock, type Millis, systemClock } from "@galenaway/core"
+import { AnswerHolder } from "./answer-holder.js"
 import { type BodyFailure, type BodyOptions, BodyReader, startReading } from "./body-reader.js"
 import { ByteBudget } from "./byte-budget.js"
 import {
@@ -26,6 +27,8 @@
 export interface GuardEvents {
   onClose(reason: CloseReason): void
   onRefusedBody(failure: BodyFailure): void
+  /** Called when an answer is cut because its caller doesn't read it and its bytes are needed. */
+  onCutAnswer(): void
   /** Called at each periodic check. */
   onTick(connectionCount: number, heldBytes: number): void
 }
@@ -76,7 +79,7 @@
     return this.connections.size
   }
 
-  /** Guards a server. Its requests are given to the listener, except those of connections that were closed. */
+  /** Guards a server. Its requests are given to the listener, those of one connection one after the other, except those of connections that were closed. */
   attach(
     server: Server,
     listener: (request: IncomingMessage, response: ServerResponse) => void,
@@ -85,8 +88,10 @@
       this.onConnection(socket)
     })
     server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-      this.onRequest(request, response)
-      if (!request.socket.destroyed) listener(request, response)
+      const start = () => {
+        if (!request.socket.destroyed) listener(request, response)
+      }
+      this.onRequest(request, response, start)
     })
   }
 
@@ -116,6 +121,11 @@
     return result
   }
 
+  /** Creates the count of the bytes of an answer that its caller hasn't read. */
+  createAnswerHolder(response: ServerResponse): AnswerHolder {
+    return new AnswerHolder(response, this.budget, () => this.events.onCutAnswer?.())
+  }
+
   /** Discards the body of a request that is refused. Call it before the answer is sent. */
   discardBody(request: IncomingMessage): void {
     const { "content-length": length, "transfer-encoding": encoding } = request.headers
@@ -159,15 +169,22 @@
         return
       }
     }
-    this.connections.set(socket, new GuardedConnection(socket, now))
-    socket.once("close", () => this.connections.delete(socket))
+    const connection = new GuardedConnection(socket, now)
+    this.connections.set(socket, connection)
+    socket.once("close", () => {
+      this.connections.delete(socket)
+      connection.closeWaiting()
+    })
   }
 
-  private onRequest(request: IncomingMessage, response: ServerResponse): void {
+  private onRequest(request: IncomingMessage, response: ServerResponse, start: () => void): void {
     this.responses.set(request, response)
     const connection = this.connections.get(request.socket)
-    if (!connection) return
-    connection.onRequest()
+    if (!connection) {
+      start()
+      return
+    }
+    connection.onRequest(response)
     if (connection.openCount > MAX_PIPELINED_COUNT) {
       this.closeConnection(connection, "pipeline")
       return
@@ -179,9 +196,10 @@
       connection.onRequestEnd(this.clock.now())
     })
     response.once("close", () => {
-      connection.onAnswerEnd(this.clock.now())
+      connection.onAnswerEnd(response, this.clock.now())
       if (!request.complete) this.limitRest(request)
     })
+    connection.run(start)
   }
 
   private checkConnection(connection: GuardedConnection, now: Millis): CloseReason | undefined {
@@ -229,7 +247,7 @@
 
   private releaseAfterAnswer(request: IncomingMessage, { holder }: BodyReader): void {
     const response = this.responses.get(request)
-    if (!response || response.closed) holder.close()
+    if (!response || response.destroyed) holder.close()
     else
       response.once("close", () => {
         holder.close()
@@ -250,8 +268,9 @@
 
 /** One connection of a caller. */
 class GuardedConnection implements ConnectionView {
-  /** Number of requests whose answers have not been written to their end. */
-  openCount = 0
+  /** The answers that have not been written to their end. */
+  private readonly responses = new Set<ServerResponse>()
+  private readonly waitingStarts: (() => void)[] = []
   isUsed = false
   /** The reader of the body that arrives. */
   reader: BodyReader | undefined
@@ -281,6 +300,11 @@
     return this.unfinishedCount > 0
   }
 
+  /** Number of requests whose answers have not been written to their end. */
+  get openCount(): number {
+    return this.responses.size
+  }
+
   get phase(): ConnectionPhase {
     if (this.closesAt !== undefined) return "refused"
     if (this.reader) return "body"
@@ -293,8 +317,8 @@
     return this.headSince ?? this.idleSince
   }
 
-  onRequest(): void {
-    this.openCount++
+  onRequest(response: ServerResponse): void {
+    this.responses.add(response)
     this.unfinishedCount++
     this.isUsed = true
     this.headSince = undefined
@@ -309,9 +333,26 @@
     this.unfinishedCount--
   }
 
-  onAnswerEnd(now: Millis): void {
-    this.openCount--
+  onAnswerEnd(response: ServerResponse, now: Millis): void {
+    this.responses.delete(response)
     this.idleSince = now
+    this.waitingStarts.shift()?.()
+  }
+
+  /** Starts a request when those before it have been answered, so that one connection holds one answer. */
+  run(start: () => void): void {
+    if (this.openCount > 1) this.waitingStarts.push(start)
+    else start()
+  }
+
+  /** Closes the answers that wait for earlier ones. The server emits no event for these when their connection closes. */
+  closeWaiting(): void {
+    this.waitingStarts.length = 0
+    for (const response of this.responses) {
+      if (response.socket) continue
+      response.destroy()
+      response.emit("close")
+    }
   }
 
   /** Records when the first bytes of a head were seen. */
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./answer-holder.js"
 export * from "./body-reader.js"
 export * from "./byte-budget.js"
 export * from "./closing-order.js"
--- a/packages/ingress/test/guard.test.ts
+++ b/packages/ingress/test/guard.test.ts
@@ -5,6 +5,8 @@
 import { type CloseReason, computeGuardLimits, IngressGuard } from "@galenaway/ingress"
 
 const MAX_BODY_BYTES = 128 * 1024
+/** More than the system buffers for a caller that doesn't read. */
+const ANSWER_BYTES = 16 * 1024 * 1024
 const DEADLINE_MS = 5000
 const POLL_MS = 10
 const STATUS_BY_FAILURE = { "too-large": 413, "no-memory": 503, timeout: 408, gone: 400 }
@@ -124,6 +126,39 @@
   await waitForClose(socket)
 })
 
+it("answers that aren't read are cut when their bytes are needed, and later requests don't run", async () => {
+  let [runCount, cutCount] = [0, 0]
+  const limits = { budgetBytes: 2 * ANSWER_BYTES, maxConnections: 10 }
+  const guard = new IngressGuard(limits, { onCutAnswer: () => cutCount++ })
+  const server = createServer()
+  guard.attach(server, (request, response) => {
+    runCount++
+    request.resume()
+    const holder = guard.createAnswerHolder(response)
+    response.end(Buffer.alloc(ANSWER_BYTES))
+    holder.update()
+  })
+  server.listen(0, "127.0.0.1")
+  await once(server, "listening")
+  const { port } = server.address() as AddressInfo
+  const sockets = await Promise.all([1, 2, 3, 4].map(() => openUnread(port)))
+  await waitUntil(() => cutCount > 0)
+  expect(guard.budget.usedBytes).to.be.at.most(2 * ANSWER_BYTES)
+  expect(runCount).to.be.at.most(sockets.length)
+  for (const socket of sockets) socket.destroy()
+  await waitUntil(() => guard.budget.usedBytes === 0)
+  server.close()
+})
+
+/** Opens a connection that sends two requests and reads nothing. */
+async function openUnread(port: number): Promise<Socket> {
+  const socket = connect({ port, host: "127.0.0.1" })
+  socket.on("error", () => undefined)
+  await once(socket, "connect")
+  socket.write(GET + GET)
+  return socket
+}
+
 itWithFixture("too many requests without waiting for answers close the connection", async (f) => {
   const { socket } = await f.open()
   socket.write(`${POST}Content-Length: 1\r\n\r\n`)
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -24,6 +24,7 @@
   | "quarantine-refusals"
   | "caller-closes"
   | "body-refusals"
+  | "unread-answers"
 /** Metrics with a current value. */
 export type GaugeMetric =
   | "batch-fill"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -54,6 +54,7 @@
   "cut-answers": "Answers that were ended after they had begun.",
   "quarantine-refusals": "Requests refused because a part of their prompt ends engines.",
   "caller-closes": "Connections of callers that were closed to protect this process.",
+  "unread-answers": "Answers that were cut because their callers did not read them.",
   "body-refusals": "Requests refused because their body did not fit or did not arrive.",
 }
 
