--- a/packages/entry/src/forward/handler.ts
+++ b/packages/entry/src/forward/handler.ts
@@ -60,6 +60,7 @@
       response,
       this.context.headerCodec,
       () => this.context.stop.isStopping,
+      this.context.ingress.createAnswerHolder(response),
       () => this.context.monitor?.isMovingCallers ?? false,
     )
     try {
@@ -238,7 +239,7 @@
 
 function waitForClose(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
-    if (response.closed) resolve()
+    if (response.destroyed) resolve()
     else
       response.once("close", () => {
         resolve()
--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -17,6 +17,7 @@
   StopSchedule,
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
+import { IngressGuard } from "@galenaway/ingress"
 import { noopMetrics } from "@galenaway/observe"
 import { CostEstimator, EndpointHealth, PaceTable, RouteTable } from "@galenaway/routing"
 import { OPEN_GUARD } from "./support.js"
@@ -166,7 +167,7 @@
   const configuration = { version: 1, routes: routes ?? [], services: new Map(), limits }
   const context = {
     authorizer,
-    ingress: { discardBody: () => undefined, readBody: () => Promise.resolve(Buffer.alloc(0)) },
+    ingress: new IngressGuard({ budgetBytes: 1024 * 1024, maxConnections: 10 }),
     accountUsage: new AccountUsage(),
     catalogue: { routes: routes && new RouteTable(configuration) },
     directory: { listLive: () => [] },
--- a/packages/entry/test/handler.test.ts
+++ b/packages/entry/test/handler.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai"
 import { Authorizer, type ForwardContext, ForwardHandler, StopSchedule } from "@galenaway/entry"
 import { waitFor } from "@galenaway/core"
+import { IngressGuard } from "@galenaway/ingress"
 import { createManualClock, flushPromises } from "@galenaway/fakes"
 import { noopMetrics } from "@galenaway/observe"
 
@@ -19,7 +20,7 @@
   },
   headerCodec: { readRequest: () => ({}), buildAnswer: () => [] },
   clock: { now: () => 0 },
-  ingress: { discardBody: () => undefined },
+  ingress: new IngressGuard({ budgetBytes: 64 * 1024 * 1024, maxConnections: 10 }),
   log: { write: () => undefined },
   stop: new StopSchedule(createManualClock(), 8000),
 } as unknown as ForwardContext
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -33,6 +33,7 @@
   | "overflows"
   | "caller-closes"
   | "body-refusals"
+  | "unread-answers"
 /** Metrics with a current value. */
 export type GaugeMetric =
   | "batch-fill"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -67,6 +67,7 @@
   "slow-refusals": "Requests refused because the instance would have delayed them too long.",
   overflows: "Times that a full data centre began to send its requests to another one.",
   "caller-closes": "Connections of callers that were closed to protect this process.",
+  "unread-answers": "Answers that were cut because their callers did not read them.",
   "body-refusals": "Requests refused because their body did not fit or did not arrive.",
 }
 
