--- a/packages/entry/test/accounts.test.ts
+++ b/packages/entry/test/accounts.test.ts
@@ -19,7 +19,13 @@
 import { createManualClock } from "@galenaway/fakes"
 import { IngressGuard } from "@galenaway/ingress"
 import { noopMetrics } from "@galenaway/observe"
-import { CostEstimator, EndpointHealth, PaceTable, RouteTable } from "@galenaway/routing"
+import {
+  CostEstimator,
+  EndpointHealth,
+  PaceTable,
+  PlacementCostTable,
+  RouteTable,
+} from "@galenaway/routing"
 import { OPEN_GUARD } from "./support.js"
 
 const ROUTE: Route = {
@@ -177,6 +183,7 @@
     versions: { getNewest: () => undefined },
     paces: new PaceTable(),
     costs: new CostEstimator(),
+    placementCosts: new PlacementCostTable(),
     metrics: noopMetrics,
     clock: createManualClock(),
     log: { write: () => undefined },
