--- a/packages/entry/src/container.ts
+++ b/packages/entry/src/container.ts
@@ -56,7 +56,7 @@
   createLinkServer,
   createOwner,
   createPartGuard,
-} from "./wiring.js"
+} from "./wiring/index.js"
 
 const MS_PER_S = 1000
 const MAX_REQUEST_LINES_PER_SECOND = 400
