--- a/packages/entry/test/quota.test.ts
+++ b/packages/entry/test/quota.test.ts
@@ -12,6 +12,7 @@
   StopSchedule,
 } from "@galenaway/entry"
 import { createManualClock } from "@galenaway/fakes"
+import { IngressGuard } from "@galenaway/ingress"
 
 const QUOTA: AccountQuota = { unit: "tokens", ratePerS: 10, burst: 10, plainTokens: 7 }
 const ACCOUNT = { name: "acme", keys: [], quota: QUOTA }
@@ -60,6 +61,7 @@
     costs.push(cost)
     return quotas.take()
   }
+  const guard = new IngressGuard({ budgetBytes: 1024 * 1024, maxConnections: 10 })
   const routes = { findRoute: () => ROUTE, configuration: { limits: { maxBodyBytes: 9 } } }
   const context = {
     catalogue: { routes },
@@ -67,12 +69,14 @@
     authorizer: { authorize: () => ({ kind: "granted", account: ACCOUNT }) },
     accountUsage: { onRequest: () => undefined, onRefused: () => undefined },
     quotas: { ...quotas, take },
+    ingress: guard,
     clock: { now: () => 0 },
     log: { write: () => undefined },
     stop: new StopSchedule(createManualClock(), 8000),
   } as unknown as ForwardContext
   const handler = new ForwardHandler(context)
-  const server = createServer((request, response) => void handler.handle(request, response))
+  const server = createServer()
+  guard.attach(server, (request, response) => void handler.handle(request, response))
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
   const socket = connect((server.address() as AddressInfo).port, "127.0.0.1")
   socket.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n")
