--- a/packages/daemon/src/container.ts
+++ b/packages/daemon/src/container.ts
@@ -182,6 +182,10 @@
         metrics.count("body-refusals")
         log.info({ reason }, "body not read")
       },
+      onCutAnswer: () => {
+        metrics.count("unread-answers")
+        log.info({}, "answer cut that its caller does not read")
+      },
       onTick: (connections, heldBytes) => {
         metrics.setGauge("caller-connections", connections)
         metrics.setGauge("held-bytes", heldBytes)
--- a/packages/entry/src/instance.ts
+++ b/packages/entry/src/instance.ts
@@ -64,7 +64,7 @@
     quarantine: container.resolve(PartGuard),
     explain: (query) => explainRequest(container.resolve(ENTRY_TOKENS.forward), query),
     log,
-    isReady: () => isReady(container) && !container.resolve(ENTRY_TOKENS.monitor)?.isOnBreak,
+    isReady: () => isReady(container) && !container.resolve(ENTRY_TOKENS.monitor)?.isUnready,
     formatMetrics: () =>
       container.resolve(ENTRY_TOKENS.metrics).formatMetrics() +
       container.resolve(AccountUsage).formatMetrics(),
--- a/packages/entry/src/load/instance-monitor.ts
+++ b/packages/entry/src/load/instance-monitor.ts
@@ -1,6 +1,6 @@
 import type { Clock, InstanceId, Millis } from "@galenaway/core"
 import type { Log, Metrics } from "@galenaway/observe"
-import { BreakSchedule, canMoveCallers, InstanceLoad, type PeerLoads } from "@galenaway/policy"
+import { UnreadySchedule, canMoveCallers, InstanceLoad, type PeerLoads } from "@galenaway/policy"
 import type { SlowInstances } from "./slow-instances.js"
 
 /** The dependencies of an {@link InstanceMonitor}. */
@@ -26,12 +26,12 @@
 
 /**
  * Measures how long this instance itself delays its requests, and reports it to the
- * peers. A slow instance moves its callers to others and takes breaks from new
- * connections, unless most instances of its data centre are slow.
+ * peers. A slow instance moves its callers to others and isn't ready for moments for new
+ * connections, unless half or more of the instances of its data centre are slow.
  */
 export class InstanceMonitor {
   private readonly load = new InstanceLoad()
-  private readonly breaks: BreakSchedule
+  private readonly breaks: UnreadySchedule
   private timer: NodeJS.Timeout | undefined
   private sampledAt: Millis
   private processorMs: Millis
@@ -39,7 +39,7 @@
   private isMoving = false
 
   constructor(private readonly deps: InstanceMonitorDependencies) {
-    this.breaks = new BreakSchedule(deps.self)
+    this.breaks = new UnreadySchedule(deps.self)
     this.sampledAt = deps.clock.now()
     this.processorMs = deps.readProcessorMs()
   }
@@ -63,7 +63,7 @@
   }
 
   /** Whether this instance isn't ready for new connections for a moment. */
-  get isOnBreak(): boolean {
+  get isUnready(): boolean {
     return this.isBreak
   }
 
@@ -112,8 +112,11 @@
     this.isMoving = peers !== undefined && canMoveCallers(self, peers)
     this.isBreak = peers !== undefined && this.breaks.update(peers, now, clock.wallNow())
     if (this.isBreak === wasBreak) return
-    if (this.isBreak) metrics.count("breaks")
-    log.info({ slow: peers?.slow.size }, this.isBreak ? "break begins, not ready" : "break ends")
+    if (this.isBreak) metrics.count("unready-periods")
+    log.info(
+      { slow: peers?.slow.size },
+      this.isBreak ? "not ready for new connections" : "ready for new connections",
+    )
   }
 
   /** Returns what is known of the data centre; undefined if nothing recent is, since most instances may be slow. */
--- a/packages/entry/test/instance-monitor.test.ts
+++ b/packages/entry/test/instance-monitor.test.ts
@@ -36,7 +36,7 @@
   let breakCount = 0
   for (let i = 0; i < 100; i++) {
     sample(80)
-    if (monitor.isOnBreak) breakCount++
+    if (monitor.isUnready) breakCount++
   }
   expect(monitor.isMovingCallers).to.equal(true)
   expect(breakCount).to.be.greaterThan(0)
@@ -46,7 +46,7 @@
 it("an instance that isn't late moves nobody", () => {
   const { monitor, sample } = createMonitor([])
   for (let i = 0; i < 100; i++) sample(1)
-  expect([monitor.isMovingCallers, monitor.isOnBreak]).to.deep.equal([false, false])
+  expect([monitor.isMovingCallers, monitor.isUnready]).to.deep.equal([false, false])
 })
 
 // If all slow instances left, the others would get more than they can serve.
@@ -54,7 +54,7 @@
   const { monitor, sample } = createMonitor(["a", "b", "c", "d"])
   for (let i = 0; i < 100; i++) {
     sample(80)
-    expect([monitor.isMovingCallers, monitor.isOnBreak]).to.deep.equal([false, false])
+    expect([monitor.isMovingCallers, monitor.isUnready]).to.deep.equal([false, false])
   }
   expect(monitor.isSlow).to.equal(true)
 })
--- a/packages/ingress/src/answer-holder.ts
+++ b/packages/ingress/src/answer-holder.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http"
 import type { ByteBudget, ByteHolder } from "./byte-budget.js"
 
-/** Smaller rests aren't counted: those of ordinary answers are sent at once. */
+/** Fewer unread bytes aren't counted, since ordinary answers are sent at once. */
 const MIN_COUNTED_BYTES = 2048
 
 /**
--- a/packages/ingress/src/body-reader.ts
+++ b/packages/ingress/src/body-reader.ts
@@ -112,6 +112,7 @@
   private end(): void {
     this.hasEnded = true
     const { request, options } = this
+    // The error listener stays, since an error without one would end the process.
     request.off("data", this.onData)
     request.off("end", this.onEnd)
     request.off("close", this.onGone)
--- a/packages/ingress/src/byte-budget.ts
+++ b/packages/ingress/src/byte-budget.ts
@@ -105,7 +105,7 @@
 /** One holder of bytes of a budget. */
 export class ByteHolder implements HolderView {
   heldBytes = 0
-  private unmarkedBytes = 0
+  private unrecordedBytes = 0
   private isClosed = false
 
   constructor(
@@ -134,9 +134,9 @@
 
   /** Records that bytes were received from the caller, or sent to it. */
   recordProgress(bytes: number): void {
-    this.unmarkedBytes += bytes
-    if (this.unmarkedBytes < MIN_PROGRESS_BYTES) return
-    this.unmarkedBytes = 0
+    this.unrecordedBytes += bytes
+    if (this.unrecordedBytes < MIN_PROGRESS_BYTES) return
+    this.unrecordedBytes = 0
     this.progressAt = this.budget.now()
   }
 
--- a/packages/ingress/src/closing-order.ts
+++ b/packages/ingress/src/closing-order.ts
@@ -17,7 +17,7 @@
 /** The use of a connection, for the choice of the one that is closed. */
 export interface ConnectionView {
   readonly phase: ConnectionPhase
-  /** Start of the phase; for a body the time of its last progress. */
+  /** Start of a head; for a body the time of its last progress; otherwise when the connection was opened or last ended a request or an answer. */
   readonly since: Millis
   /** Whether a request has arrived on the connection. */
   readonly isUsed: boolean
@@ -46,8 +46,8 @@
 /**
  * Chooses the connection that is closed so that another one can be opened: first
  * those of refused requests, then those on which a request doesn't progress,
- * then unused and idle ones, and within a class the longest. Returns undefined
- * if all of them are in use.
+ * then those that were never used, then idle ones, and within a class the longest.
+ * Returns undefined if all of them are in use.
  */
 export function chooseConnectionToClose<T extends ConnectionView>(
   connections: Iterable<T>,
--- a/packages/ingress/src/guard.ts
+++ b/packages/ingress/src/guard.ts
@@ -44,7 +44,7 @@
 const TICK_MS = 250
 /** Twice the largest head, since bytes are counted at ticks and the next request may have arrived. */
 const MAX_UNPARSED_BYTES = 64 * 1024
-/** Time added to the timeout of heads, after which the server itself answers 408. */
+/** The server answers 408 when the timeout of a head has passed. The guard closes the connection after this additional time. */
 const HEAD_TIMEOUT_MARGIN_MS = 1000
 const DEFAULT_HEADER_TIMEOUT_MS = 3000
 const MAX_PIPELINED_COUNT = 32
@@ -226,10 +226,11 @@
     const response = this.responses.get(request)
     if (!response || socket.destroyed) return
     if (!response.headersSent) response.setHeader("Connection", "close")
+    // The server calls destroySoon after the answer. Closing a socket with unread bytes resets the connection, so only the sending side is ended.
     socket.destroySoon = () => socket.end()
     startReading(request, ignoreChunk)
     this.limitRest(request)
-    // Not before the parser has returned. Without its listener it gets nothing more, and the rest stays in the system's buffer.
+    // After the parser has returned. Without a listener the socket isn't read, and the rest of the body stays in the system's buffer.
     setImmediate(() => {
       socket.removeAllListeners("data")
       socket.pause()
--- a/packages/observe/src/metrics.ts
+++ b/packages/observe/src/metrics.ts
@@ -28,7 +28,7 @@
   | "quota-refusals"
   | "quota-outage-refusals"
   | "quota-reports"
-  | "breaks"
+  | "unready-periods"
   | "slow-refusals"
   | "overflows"
   | "caller-closes"
--- a/packages/observe/src/registry.ts
+++ b/packages/observe/src/registry.ts
@@ -63,7 +63,7 @@
   "quota-outage-refusals":
     "Requests refused because the allocator of their account's quota didn't answer.",
   "quota-reports": "Reports sent to the allocators of accounts' quotas.",
-  breaks: "Times that the instance wasn't ready because it delayed its answers.",
+  "unready-periods": "Times that the instance wasn't ready because it delayed its answers.",
   "slow-refusals": "Requests refused because the instance would have delayed them too long.",
   overflows: "Times that a full data centre began to send its requests to another one.",
   "caller-closes": "Connections of callers that were closed to protect this process.",
--- a/packages/policy/src/admission-queue.ts
+++ b/packages/policy/src/admission-queue.ts
@@ -205,7 +205,7 @@
     const tooLate = this.listTooLate(now)
     if (tooLate.length === 0 || !this.shares.isDivided)
       return tooLate.map((request) => this.refuse(request))
-    // Not all can start in time, so the accounts with a backlog make way for the others.
+    // Not all can start in time, so requests of accounts with a backlog are ordered last, and refused first.
     this.allowedLeadCount = MAX_LEAD_OVERLOADED_COUNT
     const refused = this.listTooLate(now).map((request) => this.refuse(request))
     // Those that are left may start in time only in the order by which the others were refused.
--- a/packages/policy/src/fair-turns.ts
+++ b/packages/policy/src/fair-turns.ts
@@ -4,7 +4,7 @@
 export interface TurnRequest {
   /** Requests without an account share the turns of one. */
   readonly account?: AccountName
-  /** The part of the capacity that the request uses. */
+  /** What the request uses of the capacity, in one unit for all requests of a queue: tokens for prompts, 1 for a load. */
   readonly cost: number
 }
 
@@ -56,7 +56,7 @@
     return this.computeLead(account) > allowedCount * this.meanCost
   }
 
-  /** Computes by how much an account is ahead of its share. */
+  /** Computes by how much an account is ahead of its share, in the unit of costs; 0 if it isn't. */
   computeLead(account: AccountName | undefined): number {
     const { usedUntil } = this.uses.get(account) ?? { usedUntil: 0 }
     return Math.max(0, usedUntil - this.virtualTime) * this.getWeight(account)
--- a/packages/policy/src/quota/quota-queue.ts
+++ b/packages/policy/src/quota/quota-queue.ts
@@ -11,7 +11,7 @@
 export type QuotaDecision<Permit = UnitPermit> =
   { readonly kind: "granted"; readonly permit: Permit } | QuotaRefusal
 
-/** The refusal of a request, with the time until the quota has its cost again. */
+/** The refusal of a request. The retry time is when units are expected, at most 10 s, or a fixed time without an allocator. */
 export interface QuotaRefusal {
   readonly kind: "refused"
   readonly reason: QuotaRefusalReason
@@ -34,7 +34,7 @@
 const NO_ALLOCATOR_RETRY_MS = 1000
 /** Longest Retry-After. A request above the whole burst would have none. */
 const MAX_RETRY_AFTER_MS = 10_000
-/** While an allocator has left a report unanswered for this long, requests don't wait for it. */
+/** For this time after an allocator didn't answer or couldn't grant, requests beyond the stock are refused without waiting. */
 const SILENCE_MS = 500
 
 /**
@@ -56,7 +56,7 @@
 
   /**
    * Decides a request. Returns undefined if it has to wait; `decide` is then called
-   * once, within the reply timeout. Accounts that wait are reported by `buildUrgent`.
+   * once, at the first check after the reply timeout at the latest. Accounts that wait are reported by `buildUrgent`.
    */
   take(
     account: AccountName,
@@ -111,7 +111,7 @@
       if (getQuotaShard(account) === shard) this.refuse(account, queue, [], now)
   }
 
-  /** Refuses the requests that have waited too long. Call it at least a few times within the reply timeout. */
+  /** Refuses the requests that have waited too long. The interval of the calls adds to their wait. */
   refuseOverdue(now: Millis): void {
     for (const [account, queue] of this.waiting) {
       const overdue = queue.filter(({ refuseAt }) => refuseAt <= now)
--- a/packages/policy/test/fleet-replay.ts
+++ b/packages/policy/test/fleet-replay.ts
@@ -1,4 +1,4 @@
-import { BreakSchedule, canMoveCallers, InstanceLoad } from "@galenaway/policy"
+import { UnreadySchedule, canMoveCallers, InstanceLoad } from "@galenaway/policy"
 import { createRandom } from "./random.js"
 
 /** A replay of the load of one data centre: callers that keep connections, a load balancer that deals new ones evenly, and instances with processors of different speeds. */
@@ -36,7 +36,7 @@
   readonly id: string
   readonly cores: number
   readonly load: InstanceLoad
-  readonly breaks: BreakSchedule
+  readonly breaks: UnreadySchedule
   backlogMs: number
   usedMs: number
   isReady: boolean
@@ -129,7 +129,7 @@
     id,
     cores,
     load: new InstanceLoad(),
-    breaks: new BreakSchedule(id),
+    breaks: new UnreadySchedule(id),
     backlogMs: 0,
     usedMs: 0,
     isReady: true,
--- a/packages/policy/test/instance-load.test.ts
+++ b/packages/policy/test/instance-load.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai"
-import { BreakSchedule, canMoveCallers, InstanceLoad, isOwnTurn } from "@galenaway/policy"
+import { UnreadySchedule, canMoveCallers, InstanceLoad, isOwnTurn } from "@galenaway/policy"
 import { replayFleet } from "./fleet-replay.js"
 
 const OBJECTIVE_MS = 500
@@ -79,7 +79,7 @@
 })
 
 it("an instance that is always slow is ready for more than seven eighths of the time", () => {
-  const breaks = new BreakSchedule("entry-0")
+  const breaks = new UnreadySchedule("entry-0")
   const peers = { members: MEMBERS, slow: new Set(["entry-0"]) }
   let unready = 0
   const steps = 10_000
@@ -90,7 +90,7 @@
 })
 
 it("a break ends at once when most instances become slow", () => {
-  const breaks = new BreakSchedule("entry-0")
+  const breaks = new UnreadySchedule("entry-0")
   const slow = new Set(["entry-0"])
   const startedAt = [...Array(600).keys()]
     .map((step) => step * 100)
--- a/packages/routing/src/data-centre-costs.ts
+++ b/packages/routing/src/data-centre-costs.ts
@@ -22,7 +22,8 @@
  * data centre while its engines have room, since bytes between data centres have a
  * price. If they are full, the data centre with the most room gets the requests
  * until it fills up or the own one is relieved. Each instance decides on what it
- * sees; without figures of other data centres, requests stay.
+ * sees. Engines without figures count as empty; a data centre without live engines
+ * is never chosen.
  */
 export class DataCentreCosts {
   private target: DataCentre | undefined
--- a/packages/routing/src/endpoint-times.ts
+++ b/packages/routing/src/endpoint-times.ts
@@ -48,8 +48,9 @@
 const REFUSAL_MEMORY_MS = 10_000
 
 /**
- * Learns from the answers to one instance how long each plain endpoint takes for
- * calls, how many calls it has and how its pace changes.
+ * Learns how long each plain endpoint takes for calls and how many calls it has, from
+ * the answers to this instance, and how the pace of each plain endpoint and engine
+ * changes, from its reports to any instance.
  *
  * Load pattern: dozens of instances send a few calls a second each to a few
  * endpoints whose speeds differ and change several times a second, so the last
--- a/packages/routing/src/explanation.ts
+++ b/packages/routing/src/explanation.ts
@@ -9,6 +9,7 @@
 } from "./placement.js"
 import {
   chooseEndpoint,
+  chooseRule,
   computeShares,
   estimateCompletion,
   type ServiceChoiceRule,
@@ -77,7 +78,7 @@
 /** Explains where a plain call would go now. Sends nothing and changes nothing. */
 export function explainService(view: ServiceView, costMs: Millis, now: Millis): ServiceExplanation {
   const { endpoints, health } = view
-  const rule = health.times.hasDifferences(endpoints, now) ? "completion" : "load"
+  const rule = chooseRule(view, now)
   const shares = computeShares(view, costMs, now)
   const chosen = chooseEndpoint(view, costMs, NO_ENDPOINTS, now, 0)?.endpoint
   const candidates = endpoints.map((endpoint): CandidateExplanation => {
--- a/packages/routing/src/placement-costs.ts
+++ b/packages/routing/src/placement-costs.ts
@@ -65,9 +65,9 @@
 /**
  * Learns the times of one deployment that placements are weighed by.
  *
- * Load pattern: deployments whose loads, events and hops take several times as long,
- * or as short, as where the defaults were found. Their requests would be sent to
- * waiting engines where a load is faster, or cause loads that are slower than the wait.
+ * Load pattern: loads, events and hops take several times longer or shorter than the
+ * defaults. With the defaults, requests would wait for a busy engine although a load
+ * is faster, or cause a load that takes longer than the wait.
  */
 export class PlacementCostTable {
   private readonly load = new RecentQuantile(LOAD_QUANTILE)
--- a/packages/routing/src/service-endpoint.ts
+++ b/packages/routing/src/service-endpoint.ts
@@ -57,7 +57,7 @@
 ): ServiceChoice | undefined {
   const { endpoints, health } = view
   const usable = endpoints.filter(({ id }) => !excluded.has(id) && health.isUsable(id, now))
-  const rule = health.times.hasDifferences(endpoints, now) ? "completion" : "load"
+  const rule = chooseRule(view, now)
   const endpoint =
     rule === "completion"
       ? drawEndpoint(view, usable, costMs, now, random)
@@ -65,6 +65,11 @@
   return endpoint && { endpoint, rule, expectedMs: estimateCompletion(view, endpoint, costMs, now) }
 }
 
+/** Chooses the rule by which an endpoint is chosen: expected completion where speeds differ. */
+export function chooseRule({ endpoints, health }: ServiceView, now: Millis): ServiceChoiceRule {
+  return health.times.hasDifferences(endpoints, now) ? "completion" : "load"
+}
+
 /** Estimates the time until the answer to a call that is sent to an endpoint now, in ms. */
 export function estimateCompletion(
   view: ServiceView,
