--- a/scripts/configuration-docs.mjs
+++ b/scripts/configuration-docs.mjs
@@ -76,6 +76,30 @@
 | \`--cpu-share\` (\`GALENAWAY_CPU_SHARE\`) | Share of the processor that the instance may use. | 1 |
 | \`--transfer-ms\` (\`GALENAWAY_TRANSFER_MS\`) | Price of a request's bytes between data centres, as an added wait in ms. With 0 the engines of all data centres are chosen by load and distance only. | 0 |
 
+Instances of the users' platform have three settings for the quotas of client accounts, which limit the use of an account in any window to (rate x window + burst) x (1 + excess) + slack: \`--quota-window-s\` (8), \`--quota-excess\` (0.1) and \`--quota-slack\` in tokens (0). \`deploy/entry.settings\` takes them from the platform's bounds; an empty value is the default. The rate and the burst of an account are in the platform's configuration (\`tenants\`).
+
+## Limits on callers
+
+Two settings of a process (not of the fleet) determine what its callers can make it hold; \`deploy/entry.settings\` takes them from the platform's \`limits.memory_mb\` and \`limits.max_fds\`.
+
+| setting               | default            | determines                                                                                                |
+| --------------------- | ------------------ | --------------------------------------------------------------------------------------------------------- |
+| \`GALENAWAY_MEMORY_MB\` | 1024               | the budget: 0.3 of what is above 150 MB, at least 8 MB; half of that in \`galenawayd\`, which copies bodies |
+| \`GALENAWAY_MAX_FDS\`   | the system's limit | the connections of callers: 0.75 of what is above 200, at least 16                                        |
+
+The other limits are constants. No caller that stays within \`limits\` of the platform's configuration and waits for its answers reaches them.
+
+| limit                                                                   | value                                          |
+| ----------------------------------------------------------------------- | ---------------------------------------------- |
+| time for a whole body                                                   | the deadline of the request; \`galenawayd\` 30 s |
+| bytes that arrive without becoming a request                            | 64 KB                                          |
+| time for a head                                                         | \`header_timeout_ms\` and 1 s                    |
+| requests on one connection that wait for an answer; they run one by one | 32                                             |
+| time between a refusal of a body and the close of the connection        | 1 s                                            |
+| part of the budget for bodies and answers above 64 KB                   | 7/8                                            |
+| time without progress (4 KB) after which a body or answer can be ended  | 1 s, only when its bytes are needed            |
+| bytes that one slow caller may be behind before its endpoint is slowed  | 256 KB                                         |
+
 ## Exceptions
 
 At most ${EXCEPTION_LIMIT}. Each has a \`match\`, a \`set\` with some of the settings, a \`reason\`, an \`author\` and a \`date\`. An exception holds where every field of its match is equal. Where several hold, the one with the strongest field decides, and among equals the next field; from strong to weak: ${[...MATCH_FIELDS].reverse().join(", ")}. \`galenaway explain MODEL --rank RANK\` shows which default or exception decides each setting.
